--- /dev/null
+++ b/firvane/__init__.py
@@ -0,0 +1,1 @@
+"""firvane: the decisions of an HTTP load balancer run as a small bank of proxies."""
--- a/myrtleworks/benchlink.py
+++ b/firvane/benchlink.py
@@ -9,8 +9,8 @@
 from collections.abc import Callable, Iterable
 from typing import Any, TextIO
 
-from myrtleworks.choice import Balancer
-from myrtleworks.interface import (
+from firvane.choice import Balancer
+from firvane.interface import (
     Action,
     Cancel,
     ClientGone,
@@ -318,10 +318,10 @@
                 self._running.pop(node, None)
                 return
             elif name not in EVENTS:
-                print(f"myrtleworks: unknown event {name!r}, passed over", file=self._errors)
+                print(f"firvane: unknown event {name!r}, passed over", file=self._errors)
                 return
             elif node not in self._running:
-                print(f"myrtleworks: {name} for {node}, which is not running", file=self._errors)
+                print(f"firvane: {name} for {node}, which is not running", file=self._errors)
                 return
             else:
                 answers = self._running[node].handle(EVENTS[name](values), now)
@@ -343,7 +343,7 @@
         try:
             answer = link.reply(line)
         except ValueError as error:
-            print(f"myrtleworks: line {number} is {error}", file=errors)
+            print(f"firvane: line {number} is {error}", file=errors)
             return 2
         sink.write(answer + "\n")
         sink.flush()
--- a/myrtleworks/choice.py
+++ b/firvane/choice.py
@@ -16,8 +16,8 @@
 from heapq import heappop, heapreplace
 from zlib import crc32
 
-from myrtleworks import interface as api
-from myrtleworks.state import Backend, Job, Row, mix
+from firvane import interface as api
+from firvane.state import Backend, Job, Row, mix
 
 WINDOW = 0.25  # s between policies: well under the seconds over which demand moves
 ROW_EVERY, SILENT = 2, 3  # windows from row to row (the design's r); rounds until a silent peer drops out
--- a/myrtleworks/state.py
+++ b/firvane/state.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from myrtleworks import interface as api
+from firvane import interface as api
 
 
 def mix(a: int, b: int) -> int:
--- a/myrtleworks/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""myrtleworks: the decisions of an HTTP load balancer run as a small bank of proxies."""
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from myrtleworks import interface as api
-from myrtleworks.benchlink import Link, parse_settings, serve
+from firvane import interface as api
+from firvane.benchlink import Link, parse_settings, serve
 
 PARAMS: dict[str, Any] = {
     "me": 0,
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from myrtleworks import interface as api
-from myrtleworks.choice import ENTRY, MAX_ENTRIES, ROW, WINDOW, Balancer, forecast, pair, unpack
+from firvane import interface as api
+from firvane.choice import ENTRY, MAX_ENTRIES, ROW, WINDOW, Balancer, forecast, pair, unpack
 from tests.helpers import RULES, answers, changes, full_list, outcome, sends, server, settings, started
 
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -3,7 +3,7 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
-MODULE = (ROOT / "myrtleworks" / "choice.py").read_text()
+MODULE = (ROOT / "firvane" / "choice.py").read_text()
 
 
 def test_module_is_short() -> None:
@@ -11,7 +11,7 @@
 
 
 def test_lines_are_short() -> None:
-    for path in (*ROOT.glob("myrtleworks/*.py"), *ROOT.glob("tests/*.py")):
+    for path in (*ROOT.glob("firvane/*.py"), *ROOT.glob("tests/*.py")):
         assert all(len(line) <= 110 for line in path.read_text().splitlines()), path
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -14,8 +14,8 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
-from myrtleworks import interface as api
-from myrtleworks.choice import Balancer
+from firvane import interface as api
+from firvane.choice import Balancer
 from tests.helpers import CLASSES, RULES, full_list, server, settings
 
 NEVER_RAN = {api.Result.FULL, api.Result.CONNECT_FAILED, api.Result.MOOT}
