--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -10,7 +10,8 @@
 import pytest
 
 from firvane import interface as api
-from firvane.benchlink import Link, parse_settings, serve
+from firvane.benchlink import Link, serve
+from firvane.settings import parse_settings
 
 PARAMS: dict[str, Any] = {
     "me": 0,
