--- /dev/null
+++ b/firvane/__main__.py
@@ -0,0 +1,233 @@
+"""Starts one real proxy: reads its configuration, wires its parts, and ends it in order."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import json
+import logging
+import os
+import signal
+import sys
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import uvloop
+
+from firvane import interface as api
+from firvane.engine import Engine
+from firvane.net.forward import Forwards
+from firvane.net.http import Message
+from firvane.net.listener import Front
+from firvane.net.peers import Peers
+from firvane.net.targets import Address, ListReader, TargetGroup, parse_address
+from firvane.settings import parse_settings
+
+log = logging.getLogger("firvane")
+
+LAME = 0.7  # s after SIGTERM for which clients may still come
+PATIENCE = 0.5  # s at the start for which discovery's own word is preferred to the list as last known
+RESERVE, TARGETS_PART = 32, 0.45  # descriptors for the rest; the targets' part of the others
+REPORT = 5.0  # s from one line of figures in the log to the next
+
+
+@dataclass(frozen=True)
+class Config:
+    """What a proxy is told when it starts."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    peer_listen: Address | None
+    peers: tuple[Address, ...]
+    peers_all: Address | None
+    known: Any
+    zones: tuple[str, ...]
+    kinds: tuple[str, ...]
+    settings: api.Settings
+
+
+def read_config(environment: Mapping[str, str]) -> Config:
+    """The configuration; `ValueError` or `OSError` with a plain message where it is of no use."""
+    path = environment.get("NODE_CONFIG")
+    if not path:
+        raise ValueError("NODE_CONFIG is not set")
+    with open(path, encoding="utf-8") as file:
+        try:
+            data = json.load(file)
+        except ValueError as error:
+            raise ValueError(f"{path} is not JSON: {error}") from None
+    if not isinstance(data, dict):
+        raise ValueError(f"{path} does not hold an object")
+
+    def address(key: str, variable: str = "") -> Address:
+        try:
+            return parse_address(environment.get(variable) or data.get(key))
+        except ValueError as error:
+            raise ValueError(f"{key}: {error}") from None
+
+    def names(key: str) -> tuple[str, ...]:
+        values = (data.get("settings") or {}).get(key) or []
+        if not isinstance(values, list):
+            raise ValueError(f"settings: {key} is not a list")
+        return tuple(map(str, values))
+
+    raw = data.get("settings")
+    if not isinstance(raw, dict):
+        raise ValueError("settings is missing or not an object")
+    settings = parse_settings(raw)
+    limits = data.get("limits") or {}
+    sockets = limits.get("sockets", 1024) if isinstance(limits, dict) else 0
+    if isinstance(sockets, bool) or not isinstance(sockets, int) or sockets < 2 * RESERVE:
+        raise ValueError(f"limits.sockets is {sockets!r}, not a number of at least {2 * RESERVE}")
+    peers = data.get("peers") or []
+    if not isinstance(peers, list):
+        raise ValueError("peers is not a list")
+    try:
+        seed = int(str(data.get("seed", "0")), 16)
+        tier = tuple(map(parse_address, peers))
+    except ValueError as error:
+        raise ValueError(f"seed or peers: {error}") from None
+    return Config(
+        name=environment.get("NODE_NAME") or str(data.get("name", "")),
+        listen=address("listen", "NODE_LISTEN"),
+        discovery=address("discovery", "NODE_DISCOVERY"),
+        seed=seed,
+        sockets=sockets,
+        peer_listen=address("peer_listen") if data.get("peer_listen") else None,
+        peers=tier,
+        peers_all=address("peers_all") if data.get("peers_all") else None,
+        known=data.get("known"),
+        zones=names("dcs"),
+        kinds=names("machine-types"),
+        settings=settings,
+    )
+
+
+class Proxy:
+    """All parts of one proxy, wired."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, config: Config) -> None:
+        self.loop, self.config = loop, config
+        settings = config.settings
+        usable = config.sockets - RESERVE
+        for_targets = int(usable * TARGETS_PART)
+        self.forwards = Forwards(loop, settings.limits, settings.rules, for_targets)
+        self.group = TargetGroup(
+            loop, config.discovery, ListReader(config.zones, config.kinds), self.forwards.listed, self._listed
+        )
+        self.peers = Peers(settings.me, config.peers, config.peers_all, self._heard)
+        self.engine: Engine[Message, Message] = Engine(
+            settings, config.seed, loop, self.forwards, self.peers, self.group
+        )
+        self.front = Front(loop, self.engine, settings, usable - for_targets)
+        self.server: asyncio.Server | None = None
+        self.tasks: list[asyncio.Task[None]] = []
+        self.lag = 0.0
+
+    def _listed(self, news: api.ServerList) -> None:
+        self.engine.listed(news)
+
+    def _heard(self, sender: int, payload: bytes) -> None:
+        self.engine.give(api.PeerMessage(sender, payload))
+
+    async def start(self) -> None:
+        """Everything up to answering that the proxy is ready."""
+        config = self.config
+        if config.peer_listen:
+            await self.loop.create_datagram_endpoint(lambda: self.peers, local_addr=config.peer_listen)
+        self.tasks.append(self.loop.create_task(self.forwards.hand_over()))
+        self.server = await self.loop.create_server(self.front.accept, *config.listen, backlog=1024)
+        self.engine.start()
+        if config.known:
+            try:
+                self.group.learn(config.known, cached=True)
+            except ValueError as error:
+                log.warning("the known list is of no use: %s", error)
+        self.tasks.append(self.loop.create_task(self.group.follow()))
+        try:
+            async with asyncio.timeout_at(self.loop.time() + PATIENCE if self.group.servers else None):
+                await self.group.heard.wait()
+        except TimeoutError:
+            log.warning("discovery is silent: starting from the list as last known")
+        self.front.ready = True
+        self._sweep(self.loop.time() + 1.0)
+        self._report(self.loop.time() + REPORT)
+        log.info("%s ready on %s:%d", config.name, *config.listen)
+
+    def _sweep(self, due: float) -> None:
+        self.lag = max(self.lag, self.loop.time() - due)
+        self.forwards.sweep()
+        self.front.sweep()
+        self.loop.call_at(due + 1.0, self._sweep, due + 1.0)
+
+    def _report(self, due: float) -> None:
+        counts = ", ".join(f"{name} {n}" for name, n in sorted(self.engine.endings.items()))
+        log.info(
+            "clients %d, to targets %d, dials %d, open %d, lag %.0f ms; %s",
+            len(self.front.connections),
+            self.forwards.count,
+            self.forwards.dials,
+            self.engine.owed,
+            1000 * self.lag,
+            counts,
+        )
+        self.lag = 0.0
+        self.engine.endings.clear()
+        self.loop.call_at(due + REPORT, self._report, due + REPORT)
+
+    async def drain(self) -> None:
+        """The end in order: take on what still comes for a while, then finish what is out."""
+        self.front.draining = True
+        await asyncio.sleep(LAME)
+        if self.server:
+            self.server.close()
+        self.front.close_idle()
+        last = self.loop.time() + 1.0 + max(cls.deadline for cls in self.config.settings.classes)
+        while self.front.connections and self.loop.time() < last:
+            await asyncio.sleep(0.02)
+            self.front.close_idle()
+        for task in self.tasks:
+            task.cancel()
+
+
+async def run(config: Config) -> None:
+    loop = asyncio.get_running_loop()
+    proxy = Proxy(loop, config)
+    told = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, told.set)
+    # An order to end is obeyed also while discovery has yet to give the first list.
+    waits = loop.create_task(proxy.start()), loop.create_task(told.wait())
+    await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    if waits[0].done():
+        waits[0].result()
+        # What lives as long as the proxy need not be looked at again in each collection.
+        gc.collect()
+        gc.freeze()
+        await told.wait()
+    log.info("%s is ending", config.name)
+    await proxy.drain()
+
+
+def main() -> int:
+    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
+    try:
+        config = read_config(os.environ)
+    except (ValueError, OSError) as error:
+        print(f"firvane: {' '.join(str(error).split())}", file=sys.stderr)
+        return 2
+    try:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(run(config))
+    except OSError as error:
+        print(f"firvane: cannot start: {error}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/firvane/engine.py
@@ -0,0 +1,348 @@
+"""Turns the decisions' actions into calls on a front, and the front's news into the decisions' events.
+
+The engine knows no wire format: a front hands it flows whose requests and answers it never opens, so that a
+second front can go through the same decisions and the same rules. It upholds what the simulator did for the
+decisions: the caps on attempts and on open flows, the deadlines, and exactly one final answer.
+"""
+
+from __future__ import annotations
+
+import logging
+import time
+from asyncio import TimerHandle
+from collections import Counter, deque
+from collections.abc import Callable
+from typing import Any, Generic, Protocol, TypeVar
+
+from firvane import interface as api
+from firvane.choice import Balancer
+from firvane.endings import RESULTS, Ending
+
+log = logging.getLogger(__name__)
+
+Q = TypeVar("Q")  # a request as the front holds it
+A = TypeVar("A")  # a target's answer as the front holds it
+Q_contra = TypeVar("Q_contra", contravariant=True)
+A_contra = TypeVar("A_contra", contravariant=True)
+A_co = TypeVar("A_co", covariant=True)
+
+
+class Clock(Protocol):
+    """The part of an event loop that keeps time. All deadlines are on its clock."""
+
+    def time(self) -> float: ...
+
+    def call_at(self, when: float, callback: Callable[..., Any], *args: Any) -> TimerHandle: ...
+
+
+class Client(Protocol[A_contra]):
+    """Who asked; hears exactly one of these, once."""
+
+    def served(self, answer: A_contra) -> None: ...
+
+    def refused(self, retry_after: float) -> None: ...
+
+    def failed(self) -> None: ...
+
+
+class Handle(Protocol):
+    """An exchange under way."""
+
+    def cancel(self) -> None:
+        """Stop at once, reporting nothing."""
+
+
+class Exchange(Protocol[A_contra]):
+    """What a front needs to know of one forward or probe, and where it says how that ended."""
+
+    deadline: float
+
+    def ended(self, ending: Ending, answer: A_contra | None = None) -> None: ...
+
+
+class Targets(Protocol[Q_contra, A_co]):
+    """The way to the targets. An exchange may end before the call returns."""
+
+    def forward(self, request: Q_contra, target: str, exchange: Exchange[A_co]) -> Handle: ...
+
+    def probe(self, target: str, exchange: Exchange[A_co]) -> Handle: ...
+
+    def close_idle(self, target: str) -> None: ...
+
+
+class Post(Protocol):
+    """The way to the other proxies."""
+
+    def tell(self, peer: int | None, payload: bytes) -> None: ...
+
+
+class Directory(Protocol):
+    """The way to the list of targets."""
+
+    def refresh(self) -> None: ...
+
+
+class Flow(Generic[Q, A]):
+    """A request on its way through: what it asks, who asked, by when, and its forwards."""
+
+    __slots__ = ("client", "deadline", "forwards", "id", "live", "open", "request", "timer")
+
+    def __init__(self, request: Q, client: Client[A], deadline: float) -> None:
+        self.request, self.client, self.deadline = request, client, deadline
+        self.id = -1
+        self.open = True  # its final answer is owed
+        self.forwards: list[Forward[Q, A] | None] = []
+        self.live = 0
+        self.timer: TimerHandle | None = None
+
+
+class Forward(Generic[Q, A]):
+    """One attempt of a flow."""
+
+    __slots__ = ("deadline", "engine", "flow", "handle", "number", "over", "since", "target", "timer")
+
+    def __init__(
+        self, engine: Engine[Q, A], flow: Flow[Q, A], target: str, since: float, deadline: float
+    ) -> None:
+        self.engine, self.flow, self.target, self.since, self.deadline = engine, flow, target, since, deadline
+        self.number = len(flow.forwards)
+        self.handle: Handle | None = None
+        self.timer: TimerHandle | None = None
+        self.over = False
+
+    def ended(self, ending: Ending, answer: A | None = None) -> None:
+        self.engine.forward_ended(self, ending, answer)
+
+    def stop(self, ending: Ending) -> None:
+        """End it from this side."""
+        if not self.over:
+            if self.handle:
+                self.handle.cancel()
+            self.ended(ending)
+
+
+class Probing(Generic[Q, A]):
+    """A probe under way."""
+
+    def __init__(self, engine: Engine[Q, A], target: str, since: float, deadline: float) -> None:
+        self.engine, self.target, self.since, self.deadline = engine, target, since, deadline
+        self.handle: Handle | None = None
+        self.over = False
+
+    def ended(self, ending: Ending, answer: A | None = None) -> None:
+        self.engine.probe_ended(self, ending)
+
+    def expire(self) -> None:
+        if not self.over and self.handle:
+            self.handle.cancel()
+        self.ended(Ending.OVERDUE)
+
+
+class Engine(Generic[Q, A]):
+    """Owns the decisions, the flows that are open, their ids, and the decisions' timers."""
+
+    def __init__(
+        self,
+        settings: api.Settings,
+        seed: int,
+        clock: Clock,
+        targets: Targets[Q, A],
+        post: Post,
+        directory: Directory,
+    ) -> None:
+        self.settings, self.clock = settings, clock
+        self.targets, self.post, self.directory = targets, post, directory
+        # The decisions' clock reads Unix time but advances with the loop's: starts of targets are told in
+        # Unix time, peers drop a row whose stamp is older than the last (a reboot must not set it back), and
+        # a step of the system's clock must not move a deadline. Read once: a start always maps alike.
+        self.offset = time.time() - clock.time()
+        self.balancer = Balancer(settings, seed, self.now())
+        self.flows: dict[int, Flow[Q, A]] = {}
+        self.owed = 0  # flows that have no final answer yet
+        self.known: set[str] = set()  # every target that a list has named
+        self.endings: Counter[str] = Counter()  # for the log
+        self.faults = 0
+        self._next_id = 0
+        self._events: deque[api.Event] = deque()
+        self._busy = False
+        self._handlers: dict[type[Any], Callable[[Any], None]] = {
+            api.Send: self._send,
+            api.Refuse: self._refuse,
+            api.Fail: self._fail,
+            api.Cancel: self._cancel,
+            api.SetTimer: self._set_timer,
+            api.Tell: lambda action: self.post.tell(action.peer, action.payload),
+            api.Probe: self._probe,
+            api.CloseIdle: lambda action: self.targets.close_idle(action.server),
+            api.Watch: lambda action: self.directory.refresh(),
+            api.Fetch: lambda action: self.directory.refresh(),
+            api.Log: lambda action: log.info("decisions: %s", action.text),
+        }
+
+    def now(self) -> float:
+        """The time as the decisions know it."""
+        return self.clock.time() + self.offset
+
+    def start(self) -> None:
+        self._act(self.balancer.start(self.now()))
+        self._drain()
+
+    # News from the front
+
+    def take(self, flow: Flow[Q, A], request: api.Request) -> None:
+        """A new flow; the engine numbers it and sets what is left of its time."""
+        if self.owed >= self.settings.limits.max_open:
+            self.endings["over the cap on open flows"] += 1
+            flow.open = False
+            flow.client.refused(0.0)
+            return
+        flow.id = request.id = self._next_id = (self._next_id + 1) & 0xFFFFFFFF
+        request.left = max(0.0, flow.deadline - self.clock.time())
+        self.flows[flow.id] = flow
+        self.owed += 1
+        flow.timer = self.clock.call_at(flow.deadline, self._deadline, flow)
+        self.give(request)
+
+    def leave(self, flow: Flow[Q, A]) -> None:
+        """The client has gone away: nothing is owed to it any more."""
+        if flow.open:
+            self.endings["client left"] += 1
+            self._close(flow)
+            self.give(api.ClientGone(flow.id))
+            self._forget(flow)
+
+    def listed(self, news: api.ServerList) -> None:
+        self.known.update(server.id for server in news.servers)
+        self.give(news)
+
+    def give(self, event: api.Event) -> None:
+        """Hand an event to the decisions, in order of arrival, never from within an earlier one."""
+        self._events.append(event)
+        self._drain()
+
+    def _drain(self) -> None:
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while self._events:
+                event = self._events.popleft()
+                try:
+                    actions = self.balancer.handle(event, self.now())
+                except Exception:
+                    # A fault in one decision must not take the proxy down: what was decided before it stands
+                    # (the window timer above all), and each open flow still has its deadline.
+                    self.faults += 1
+                    if self.faults <= 20:
+                        log.exception("the decisions failed on %s", type(event).__name__)
+                    actions = self.balancer.actions
+                self._act(actions)
+        finally:
+            self._busy = False
+
+    def _act(self, actions: list[api.Action]) -> None:
+        for action in actions:
+            self._handlers[type(action)](action)
+
+    # Actions
+
+    def _send(self, action: api.Send) -> None:
+        flow = self.flows.get(action.id)
+        if flow is None:
+            return
+        limits, now = self.settings.limits, self.clock.time()
+        deadline = flow.deadline if action.timeout <= 0 else min(flow.deadline, now + action.timeout)
+        forward = Forward(self, flow, action.server, now, deadline)
+        flow.forwards.append(forward)
+        flow.live += 1
+        allowed = flow.open and forward.number < limits.max_attempts and action.server in self.known
+        if not allowed or (flow.live > 1 and not limits.second_copies):
+            forward.ended(Ending.NOT_ALLOWED)
+            return
+        if deadline < flow.deadline:
+            forward.timer = self.clock.call_at(deadline, forward.stop, Ending.OVERDUE)
+        forward.handle = self.targets.forward(flow.request, action.server, forward)
+
+    def _refuse(self, action: api.Refuse) -> None:
+        flow = self.flows.get(action.id)
+        if flow and flow.open:
+            self.endings["refused"] += 1
+            self._close(flow)
+            flow.client.refused(action.retry_after if self.settings.limits.retry_after else 0.0)
+            self._forget(flow)
+
+    def _fail(self, action: api.Fail) -> None:
+        flow = self.flows.get(action.id)
+        if flow and flow.open:
+            self.endings["failed"] += 1
+            self._close(flow)
+            flow.client.failed()
+            self._forget(flow)
+
+    def _cancel(self, action: api.Cancel) -> None:
+        flow = self.flows.get(action.id)
+        if flow and 0 <= action.attempt < len(flow.forwards):
+            forward = flow.forwards[action.attempt]
+            if forward:
+                forward.stop(Ending.CANCELLED)
+
+    def _set_timer(self, action: api.SetTimer) -> None:
+        event = api.TimerFired(action.token)
+        self.clock.call_at(self.clock.time() + max(0.0, action.span), self.give, event)
+
+    def _probe(self, action: api.Probe) -> None:
+        now = self.clock.time()
+        probing = Probing(self, action.server, now, now + self.settings.limits.connect_timeout)
+        self.clock.call_at(probing.deadline, probing.expire)
+        probing.handle = self.targets.probe(action.server, probing)
+
+    # Ends
+
+    def forward_ended(self, forward: Forward[Q, A], ending: Ending, answer: A | None) -> None:
+        """The one way out of a forward; a second report of the same one changes nothing."""
+        if forward.over:
+            return
+        forward.over = True
+        if forward.timer:
+            forward.timer.cancel()
+        flow = forward.flow
+        flow.forwards[forward.number] = None
+        flow.live -= 1
+        self.endings[ending.value] += 1
+        if ending is Ending.SERVED and flow.open and answer is not None:
+            self._close(flow)
+            flow.client.served(answer)
+        took = self.clock.time() - forward.since
+        self._forget(flow)
+        self.give(
+            api.Outcome(flow.id, forward.number, forward.target, RESULTS[ending], took, not flow.open)
+        )
+
+    def probe_ended(self, probing: Probing[Q, A], ending: Ending) -> None:
+        if not probing.over:
+            probing.over = True
+            took = self.clock.time() - probing.since
+            self.give(api.Probed(probing.target, RESULTS[ending], took))
+
+    def _deadline(self, flow: Flow[Q, A]) -> None:
+        """The last resort: whatever the decisions did, a flow is answered by its deadline."""
+        for forward in list(flow.forwards):
+            if forward:
+                forward.stop(Ending.OVERDUE)
+        if flow.open:
+            self.endings["unanswered at the deadline"] += 1
+            self._close(flow)
+            flow.client.failed()
+            self.give(api.ClientGone(flow.id))
+            self._forget(flow)
+
+    def _close(self, flow: Flow[Q, A]) -> None:
+        flow.open = False
+        self.owed -= 1
+
+    def _forget(self, flow: Flow[Q, A]) -> None:
+        """Drop a flow that is answered and has nothing out; till then it may be cancelled by its id."""
+        if not flow.open and not flow.live:
+            self.flows.pop(flow.id, None)
+            if flow.timer:
+                flow.timer.cancel()
--- /dev/null
+++ b/firvane/net/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's protocol: HTTP to clients and targets, discovery, and the peers' datagrams."""
--- /dev/null
+++ b/firvane/net/forward.py
@@ -0,0 +1,315 @@
+"""The way to the targets: a pool of connections for each, dials, and one exchange at a time on each."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import logging
+import socket
+from functools import partial
+from typing import cast
+
+import httptools
+
+from firvane.endings import Ending
+from firvane.engine import Exchange
+from firvane.interface import Limits, Rules
+from firvane.net.http import Fault, Message, Reader, request_head
+
+log = logging.getLogger(__name__)
+
+IDLE_PART = 0.5  # of the idle time in the settings: a target may close sooner than that, never later
+
+
+class Pool:
+    """One target: where it is, whether it may be sent to, and its idle connections, newest last."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.address: tuple[str, int] | None = None
+        self.down_since: float | None = None  # when the list said that it drains or is gone
+        self.idle: list[Connection] = []
+
+    def close_idle(self, before: float = float("inf")) -> None:
+        while self.idle and self.idle[0].idle_since < before:
+            self.idle.pop(0).close()
+
+
+class Run:
+    """An exchange on its way to a target, over an idle connection or a new one."""
+
+    __slots__ = ("connection", "dial", "exchange", "over", "pool", "request")
+
+    def __init__(self, request: Message, pool: Pool, exchange: Exchange[Message]) -> None:
+        self.request, self.pool, self.exchange = request, pool, exchange
+        self.connection: Connection | None = None
+        self.dial: Dial | None = None
+        self.over = False
+
+    def cancel(self) -> None:
+        """Give it up. The connection goes with it: that is how the target learns of it."""
+        self.over = True
+        if self.connection:
+            self.connection.run = None
+            self.connection.close()
+        elif self.dial:
+            self.dial.close()
+
+    def end(self, ending: Ending, answer: Message | None = None) -> None:
+        if not self.over:
+            self.over = True
+            self.exchange.ended(ending, answer)
+
+
+class Dial:
+    """A connection being made: a socket until it stands, a transport's from then on."""
+
+    def __init__(self, forwards: Forwards, run: Run, sock: socket.socket) -> None:
+        self.forwards, self.run, self.sock = forwards, run, sock
+        loop = forwards.loop
+        loop.add_writer(sock.fileno(), self._writable)
+        self.timer = loop.call_at(loop.time() + forwards.limits.connect_timeout, self._expired)
+        self.waiting = True
+
+    def _stop_waiting(self) -> None:
+        self.waiting = False
+        self.timer.cancel()
+        self.forwards.loop.remove_writer(self.sock.fileno())
+
+    def _writable(self) -> None:
+        if self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            self._fail(Ending.REFUSED)
+        else:
+            self._stop_waiting()
+            self.forwards.standing.put_nowait(self)
+
+    def _expired(self) -> None:
+        self._fail(Ending.DIAL_EXPIRED)
+
+    def _fail(self, ending: Ending) -> None:
+        self.close()
+        self.run.end(ending)
+
+    def close(self) -> None:
+        """Give the socket up; one that waits for its transport is the dialer's, who finds the run over."""
+        if self.waiting:
+            self._stop_waiting()
+            self.sock.close()
+            self.forwards.count -= 1
+
+
+class Connection(asyncio.Protocol):
+    """One connection to a target; it is in its pool whenever it is idle."""
+
+    def __init__(self, forwards: Forwards, pool: Pool) -> None:
+        self.forwards, self.pool = forwards, pool
+        self.reader = Reader(httptools.HttpResponseParser)
+        self.run: Run | None = None
+        self.idle_since = 0.0
+        self.written = True  # the last byte of the request has gone to the kernel
+        self.transport: asyncio.Transport
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        # With no buffer allowed, a write goes out at once, and `resume_writing` tells when a rest has gone:
+        # only so is it known whether a break came before or after the last byte.
+        self.transport.set_write_buffer_limits(0)
+
+    def send(self, run: Run) -> None:
+        now = self.forwards.loop.time()
+        left = max(1, int((run.exchange.deadline - now) * 1000))
+        self.run, run.connection, self.written = run, self, False
+        host = b"%s:%d" % (self.pool.address[0].encode(), self.pool.address[1]) if self.pool.address else b""
+        self.transport.writelines([*request_head(run.request, left, host), *run.request.body])
+        if not self.transport.is_closing() and not self.transport.get_write_buffer_size():
+            self.written = True
+
+    def resume_writing(self) -> None:
+        self.written = True
+
+    def data_received(self, data: bytes) -> None:
+        run = self.run
+        if run is None:
+            self.close()  # nothing was asked: whatever this is, the next answer could not be told from it
+            return
+        try:
+            self.reader.feed(data)
+        except Fault:
+            self._end(Ending.BAD_ANSWER)
+            return
+        while self.reader.done:
+            message = self.reader.done.pop(0)
+            if message.status >= 200:  # an interim answer is followed by the real one
+                self._answered(message)
+                return
+
+    def _answered(self, message: Message) -> None:
+        ending = Ending.SERVER_ERROR
+        if message.status == 200:
+            ending = Ending.SERVED
+        elif message.status in (503, 504) and message.fields.get(b"x-rejected") == b"1":
+            ending = Ending.TURNED_AWAY
+        spoilt = self.reader.done or self.reader.message or not self.written
+        if message.keep and message.framed and not spoilt:
+            run, self.run = self.run, None
+            self.forwards.park(self)
+            if run:
+                run.end(ending, message)
+        else:
+            self._end(ending, message)
+
+    def _end(self, ending: Ending, message: Message | None = None) -> None:
+        run, self.run = self.run, None
+        self.close()
+        if run:
+            run.end(ending, message)
+
+    def eof_received(self) -> None:
+        message = self.reader.message
+        if self.run and message and message.status == 200 and not self.reader.in_head and not message.framed:
+            self._end(Ending.SERVED, message)  # a body that lasts until the connection ends
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.forwards.count -= 1
+        if self in self.pool.idle:
+            self.pool.idle.remove(self)
+        run, self.run = self.run, None
+        if run:
+            run.end(Ending.BROKE_SENT if self.written else Ending.BROKE_UNSENT)
+
+    def close(self) -> None:
+        self.transport.abort()
+
+
+def _given(connection: Connection) -> Connection:
+    return connection
+
+
+class Forwards:
+    """All targets' pools, within one bound on sockets."""
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, limits: Limits, rules: Rules, max_sockets: int
+    ) -> None:
+        self.loop, self.limits, self.rules, self.max_sockets = loop, limits, rules, max_sockets
+        self.pools: dict[str, Pool] = {}
+        self.count = 0  # sockets held or being made
+        self.dials = 0  # ever made, for the log
+        # Sockets that stand and wait for their transport: making one is a coroutine, and none may be started
+        # for a request, so a single one serves them in turn.
+        self.standing: asyncio.Queue[Dial] = asyncio.Queue()
+
+    async def hand_over(self) -> None:
+        """The long-lived dialer."""
+        while True:
+            dial = await self.standing.get()
+            run = dial.run
+            connection = Connection(self, run.pool)
+            try:
+                if run.over:
+                    raise OSError("given up meanwhile")
+                await self.loop.create_connection(partial(_given, connection), sock=dial.sock)
+            except OSError:
+                dial.sock.close()
+                self.count -= 1
+                run.end(Ending.BROKE_UNSENT)
+                continue
+            if run.over or connection.transport.is_closing():
+                connection.close()
+                run.end(Ending.BROKE_UNSENT)
+            elif self._drained(run.pool):
+                self.park(connection)
+                run.end(Ending.TOO_LATE)
+            else:
+                connection.send(run)
+
+    # The engine's side
+
+    def forward(self, request: Message, target: str, exchange: Exchange[Message]) -> Run:
+        pool = self.pools.get(target) or Pool(target)
+        run = Run(request, pool, exchange)
+        if self._drained(pool):
+            run.end(Ending.TOO_LATE)
+            return run
+        while pool.idle:
+            connection = pool.idle.pop()
+            if not connection.transport.is_closing():
+                connection.send(run)
+                return run
+        self._dial(run)
+        return run
+
+    def probe(self, target: str, exchange: Exchange[Message]) -> Run:
+        request = Message()
+        request.method, request.url = b"GET", b"/alive"
+        return self.forward(request, target, exchange)
+
+    def close_idle(self, target: str) -> None:
+        if pool := self.pools.get(target):
+            pool.close_idle()
+
+    # The list's side
+
+    def listed(self, name: str, address: tuple[str, int] | None, up: bool) -> None:
+        """What the list says of a target takes effect at once."""
+        pool = self.pools.setdefault(name, Pool(name))
+        if address and address != pool.address:
+            pool.close_idle()
+            pool.address = address
+        if up:
+            pool.down_since = None
+        elif pool.down_since is None:
+            pool.down_since = self.loop.time()
+            pool.close_idle()
+
+    # Connections
+
+    def _drained(self, pool: Pool) -> bool:
+        """Whether the grace after the list's word has passed: a dial may end later than it began."""
+        # A first byte sent at the very end of the grace could still be seen after it.
+        grace = 0.9 * self.rules.drain_grace
+        return pool.down_since is not None and self.loop.time() >= pool.down_since + grace
+
+    def _dial(self, run: Run) -> None:
+        pool = run.pool
+        if self.count >= self.max_sockets and not self._shed():
+            run.end(Ending.NO_SOCKET)
+            return
+        if pool.address is None:
+            run.end(Ending.REFUSED)
+            return
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        except OSError:
+            run.end(Ending.NO_SOCKET)
+            return
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if sock.connect_ex(pool.address) not in (0, errno.EINPROGRESS):
+            sock.close()
+            run.end(Ending.REFUSED)
+            return
+        self.count += 1
+        self.dials += 1
+        run.dial = Dial(self, run, sock)
+
+    def park(self, connection: Connection) -> None:
+        pool = connection.pool
+        if pool.down_since is not None:
+            connection.close()
+        else:
+            connection.idle_since = self.loop.time()
+            pool.idle.append(connection)
+
+    def _shed(self) -> bool:
+        """Close the connection that has been idle longest; whether there was one."""
+        idle = (pool for pool in self.pools.values() if pool.idle)
+        oldest = min(idle, key=lambda pool: pool.idle[0].idle_since, default=None)
+        if oldest:
+            oldest.idle.pop(0).close()
+        return oldest is not None
+
+    def sweep(self) -> None:
+        """Close what has been idle for long, well before the target would."""
+        before = self.loop.time() - IDLE_PART * self.limits.connection_idle
+        for pool in self.pools.values():
+            pool.close_idle(before)
--- /dev/null
+++ b/firvane/net/http.py
@@ -0,0 +1,178 @@
+"""HTTP/1.1 as both sides of the proxy share it: messages gathered, heads written in pieces."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+import httptools
+
+Parser = httptools.HttpRequestParser | httptools.HttpResponseParser
+MAX_BODY = 64 * 1024
+MAX_HEAD = 16 * 1024
+# What holds for one connection only, and the framing, which each side writes anew.
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+
+
+class Fault(Exception):  # noqa: N818 - the peer's fault, and an ordinary event here
+    """A message that cannot be used; `status` is what a client is told of its own."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__(status)
+        self.status = status
+
+
+class Message:
+    """One message: its target, its header fields as they came, and its body."""
+
+    __slots__ = ("body", "complete", "fields", "framed", "headers", "keep", "method", "size", "status", "url")
+
+    def __init__(self) -> None:
+        self.method = self.url = b""
+        self.status = 0
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.fields: dict[bytes, bytes] = {}  # by lower-case name
+        self.body: list[bytes] = []
+        self.size = 0
+        self.framed = False
+        self.keep = False
+        self.complete = False
+
+    def passed_on(self, without: frozenset[bytes] = frozenset()) -> Iterable[bytes]:
+        """The pieces of the header fields that go beyond this connection."""
+        named = self.fields.get(b"connection", b"").lower()
+        held_back = HOP_BY_HOP | without
+        if named not in (b"", b"close", b"keep-alive"):
+            held_back |= {name.strip() for name in named.split(b",")}
+        for name, value in self.headers:
+            if name.lower() not in held_back:
+                yield from (name, b": ", value, b"\r\n")
+
+
+class Reader:
+    """Collects messages from bytes cut anywhere. Complete ones queue in `done`; faults are raised by `feed`.
+
+    The parser's callbacks only collect: an exception in the middle of the proxy's own work would otherwise
+    come out of the parser as a fault of the peer.
+    """
+
+    def __init__(self, parser: Callable[[object], Parser]) -> None:
+        self._parser = parser(self)
+        self._raw = 0
+        self.message: Message | None = None
+        self.in_head = False
+        self.done: list[Message] = []
+
+    def feed(self, data: bytes) -> None:
+        began = self.message
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            # An offer to switch protocols may be passed over, but what follows it is no longer ours to parse.
+            if self.done:
+                self.done[-1].keep = False
+        except httptools.HttpParserCallbackError as error:
+            cause = error.__context__
+            raise cause if isinstance(cause, Fault) else Fault(400) from None
+        except httptools.HttpParserError:
+            raise Fault(400) from None
+        if self.in_head and began is self.message:
+            # Guards against a head without an end: the parser itself would gather it for ever.
+            self._raw += len(data)
+            if self._raw > MAX_HEAD:
+                raise Fault(431)
+
+    def on_message_begin(self) -> None:
+        self.message, self.in_head, self._raw = Message(), True, 0
+
+    def on_url(self, url: bytes) -> None:
+        if self.message:
+            self.message.url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if self.message and self.in_head:  # fields after a chunked body are dropped
+            self.message.headers.append((name, value))
+            self.message.fields[name.lower()] = value
+
+    def on_headers_complete(self) -> None:
+        self.in_head = False
+        message = self.message
+        if message is None:
+            return
+        head = len(message.url) + sum(len(name) + len(value) + 4 for name, value in message.headers)
+        if head > MAX_HEAD:
+            raise Fault(431)
+        message.framed = b"content-length" in message.fields or b"transfer-encoding" in message.fields
+        length = message.fields.get(b"content-length", b"0").strip()
+        if length.isdigit() and int(length) > MAX_BODY:
+            raise Fault(413)
+        if isinstance(self._parser, httptools.HttpResponseParser):
+            message.status = self._parser.get_status_code()
+        else:
+            message.method = self._parser.get_method()
+
+    def on_body(self, body: bytes) -> None:
+        if self.message:
+            self.message.body.append(body)
+            self.message.size += len(body)
+            if self.message.size > MAX_BODY:
+                raise Fault(413)
+
+    def on_message_complete(self) -> None:
+        if self.message:
+            self.message.keep = self._parser.should_keep_alive()
+            self.message.complete = True
+            self.done.append(self.message)
+            self.message = None
+
+
+REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    404: b"Not Found",
+    405: b"Method Not Allowed",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+}
+STATUS_LINES = {code: b"HTTP/1.1 %d %s\r\n" % (code, reason) for code, reason in REASONS.items()}
+CLOSE = b"Connection: close\r\n"
+
+
+def request_head(request: Message, budget_ms: int, host: bytes) -> list[bytes]:
+    """The head of a forward: all that is the client's own passes, the time left is written anew."""
+    pieces = [request.method, b" ", request.url, b" HTTP/1.1\r\n"]
+    if b"host" not in request.fields:
+        pieces += (b"Host: ", host, b"\r\n")
+    pieces += request.passed_on(frozenset((b"x-budget-ms",)))
+    pieces.append(b"X-Budget-Ms: %d\r\n" % budget_ms)
+    if request.framed:
+        pieces.append(b"Content-Length: %d\r\n" % request.size)
+    pieces.append(b"\r\n")
+    return pieces
+
+
+def answer(status: int, body: list[bytes], size: int, close: bool, headers: Iterable[bytes]) -> list[bytes]:
+    """A whole answer in pieces."""
+    pieces = [STATUS_LINES[status], *headers, b"Content-Length: %d\r\n" % size]
+    if close:
+        pieces.append(CLOSE)
+    pieces.append(b"\r\n")
+    pieces += body
+    return pieces
--- /dev/null
+++ b/firvane/net/listener.py
@@ -0,0 +1,221 @@
+"""The clients' side: requests in, one answer each out."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import cast
+
+import httptools
+
+from firvane import interface as api
+from firvane.engine import Engine, Flow
+from firvane.net.http import Fault, Message, Reader, answer
+
+READY_PATH = b"/up"
+IDLE, SLOW, LINGER = 120.0, 10.0, 1.0  # s: between requests, for a whole request, for the client to hang up
+PIPELINED = 8  # requests that may wait on one connection behind the one being served
+
+
+class Front:
+    """What all client connections of the proxy share."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        engine: Engine[Message, Message],
+        settings: api.Settings,
+        max_sockets: int,
+    ) -> None:
+        self.loop, self.engine, self.settings, self.max_sockets = loop, engine, settings, max_sockets
+        self.classes = {cls.name.encode(): (i, cls) for i, cls in enumerate(settings.classes)}
+        self.tenants = {tenant.name.encode(): i for i, tenant in enumerate(settings.tenants)}
+        self.connections: set[Listener] = set()
+        self.ready = False
+        self.draining = False
+
+    def accept(self) -> Listener:
+        return Listener(self)
+
+    def read(self, message: Message) -> tuple[api.Request, float]:
+        """The request that a message holds and its deadline; `Fault` where it holds none."""
+        path = message.url.split(b"?", 1)[0]
+        if not path.startswith(b"/"):  # the absolute form, as sent to a proxy
+            try:
+                path = httptools.parse_url(message.url).path or b"/"
+            except httptools.HttpParserInvalidURLError:
+                raise Fault(400) from None
+        known = self.classes.get(path.split(b"/", 2)[1])
+        if known is None:
+            raise Fault(404)
+        number, cls = known
+        if message.method != (b"GET" if cls.repeat is api.Repeat.SAFE else b"POST"):
+            raise Fault(405)
+        fields = message.fields
+        budget, tenant = fields.get(b"x-budget-ms", b""), None
+        if not fields.get(b"x-call-id") or not budget.isdigit() or len(budget) > 9:
+            raise Fault(400)
+        if self.tenants:
+            tenant = self.tenants.get(fields.get(b"x-caller", b""))
+            if tenant is None:
+                raise Fault(400)
+        cost, key = fields.get(b"x-call-cost", b""), fields.get(b"x-route-hash")
+        request = api.Request(
+            id=-1,
+            cls=number,
+            left=0.0,
+            key=key.decode("latin-1") if key else None,
+            tenant=tenant,
+            work=int(cost) / 1e6 if cost.isdigit() and len(cost) <= 12 else None,
+            is_retry=fields.get(b"x-again") == b"1",
+            is_write=cls.repeat is not api.Repeat.SAFE,
+        )
+        return request, min(int(budget) / 1000, cls.deadline)
+
+    def sweep(self) -> None:
+        """End what has stood unused, or has kept a request half sent, for too long."""
+        now = self.loop.time()
+        for connection in list(self.connections):
+            if connection.expires <= now:
+                connection.expire()
+
+    def close_idle(self) -> None:
+        for connection in list(self.connections):
+            if connection.is_idle():
+                connection.transport.close()
+
+    def shed(self) -> None:
+        """Make room: the connection that has been idle longest may be closed, its client opens another."""
+        idle = (connection for connection in self.connections if connection.is_idle())
+        if oldest := min(idle, key=lambda connection: connection.expires, default=None):
+            oldest.transport.close()
+
+
+class Listener(asyncio.Protocol):
+    """One client's connection. It answers requests in their order, one at a time."""
+
+    def __init__(self, front: Front) -> None:
+        self.front = front
+        self.reader = Reader(httptools.HttpRequestParser)
+        self.flow: Flow[Message, Message] | None = None
+        self.keep = True  # the request being served lets the connection live on
+        self.fault: Fault | None = None  # framing is lost: to be answered after what came before
+        self.ending = False  # the last answer is written
+        self.started = False  # part of a request has come
+        self.expires = 0.0
+        self.transport: asyncio.Transport
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.front.connections.add(self)
+        self.expires = self.front.loop.time() + IDLE
+        if len(self.front.connections) > self.front.max_sockets:
+            self.front.shed()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.front.connections.discard(self)
+        self.ending = True
+        flow, self.flow = self.flow, None
+        if flow:
+            self.front.engine.leave(flow)
+
+    def is_idle(self) -> bool:
+        return not (self.flow or self.started or self.reader.done or self.ending)
+
+    def expire(self) -> None:
+        if self.ending:
+            self.transport.abort()
+        elif self.flow:
+            self.expires = self.front.loop.time() + SLOW
+        elif self.started:
+            self.fault = Fault(408)
+            self._next()
+        else:
+            self.transport.close()
+
+    def data_received(self, data: bytes) -> None:
+        if self.ending or self.fault:
+            return  # what follows the last answer is read and dropped, so that the answer gets through
+        try:
+            self.reader.feed(data)
+        except Fault as fault:
+            self.fault = fault
+        started = self.reader.message is not None
+        if started and not self.started:
+            self.expires = self.front.loop.time() + SLOW
+        self.started = started
+        message = self.reader.message
+        if message and not self.reader.in_head and b"expect" in message.fields and not message.body:
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        if len(self.reader.done) > PIPELINED:
+            self.transport.pause_reading()
+        self._next()
+
+    def _next(self) -> None:
+        """Take up the next request that is here."""
+        while not self.flow and not self.ending:
+            if not self.reader.done:
+                if self.fault:
+                    self.keep = False
+                    self._reply(self.fault.status)
+                return
+            message = self.reader.done.pop(0)
+            self.transport.resume_reading()
+            self.keep = message.keep
+            if message.url == READY_PATH:
+                self._ready(message)
+                continue
+            try:
+                request, left = self.front.read(message)
+            except Fault as fault:
+                self._reply(fault.status)
+                continue
+            if not self.front.ready:
+                self._reply(503)
+                continue
+            self.flow = Flow(message, self, self.front.loop.time() + left)
+            self.front.engine.take(self.flow, request)
+
+    def _ready(self, message: Message) -> None:
+        if message.method != b"GET":
+            self._reply(405)
+        else:
+            self._reply(200 if self.front.ready and not self.front.draining else 503)
+
+    # Answers
+
+    def served(self, answer: Message) -> None:
+        self._finish(200, answer.body, answer.size, list(answer.passed_on()))
+
+    def refused(self, retry_after: float) -> None:
+        extra = [b"Retry-After: %.3f\r\n" % retry_after] if retry_after > 0 else []
+        self._finish(503, [b"refused\n"], 8, extra)
+
+    def failed(self) -> None:
+        self._finish(502, [b"failed\n"], 7, [])
+
+    def _reply(self, status: int) -> None:
+        """An answer of the proxy's own, with its status as a short body."""
+        headers = [b"Content-Type: text/plain\r\n"] + ([b"Allow: GET\r\n"] if status == 405 else [])
+        self._finish(status, [b"%d\n" % status], 4, headers)
+
+    def _finish(self, status: int, body: list[bytes], size: int, headers: list[bytes]) -> None:
+        front = self.front
+        lost = self.fault is not None and not self.reader.done
+        crowded = len(front.connections) > front.max_sockets
+        close = not self.keep or front.draining or lost or crowded
+        called_back, self.flow = self.flow is not None, None
+        self.transport.writelines(answer(status, body, size, close, headers))
+        self.expires = front.loop.time() + IDLE
+        if close:
+            self.ending = True
+            self.reader.done.clear()
+            # A close with bytes unread would reset the connection and may destroy the answer on its way.
+            self.expires = front.loop.time() + LINGER
+            if lost:
+                self.transport.write_eof()
+            else:
+                self.transport.close()
+        elif called_back and (self.reader.done or self.fault):
+            front.loop.call_soon(self._next)
+
+
--- /dev/null
+++ b/firvane/net/targets.py
@@ -0,0 +1,217 @@
+"""The target group: discovery's list, followed by a watch that is taken up again whenever it fails."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from collections.abc import Callable, Sequence
+from typing import Any, cast
+
+import httptools
+
+from firvane import interface as api
+
+log = logging.getLogger(__name__)
+
+STATES = {"up": api.ServerState.UP, "draining": api.ServerState.DRAINING, "removed": api.ServerState.GONE}
+SILENCE = 4.5  # s: discovery writes a line every 2 s while it lives
+FIRST_PAUSE, LONGEST_PAUSE = 0.1, 1.0  # s before a watch is tried again; what it tells binds within 6 s
+MAX_LINE = 4 << 20
+
+Address = tuple[str, int]
+
+
+class BadList(ValueError):  # noqa: N818 - discovery's fault, not the program's
+    """A list or a line of one that is not in discovery's form."""
+
+
+def parse_address(text: Any) -> Address:
+    """A numeric address; names are of no use where there is no DNS."""
+    host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    parts = host.split(".")
+    numeric = len(parts) == 4 and all(p.isascii() and p.isdigit() and int(p) < 256 for p in parts)
+    if not (colon and numeric and port.isascii() and port.isdigit() and 0 < int(port) < 65536):
+        raise BadList(f"{text!r} is not an address with a port")
+    return host, int(port)
+
+
+class ListReader:
+    """Reads discovery's form, with the names of zones and kinds as the settings number them."""
+
+    def __init__(self, zones: Sequence[str], kinds: Sequence[str]) -> None:
+        self.zones = {name: i for i, name in enumerate(zones)}
+        self.kinds = {name: i for i, name in enumerate(kinds)}
+
+    def read(self, data: Any) -> tuple[api.ServerList, dict[str, Address]]:
+        """The news, and where the listed targets are; `BadList` where it is not a list."""
+        if not isinstance(data, dict) or not isinstance(data.get("endpoints"), list):
+            raise BadList("no list of endpoints")
+        index = data.get("index")
+        if isinstance(index, bool) or not isinstance(index, int) or index < 0:
+            raise BadList(f"index is {index!r}")
+        kind = api.ListKind.COMPLETE if data.get("snapshot") is True else api.ListKind.CHANGES
+        addresses: dict[str, Address] = {}
+        servers = tuple(self._entry(entry, addresses) for entry in data["endpoints"])
+        return api.ServerList(kind, index, servers), addresses
+
+    def _entry(self, entry: Any, addresses: dict[str, Address]) -> api.Server:
+        if not isinstance(entry, dict):
+            raise BadList("an endpoint is not an object")
+        name, state = entry.get("name"), STATES.get(str(entry.get("status")))
+        if not isinstance(name, str) or not name or state is None:
+            raise BadList(f"endpoint {name!r} has status {entry.get('status')!r}")
+        numbers = [entry.get("since_ms") or 0, entry.get("group") or 0, entry.get("weight", 1.0)]
+        if not all(isinstance(n, int | float) and 0 <= n < 1e15 for n in numbers):
+            raise BadList(f"endpoint {name!r} has a number out of range")
+        since, group, weight = numbers
+        if state is not api.ServerState.GONE:
+            addresses[name] = parse_address(entry.get("address"))
+        return api.Server(
+            id=name,
+            kind=self.kinds.get(str(entry.get("type")), len(self.kinds)),
+            cell=int(group),
+            state=state,
+            up_since=since / 1000 if since else None,
+            weight=float(weight),
+            zone=self.zones.get(str(entry.get("zone")), len(self.zones)),
+        )
+
+
+class Lines(asyncio.Protocol):
+    """One watch: the lines of a chunked answer, however they are cut."""
+
+    def __init__(
+        self, request: bytes, on_line: Callable[[bytes], None], on_end: Callable[[str], None]
+    ) -> None:
+        self.request, self.on_line, self.on_end = request, on_line, on_end
+        self.parser = httptools.HttpResponseParser(self)
+        self.buffer, self.ready = b"", list[bytes]()
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.transport.write(self.request)
+
+    def on_body(self, body: bytes) -> None:
+        *lines, self.buffer = (self.buffer + body).split(b"\n")
+        self.ready += lines
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self.parser.feed_data(data)
+            if self.ready and self.parser.get_status_code() != 200:
+                raise BadList("discovery's answer is not 200")
+            if len(self.buffer) > MAX_LINE:
+                raise BadList("a line without an end")
+            ready, self.ready = self.ready, []
+            for line in ready:
+                self.on_line(line)
+        except (httptools.HttpParserError, BadList) as error:
+            self.end(str(error) or type(error).__name__)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.end("the connection ended")
+
+    def end(self, why: str) -> None:
+        if self.transport:
+            self.transport.abort()
+            self.transport = None
+            self.on_end(why)
+
+
+class TargetGroup:
+    """Keeps the list as discovery last told it, and passes every change on as it comes."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        address: Address,
+        reader: ListReader,
+        on_target: Callable[[str, Address | None, bool], None],
+        on_list: Callable[[api.ServerList], None],
+    ) -> None:
+        self.loop, self.address, self.reader = loop, address, reader
+        self.on_target, self.on_list = on_target, on_list
+        self.index = 0
+        self.servers: dict[str, api.Server] = {}
+        self.heard = asyncio.Event()  # discovery itself has told of the list
+        self.pause = FIRST_PAUSE
+        self.last = 0.0  # when anything last came
+        self.watch: Lines | None = None
+        self.logged = float("-inf")
+
+    def learn(self, data: Any, cached: bool = False) -> None:
+        """Take in a list or its changes; `BadList` leaves all as it was."""
+        news, addresses = self.reader.read(data)
+        if cached:
+            news.kind = api.ListKind.CACHED
+        listed = {server.id for server in news.servers}
+        if news.kind is not api.ListKind.CHANGES:
+            for name in self.servers.keys() - listed:
+                self.on_target(name, None, False)  # absent from a whole list: removed
+            self.servers = {}
+        for server in news.servers:
+            up = server.state is api.ServerState.UP
+            self.on_target(server.id, addresses.get(server.id), up)
+            if server.state is api.ServerState.GONE:
+                self.servers.pop(server.id, None)
+            else:
+                self.servers[server.id] = server
+        self.index = news.version
+        self.on_list(news)
+
+    def refresh(self) -> None:
+        """Tell the list again, whole, where the decisions ask for it: the watch always stands."""
+        whole = api.ServerList(api.ListKind.COMPLETE, self.index, tuple(self.servers.values()))
+        self.loop.call_soon(self.on_list, whole)
+
+    async def follow(self) -> None:
+        """Watch for as long as the proxy lives."""
+        while True:
+            await self._watch_once()
+            await asyncio.sleep(self.pause)
+            self.pause = min(LONGEST_PAUSE, 2 * self.pause)
+
+    async def _watch_once(self) -> None:
+        ended = asyncio.Event()
+        host = f"{self.address[0]}:{self.address[1]}"
+        request = f"GET /discovery/hosts?watch=1&from={self.index} HTTP/1.1\r\nHost: {host}\r\n\r\n"
+        watch = Lines(request.encode(), self._line, lambda why: self._ended(why, ended))
+        self.last = self.loop.time()
+        try:
+            async with asyncio.timeout_at(self.last + SILENCE):
+                await self.loop.create_connection(lambda: watch, *self.address)
+        except (OSError, TimeoutError) as error:
+            self._note(f"discovery cannot be reached: {error or type(error).__name__}")
+            return
+        while not ended.is_set():
+            try:
+                async with asyncio.timeout_at(self.last + SILENCE):
+                    await ended.wait()
+            except TimeoutError:
+                if self.loop.time() >= self.last + SILENCE:
+                    watch.end("discovery has fallen silent")
+
+    def _line(self, line: bytes) -> None:
+        self.last = self.loop.time()
+        if not line.strip():
+            return
+        try:
+            self.learn(json.loads(line))
+        except (ValueError, RecursionError) as error:
+            # What it meant to say is not known, so the next watch begins with the whole list.
+            self.index = 0
+            raise BadList(f"bad line from discovery: {error}") from None
+        self.pause = FIRST_PAUSE
+        self.heard.set()
+
+    def _ended(self, why: str, ended: asyncio.Event) -> None:
+        ended.set()
+        self._note(f"watch ended: {why}")
+
+    def _note(self, text: str) -> None:
+        """At most a line a second."""
+        if self.loop.time() >= self.logged + 1.0:
+            self.logged = self.loop.time()
+            log.warning("%s", text)
