Learn each server's room and spill over before refusing; set Retry-After, bound holding

Lines at fault: choose() returning None for a finite limit, pick() taking all servers as equally strong, the ring cut to the own zone's servers.

--- a/firvane/choice.py
+++ b/firvane/choice.py
@@ -27,7 +27,8 @@
 GAIN, LEAK = 0.3, 0.85  # how fast shares follow the excess and forget it: rows are a window or two late
 CROSS_MARGIN = 0.15  # excess below this part of the target stays in its zone
 SHARE_SPAN, FADE = 5.0, 3.0  # s that tenants' rates look back; that halve what was seen of slowness
-QUEUES, LEAST, MORE = 1.25, 0.3, 0.6  # refuse from so many idle waits on; slack for no worth, more for top
+HOLD, PAUSE = 0.3, 0.15  # parts of the aim: held for room at the longest; asked to stay away
+LEAST = 0.2  # part of a server's room that even what is worth nothing may fill
 DRIFT, CROWDED = 0.02, 10.0  # rates forgotten a second; s that a full table is minded
 POINTS = 24  # points of a server of mean size on its zone's key ring
 ROW = struct.Struct("<BBBQHffffB")  # the fields of Row up to the count of entries
@@ -72,7 +73,7 @@
 
 def power(server: Backend, now: float) -> float:
     """Weight, less while its answers take longer than its peers': acts before errors show."""
-    return server.weight * min(1.0, 1.5 / slowness(server, now))
+    return server.weight * server.room * min(1.0, 1.5 / slowness(server, now))
 
 
 class Balancer:
@@ -92,7 +93,7 @@
         self.tenants = dict.fromkeys(range(len(settings.tenants)), 0.0)  # recent requests of each
         self.row_every = max(ROW_EVERY, round(settings.proxies / ROWS_HEARD))
         self.windows, self.arrived, self.served = 0, [0], [0]
-        self.best = self.wait = self.idle = 0.0  # rate, in answers a second and weight; wait now, and if idle
+        self.best = 0.0  # answers a second and weight
         self.actions: list[api.Action] = []
         self.handlers: dict[type, Callable[..., None]] = {
             api.Request: self.on_request, api.Outcome: self.on_outcome, api.PeerMessage: self.on_row,
@@ -112,7 +113,8 @@
         elif isinstance(event, api.TimerFired) and event.token == 0:
             self.on_window(now)
         elif isinstance(event, api.TimerFired) and (job := self.jobs.get(event.token - 1)):
-            self.finish(job)
+            if not job.out or now >= job.deadline - 3 * self.settings.tick:
+                self.finish(job)  # held long enough, or due
         elif isinstance(event, api.ClientGone | api.StreamStarted) and (job := self.jobs.get(event.id)):
             if isinstance(event, api.StreamStarted):  # it is the client's now: its other attempts are waste
                 job.out.pop(event.attempt, None)
@@ -121,7 +123,8 @@
 
     def on_request(self, request: api.Request, now: float) -> None:
         spread = self.random.getrandbits(32) if request.key is None else crc32(request.key.encode())
-        job = Job(request, self.settings.classes[request.cls], now + request.left, spread)
+        cls = self.settings.classes[request.cls]
+        job = Job(request, cls, now + request.left, now + min(HOLD * cls.aim, request.left / 4), spread)
         self.jobs[request.id] = job
         self.arrived[-1] += 1
         if request.tenant in self.tenants and not request.is_retry:
@@ -131,27 +134,34 @@
         self.place(job, now)
 
     def place(self, job: Job, now: float) -> None:
-        over = job.sent >= self.settings.limits.max_attempts
-        if not over and (server := self.choose(job, now, math.inf if job.maybe else self.limit(job))):
+        over, limit = job.sent >= self.settings.limits.max_attempts, 1.0 if job.maybe else self.limit(job)
+        if not over and (server := self.choose(job, now, limit)):
             self.send(job, server, now)
-        elif over or (job.maybe and job.cls.repeat is api.Repeat.UNSAFE) or self.choose(job, now, math.inf):
-            self.finish(job)  # also where servers could have it, but none in time
+        elif over or now >= job.patience or (
+            (job.maybe and job.cls.repeat is api.Repeat.UNSAFE) or self.choose(job, now, math.inf)
+        ):  # fmt: skip
+            self.finish(job)  # also where servers could have it, but none has room
         else:
-            self.held.append(job)  # no server may have it now: tried again at each window
+            self.held.append(job)  # no server may have it now: tried again as attempts end
+            self.actions.append(api.SetTimer(job.patience - now, job.request.id + 1))
+
+    def retry(self, now: float, most: int) -> None:
+        """Try again what is held, in order of arrival, until one finds no room."""
+        waiting, self.held = [job for job in self.held if job.request.id in self.jobs], []
+        for i, job in enumerate(waiting):
+            if i < most and not self.held and (server := self.choose(job, now, 1.0)):
+                self.send(job, server, now)
+            else:
+                self.held.append(job)
 
     def limit(self, job: Job) -> float:
-        """Attempts by weight that a server may hold and be in time, by Little's law; fewer for low worth."""
-        # What counts is the wait above an idle fleet's: a rate seen while refusing tells little of capacity.
+        """The part of a server's room that a request may fill: what is worth less leaves some to the rest."""
         worth, classes = job.cls.worth, self.settings.classes
         if (tenant := job.request.tenant) in self.tenants and (quota := self.settings.tenants[tenant].quota):
             part = self.rows[self.settings.me].arrivals / (sum(r.arrivals for r in self.rows.values()) or 1.0)
             if self.tenants[tenant] * self.random.random() > SHARE_SPAN * quota * part:
                 worth *= self.settings.over_share_worth  # as many of a tenant's requests as exceed its share
-        aim = min(cls.aim for cls in classes if cls.worth >= worth)  # a queue delays the worthier too
-        idle = min(self.idle, aim / 2)  # one learnt in a jam must not pass for idle
-        patience = LEAST + MORE * worth / max(cls.worth for cls in classes)
-        queueing = self.best and self.wait > QUEUES * idle  # else it has shown no rate to judge by
-        return (idle + (aim - idle) * patience) * self.best if queueing else math.inf
+        return LEAST + (1.0 - LEAST) * worth / max(cls.worth for cls in classes)
 
     def send(self, job: Job, server: Backend, now: float) -> None:
         job.out[job.sent] = server.entry.id
@@ -185,7 +195,9 @@
         """The final answer: a refusal where a further try is known to be harmless, a failure otherwise."""
         keyed = job.cls.repeat is api.Repeat.KEYED and job.cls.scope is api.Scope.ALL
         harmless = not job.maybe or keyed or job.cls.repeat is api.Repeat.SAFE
-        self.actions.append((api.Refuse if harmless else api.Fail)(job.request.id))
+        pause = PAUSE * job.cls.aim * self.random.uniform(0.5, 1.5)  # spread, or they return as one
+        pause = min(pause, self.settings.limits.max_retry_after)
+        self.actions.append(api.Refuse(job.request.id, pause) if harmless else api.Fail(job.request.id))
         self.close(job)
 
     def close(self, job: Job) -> None:
@@ -205,6 +217,8 @@
                 self.close(job)
             elif not job.out:
                 self.place(job, now)
+        if self.held:
+            self.retry(now, 2)
 
     def judge(self, server: Backend, job: Job | None, outcome: api.Outcome, now: float) -> None:
         """Follow a server's health from the end of an attempt."""
@@ -216,6 +230,8 @@
             if server.fails >= 3:
                 server.since = now  # it was down whatever the list says: treat it as just started
             server.fails = 0
+            if server.own + 1 > 0.7 * server.room:
+                server.room += 0.1 / server.room  # it was near its room and kept up
         elif result in (api.Result.CONNECT_FAILED, api.Result.RESET):
             if result is api.Result.CONNECT_FAILED and server.own:
                 server.crowded_at = now  # it holds others of ours: its connections ran out, our idle too
@@ -224,7 +240,9 @@
                 server.fails += 1
             server.retry_at = now + 0.25 * 2 ** min(4, server.fails) * self.random.uniform(0.75, 1.25)
         elif result is api.Result.FULL:
-            server.retry_at = max(server.retry_at, now + WINDOW)
+            if now > server.cut_at + 0.1:
+                server.room, server.cut_at = max(1.0, 0.85 * server.room), now
+            server.retry_at = max(server.retry_at, now + 0.03)
         if job and result in (api.Result.OK, api.Result.TIMEOUT):
             typical = self.typical[job.request.cls]
             if result is api.Result.OK:
@@ -244,11 +262,10 @@
         for number in (target, home):
             if found := self.pick(job, first, self.slices.get(number, []), now, limit):
                 return found
-        if limit < math.inf:
-            return None  # full, not down: other slices would serve its key cold, at the cost of their own
-        order = list(self.slices.values())  # down: look at a few others
-        others = (order[(job.hash + step) % len(order)] for step in range(3))
-        return next((found for among in others if (found := self.pick(job, None, among, now, limit))), None)
+        # No room there: a cold key's answer elsewhere is worth more than a refusal beside idle servers.
+        order = sorted(self.slices)
+        others = (order[(job.hash + step) % len(order)] for step in range(len(order)))
+        return next((s for n in others if (s := self.pick(job, None, self.slices[n], now, limit))), None)
 
     def home(self, job: Job) -> tuple[int, Backend | None]:
         """The slice that a request belongs to before moves, and its server there if its key names one."""
@@ -268,8 +285,7 @@
             return next(iter(spare), None)  # a cold server whose budget allows more than its keys bring
         able = {s.salt: power(s, now) for s in free}
         mean = sum(s.own + s.peers for s in free) / sum(able.values())
-        # Counts are late: what the limit is held against is drawn toward the slice's mean.
-        free = [s for s in free if s.own + s.peers < max(1.0, (2 * limit - mean) * able[s.salt])]
+        free = [s for s in free if s.own < max(1.0, limit * s.room)]
         if job.request.key is not None:
             for server in sorted(free, key=lambda s: (s is not first, mix(s.salt, job.hash))):
                 if server.own + server.peers <= CAP * mean * able[server.salt] + 1:
@@ -298,10 +314,8 @@
         self.tenants = {t: n * (1.0 - WINDOW / SHARE_SPAN) for t, n in self.tenants.items()}
         served = sum(r.served for r in self.rows.values())
         if served and self.windows > HISTORY:
-            fleet = sum(power(s, now) for s in self.servers.values()) or 1.0
+            fleet = sum(s.weight for s in self.servers.values()) or 1.0
             self.best = max(self.best * (1.0 - DRIFT * WINDOW), served / fleet)
-            self.wait = sum(s.own + s.peers for s in self.servers.values()) / served
-            self.idle = min(self.idle * (1.0 + DRIFT * WINDOW) or self.wait, self.wait)
         if self.windows % self.row_every == 0:
             self.announce(now, 0)
         self.arrived, self.served = [*self.arrived, 0][-HISTORY:], [*self.served, 0][-HISTORY:]
@@ -314,9 +328,7 @@
         if not self.watching and now >= self.ask_at:  # where lists are sent on request only
             self.ask_at = now + 4.0
             self.actions.append(api.Watch(True))
-        held, self.held = self.held, []
-        for job in [job for job in held if job.request.id in self.jobs]:
-            self.place(job, now)
+        self.retry(now, len(self.held))
 
     def announce(self, now: float, flags: int, peer: int | None = None) -> None:
         """Send this proxy's row, and keep it as announced: the policy reads what the peers read."""
@@ -362,7 +374,7 @@
             server.peers = 0
         for n in self.rows.keys() - {self.settings.me}:
             self.count(self.rows[n], 1)
-        local = [s for s in up if s.entry.zone == self.settings.zone] or up
+        local = up
         mean = sum(s.weight for s in local) / max(1, len(local))
         sizes = [1.0 if self.settings.live_weights else s.weight / mean for s in local]  # live: keys move
         points = ((s, range(round(POINTS * size) or 1)) for s, size in zip(local, sizes, strict=True))
--- a/firvane/state.py
+++ b/firvane/state.py
@@ -23,6 +23,8 @@
     weight: float
     since: float | None  # its last start, by the list or as seen
     own: int = 0  # attempts out from here
+    room: float = 4.0  # attempts from here that it takes without turning any away, as learnt
+    cut_at: float = 0.0  # when that was last lowered
     told: int = 0  # the same as last announced
     peers: int = 0  # and from the peers, by their rows
     slow: float = 1.0  # how its answers' times compare with those of their classes, as of `slow_at`
@@ -43,6 +45,7 @@
     request: api.Request
     cls: api.RequestClass
     deadline: float
+    patience: float  # until when it may be held with nothing sent
     hash: int
     sent: int = 0
     maybe: int = 0  # attempts out, or not known to have kept from running
