--- a/firvane/choice.py
+++ b/firvane/choice.py
@@ -29,6 +29,7 @@
 SHARE_SPAN, FADE = 5.0, 3.0  # s that tenants' rates look back; that halve what was seen of slowness
 HOLD, PAUSE = 0.3, 0.15  # parts of the aim: held for room at the longest; asked to stay away
 BOLD = 1.25  # of what a cold server is thought able to: 1.6 kept the rule on all days tried, 1.9 did not
+DOUBT = 0.4  # of the aim without a word from a server: a second copy goes elsewhere
 LEAST = 0.2  # part of a server's room that even what is worth nothing may fill
 DRIFT, CROWDED = 0.02, 10.0  # rates forgotten a second; s that a full table is minded
 POINTS = 24  # points of a server of mean size on its zone's key ring
@@ -117,6 +118,8 @@
         elif isinstance(event, api.TimerFired) and (job := self.jobs.get(event.token - 1)):
             if not job.out or now >= job.deadline - 3 * self.settings.tick:
                 self.finish(job)  # held long enough, or due
+            else:
+                self.doubt(job, now)
         elif isinstance(event, api.ClientGone | api.StreamStarted) and (job := self.jobs.get(event.id)):
             if isinstance(event, api.StreamStarted):  # it is the client's now: its other attempts are waste
                 job.out.pop(event.attempt, None)
@@ -156,6 +159,17 @@
             else:
                 self.held.append(job)
 
+    def doubt(self, job: Job, now: float) -> None:
+        """A second copy where the server has answered nobody since the first was sent: it may be gone."""
+        server = self.servers.get(next(iter(job.out.values())))
+        if len(job.out) > 1 or now < job.sent_at + DOUBT * job.cls.aim - self.settings.tick:
+            return
+        if server and server.heard_at < job.sent_at:
+            server.fails = max(server.fails, min(2, server.fails + 1))  # a cut does not make it cold
+            server.retry_at = max(server.retry_at, now + 0.25 * 2 ** min(4, server.fails))
+            if other := self.choose(job, now, 1.0):
+                self.send(job, other, now)
+
     def limit(self, job: Job) -> float:
         """The part of a server's room that a request may fill: what is worth less leaves some to the rest."""
         worth, classes = job.cls.worth, self.settings.classes
@@ -176,6 +190,9 @@
         if self.is_cold(server, now):
             server.tokens -= 1
         self.actions.append(api.Send(job.request.id, server.entry.id))
+        job.sent_at = now
+        if self.settings.limits.second_copies and not job.out.keys() - {job.sent - 1}:
+            self.actions.append(api.SetTimer(DOUBT * job.cls.aim, job.request.id + 1))
 
     def legal(self, job: Job, server: Backend, now: float) -> bool:
         """The gate that every send passes: the four rules, and nothing else."""
@@ -225,6 +242,8 @@
     def judge(self, server: Backend, job: Job | None, outcome: api.Outcome, now: float) -> None:
         """Follow a server's health from the end of an attempt."""
         result = outcome.result
+        if result not in (api.Result.TIMEOUT, api.Result.CANCELLED, api.Result.MOOT):
+            server.heard_at = now
         if result is api.Result.OK:
             self.served[-1] += 1
             if now < server.crowded_at + CROWDED:
--- a/firvane/state.py
+++ b/firvane/state.py
@@ -30,6 +30,7 @@
     slow: float = 1.0  # how its answers' times compare with those of their classes, as of `slow_at`
     slow_at: float = 0.0
     fails: int = 0  # failures since its last answer
+    heard_at: float = 0.0  # when an attempt there last came to any end of the server's own
     retry_at: float = 0.0  # nothing is sent before
     crowded_at: float = -1e9  # when it last turned a connection away
     tokens: float = 0.0  # sends that its budget allows while it is cold, as of `tokens_at`
@@ -48,6 +49,7 @@
     patience: float  # until when it may be held with nothing sent
     hash: int
     sent: int = 0
+    sent_at: float = 0.0  # when the last attempt began
     maybe: int = 0  # attempts out, or not known to have kept from running
     group: int = 0  # the servers that drop repeats of the first of these
     kept_until: float = 0.0  # and for how long
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -414,3 +414,22 @@
 
     assert tokens(1, 1) == pytest.approx(3 * tokens(0, 1), rel=0.01)
     assert tokens(1, 3) == pytest.approx(tokens(1, 1) / 3, rel=0.01)
+
+
+def test_a_server_that_has_fallen_silent_gets_a_second_copy_elsewhere_and_a_pause() -> None:
+    balancer = started("ab")
+    first = sends(balancer.handle(api.Request(1, 0, 2.0, "k"), 100.0))[0]
+    copies = sends(balancer.handle(api.TimerFired(2), 100.2))
+    assert [copy.id for copy in copies] == [1] and copies[0].server != first.server
+    silent = balancer.servers[first.server]
+    assert silent.retry_at > 100.2 and silent.fails < 3  # a cut does not make it cold
+    done = balancer.handle(outcome(copies[0], 1, api.Result.OK), 100.3)
+    assert api.Cancel(1, 0) in done
+    assert not sends(balancer.handle(api.TimerFired(2), 101.99)) and not balancer.jobs
+
+
+def test_a_slow_request_at_a_server_that_answers_others_is_left_alone() -> None:
+    balancer = started("ab")
+    first = sends(balancer.handle(api.Request(1, 0, 2.0, "k"), 100.0))[0]
+    balancer.servers[first.server].heard_at = 100.1
+    assert not sends(balancer.handle(api.TimerFired(2), 100.2))
