--- a/firvane/choice.py
+++ b/firvane/choice.py
@@ -30,6 +30,7 @@
 HOLD, PAUSE = 0.3, 0.15  # parts of the aim: held for room at the longest; asked to stay away
 BOLD = 1.25  # of what a cold server is thought able to: 1.6 kept the rule on all days tried, 1.9 did not
 DOUBT = 0.4  # of the aim without a word from a server: a second copy goes elsewhere
+SILENCES = 2.5  # usual gaps between a server's answers that make a silence
 LEAST = 0.2  # part of a server's room that even what is worth nothing may fill
 DRIFT, CROWDED = 0.02, 10.0  # rates forgotten a second; s that a full table is minded
 POINTS = 24  # points of a server of mean size on its zone's key ring
@@ -161,14 +162,19 @@
 
     def doubt(self, job: Job, now: float) -> None:
         """A second copy where the server has answered nobody since the first was sent: it may be gone."""
-        server = self.servers.get(next(iter(job.out.values())))
-        if len(job.out) > 1 or now < job.sent_at + DOUBT * job.cls.aim - self.settings.tick:
+        server, wait = self.servers.get(next(iter(job.out.values()))), DOUBT * job.cls.aim
+        if len(job.out) > 1 or now < job.sent_at + wait - self.settings.tick or not server:
             return
-        if server and server.heard_at < job.sent_at:
-            server.fails = max(server.fails, min(2, server.fails + 1))  # a cut does not make it cold
-            server.retry_at = max(server.retry_at, now + 0.25 * 2 ** min(4, server.fails))
-            if other := self.choose(job, now, 1.0):
-                self.send(job, other, now)
+        if server.heard_at >= job.sent_at:
+            return  # it answers others: this one is only slow
+        if now < server.heard_at + SILENCES * server.gap:  # a quiet server may well say nothing for as long
+            if now < job.sent_at + 2 * wait - self.settings.tick:
+                self.actions.append(api.SetTimer(wait, job.request.id + 1))
+            return
+        server.fails = max(server.fails, min(2, server.fails + 1))  # a cut does not make it cold
+        server.retry_at = max(server.retry_at, now + 0.25 * 2 ** min(4, server.fails))
+        if other := self.choose(job, now, 1.0):
+            self.send(job, other, now)
 
     def limit(self, job: Job) -> float:
         """The part of a server's room that a request may fill: what is worth less leaves some to the rest."""
@@ -243,6 +249,7 @@
         """Follow a server's health from the end of an attempt."""
         result = outcome.result
         if result not in (api.Result.TIMEOUT, api.Result.CANCELLED, api.Result.MOOT):
+            server.gap += 0.2 * (min(1.0, now - server.heard_at) - server.gap)
             server.heard_at = now
         if result is api.Result.OK:
             self.served[-1] += 1
--- a/firvane/state.py
+++ b/firvane/state.py
@@ -31,6 +31,7 @@
     slow_at: float = 0.0
     fails: int = 0  # failures since its last answer
     heard_at: float = 0.0  # when an attempt there last came to any end of the server's own
+    gap: float = 0.0  # mean time between those of late
     retry_at: float = 0.0  # nothing is sent before
     crowded_at: float = -1e9  # when it last turned a connection away
     tokens: float = 0.0  # sends that its budget allows while it is cold, as of `tokens_at`
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -433,3 +433,15 @@
     first = sends(balancer.handle(api.Request(1, 0, 2.0, "k"), 100.0))[0]
     balancer.servers[first.server].heard_at = 100.1
     assert not sends(balancer.handle(api.TimerFired(2), 100.2))
+
+
+def test_a_quiet_server_is_not_taken_for_silent() -> None:
+    # At a few requests a second, a fifth of a second without a word from a server is nothing unusual.
+    balancer = started("ab")
+    first = sends(balancer.handle(api.Request(1, 0, 2.0, "k"), 100.0))[0]
+    backend = balancer.servers[first.server]
+    backend.heard_at, backend.gap = 99.95, 0.2
+    early = balancer.handle(api.TimerFired(2), 100.2)
+    assert not sends(early) and any(isinstance(a, api.SetTimer) and a.token == 2 for a in early)
+    backend.heard_at = 99.5
+    assert sends(balancer.handle(api.TimerFired(2), 100.4))
