--- a/firvane/choice.py
+++ b/firvane/choice.py
@@ -31,6 +31,7 @@
 BOLD = 1.25  # of what a cold server is thought able to: 1.6 kept the rule on all days tried, 1.9 did not
 DOUBT = 0.4  # of the aim without a word from a server: a second copy goes elsewhere
 SILENCES = 2.5  # usual gaps between a server's answers that make a silence
+HEAVY = 0.2  # of the aim: work from which on a request goes to the quicker kinds of its slice
 LEAST = 0.2  # part of a server's room that even what is worth nothing may fill
 DRIFT, CROWDED = 0.02, 10.0  # rates forgotten a second; s that a full table is minded
 POINTS = 24  # points of a server of mean size on its zone's key ring
@@ -96,6 +97,7 @@
         self.tenants = dict.fromkeys(range(len(settings.tenants)), 0.0)  # recent requests of each
         self.row_every = max(ROW_EVERY, round(settings.proxies / ROWS_HEARD))
         self.windows, self.arrived, self.served = 0, [0], [0]
+        self.pace = dict[int, float]()  # s that a second of work takes, queues included, by kind of server
         self.kinds = dict[int, float]()
         self.best = 0.0  # answers a second and weight
         self.actions: list[api.Action] = []
@@ -271,6 +273,9 @@
             if now > server.cut_at + 0.1:
                 server.room, server.cut_at = max(1.0, 0.85 * server.room), now
             server.retry_at = max(server.retry_at, now + 0.03)
+        if job and result is api.Result.OK and job.request.work:
+            pace, kind = outcome.took / job.request.work, server.entry.kind
+            self.pace[kind] = self.pace.get(kind, 1.0) * 0.98 + 0.02 * min(10.0, pace)
         if job and result in (api.Result.OK, api.Result.TIMEOUT):
             typical = self.typical[job.request.cls]
             if result is api.Result.OK:
@@ -311,6 +316,10 @@
         spare = [s for s in free if self.is_cold(s, now) and s.tokens >= 2]
         if spare or not free:
             return next(iter(spare), None)  # a cold server whose budget allows more than its keys bring
+        if job.request.work and job.request.work > HEAVY * job.cls.aim:  # it would be late on a slow core
+            kinds = {s.entry.kind: self.pace.get(s.entry.kind, 1.0) for s in free}
+            fast = min(kinds.values())
+            free = [s for s in free if kinds[s.entry.kind] <= 1.25 * fast]
         able = {s.salt: power(s, now) for s in free}
         mean = sum(s.own + s.peers for s in free) / sum(able.values())
         free = [s for s in free if s.own < max(1.0, limit * s.room)]
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -445,3 +445,21 @@
     assert not sends(early) and any(isinstance(a, api.SetTimer) and a.token == 2 for a in early)
     backend.heard_at = 99.5
     assert sends(balancer.handle(api.TimerFired(2), 100.4))
+
+
+def test_heavy_requests_go_to_the_quicker_kind_of_their_slice() -> None:
+    # Worth goes by work, and what is heavy is late on a slow core even where nobody waits.
+    balancer = started("", warm_keys=False)
+    balancer.handle(full_list(*(server(name, kind=i % 2) for i, name in enumerate("abcd"))), 100.0)
+    balancer.pace = {0: 2.0, 1: 1.0}
+    heavy = [balancer.handle(api.Request(i, 0, 1.0, work=0.2), 100.1) for i in range(4)]
+    light = [balancer.handle(api.Request(i, 0, 1.0, work=0.01), 100.1) for i in range(4, 8)]
+    assert {s.server for actions in heavy for s in sends(actions)} <= {"b", "d"}
+    assert {s.server for actions in light for s in sends(actions)} & {"a", "c"}
+
+
+def test_the_pace_of_a_kind_is_learnt_from_its_answers() -> None:
+    balancer = started("a")
+    send = sends(balancer.handle(api.Request(1, 0, 1.0, work=0.1), 100.0))[0]
+    balancer.handle(outcome(send, 0, api.Result.OK, 0.4), 100.4)
+    assert balancer.pace[0] > 1.0
