--- a/firvane/net/targets.py
+++ b/firvane/net/targets.py
@@ -146,13 +146,16 @@
         news, addresses = self.reader.read(data)
         if cached:
             news.kind = api.ListKind.CACHED
-        listed = {server.id for server in news.servers}
+        listed, before = {server.id for server in news.servers}, dict(self.servers)
         if news.kind is not api.ListKind.CHANGES:
             for name in self.servers.keys() - listed:
                 self.on_target(name, None, False)  # absent from a whole list: removed
             self.servers = {}
         for server in news.servers:
-            up = server.state is api.ServerState.UP
+            old, up = before.get(server.id), server.state is api.ServerState.UP
+            if old and up and old.up_since != server.up_since:
+                # Restarted: the old one is gone, and each connection left from it would only end in a reset.
+                self.on_target(server.id, None, False)
             self.on_target(server.id, addresses.get(server.id), up)
             if server.state is api.ServerState.GONE:
                 self.servers.pop(server.id, None)
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -92,6 +92,16 @@
     assert not made.servers and told["s1"] == (None, False)
 
 
+def test_a_restarted_target_is_gone_before_it_is_back() -> None:
+    # Connections to the old process are of no use: each would cost an attempt a reset.
+    made, _, _ = group()
+    told: list[bool] = []
+    made.on_target = lambda name, address, up: told.append(up)
+    for since in (5000, 5000, 9000):
+        made.learn(json.loads(news(1, endpoint("s1", 1, since_ms=since))))
+    assert told == [True, True, False, True]
+
+
 @pytest.mark.parametrize("text", ["1.2.3.4", "1.2.3:80", "1.2.3.400:80", "a.b.c.d:80", "1.2.3.4:99999", 7])
 def test_only_numeric_addresses_with_a_port_are_taken(text: Any) -> None:
     with pytest.raises(ValueError, match="address"):
