--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import struct
 from collections.abc import Awaitable, Callable
 
 import httptools
@@ -196,3 +197,29 @@
     assert [wire.closed for wire in wires] == [True, False]
     wires[1].protocol.data_received(b"unasked")
     assert wires[1].closed and not forwards.pools["s"].idle
+
+
+def test_a_connection_reset_while_idle_could_not_connect() -> None:
+    # The kernel knows of the reset and the loop does not yet: the write fails, so nothing can have run.
+    async def work() -> None:
+        bench = Bench()
+        with socket.socket() as target:
+            target.bind(("127.0.0.1", 0))
+            target.listen()
+            bench.forwards.listed("s", target.getsockname(), True)
+            first = Ended(bench.loop.time() + 1.0)
+            bench.forwards.forward(request(), "s", first)
+            peer, _ = target.accept()
+            with peer:
+                peer.setblocking(False)
+                assert b"X-Call-Id: 1" in await bench.loop.sock_recv(peer, 4096)
+                await bench.loop.sock_sendall(peer, OK)
+                await first.over.wait()
+                peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        second = Ended(bench.loop.time() + 1.0)
+        bench.forwards.forward(request(), "s", second)
+        await second.over.wait()
+        assert first.endings == [Ending.SERVED] and second.endings == [Ending.BROKE_UNSENT]
+        bench.dialer.cancel()
+
+    run(work())
