--- a/firvane/choice.py
+++ b/firvane/choice.py
@@ -34,7 +34,7 @@
 HEAVY = 0.2  # of the aim: work from which on a request goes to the quicker kinds of its slice
 LEAST = 0.2  # part of a server's room that even what is worth nothing may fill
 DRIFT, CROWDED = 0.02, 10.0  # rates forgotten a second; s that a full table is minded
-POINTS = 24  # points of a server of mean size on its zone's key ring
+POINTS = 24  # points of a server of mean size on the key ring
 ROW = struct.Struct("<BBBQHffffB")  # the fields of Row up to the count of entries
 ENTRY = struct.Struct("<HB")  # tag of a server, attempts out there
 VERSION, ASK, RISK, MAX_ENTRIES = 1, 1, 2, 70
@@ -92,7 +92,7 @@
         self.slices: dict[int, list[Backend]] = {}
         self.shares: dict[tuple[int, int], float] = {}
         self.moves: dict[int, list[tuple[int, float]]] = {}
-        self.points, self.ring = list[int](), list[Backend]()  # the key ring of this zone
+        self.points, self.ring = list[int](), list[Backend]()  # the key ring
         self.typical = [cls.aim / 2 for cls in settings.classes]  # s that an answer takes
         self.tenants = dict.fromkeys(range(len(settings.tenants)), 0.0)  # recent requests of each
         self.row_every = max(ROW_EVERY, round(settings.proxies / ROWS_HEARD))
@@ -416,17 +416,16 @@
                 self.announce(now, RISK, message.sender)
 
     def relist(self) -> None:
-        """After a change of the list: what peers have out where, the ring of this zone's keys, the slices."""
+        """After a change of the list: what peers have out where, the ring of keys, the slices."""
         up = self.up = [s for _, s in sorted(self.servers.items()) if s.entry.state is api.ServerState.UP]
         self.tags = {s.salt & 0xFFFF: s for s in up}
         for server in up:
             server.peers = 0
         for n in self.rows.keys() - {self.settings.me}:
             self.count(self.rows[n], 1)
-        local = up
-        mean = sum(s.weight for s in local) / max(1, len(local))
-        sizes = [1.0 if self.settings.live_weights else s.weight / mean for s in local]  # live: keys move
-        points = ((s, range(round(POINTS * size) or 1)) for s, size in zip(local, sizes, strict=True))
+        mean = sum(s.weight for s in up) / max(1, len(up))
+        sizes = [1.0 if self.settings.live_weights else s.weight / mean for s in up]  # live: keys move
+        points = ((s, range(round(POINTS * size) or 1)) for s, size in zip(up, sizes, strict=True))
         ring = sorted(((mix(s.salt, i + 1), s) for s, numbers in points for i in numbers), key=lambda p: p[0])
         self.points, self.ring = [point[0] for point in ring], [point[1] for point in ring]
         self.deal()
