Read the configuration anew on SIGHUP and follow discovery to its new address

Lines at fault: run() in __main__.py set no handler for SIGHUP, whose default ends the process; TargetGroup could not change its address. Now the file is read again, its discovery goes before the environment's, the watch moves at once and asks for the whole list, since versions need not match; flows, connections and learnt state stay. A bad file is logged and changes nothing.

--- a/firvane/__main__.py
+++ b/firvane/__main__.py
@@ -50,8 +50,12 @@
     settings: api.Settings
 
 
-def read_config(environment: Mapping[str, str]) -> Config:
-    """The configuration; `ValueError` or `OSError` with a plain message where it is of no use."""
+def read_config(environment: Mapping[str, str], again: bool = False) -> Config:
+    """The configuration; `ValueError` or `OSError` with a plain message where it is of no use.
+
+    The environment goes before the file at the start; where the file is read `again` it is the other way,
+    since the environment is as old as the process.
+    """
     path = environment.get("NODE_CONFIG")
     if not path:
         raise ValueError("NODE_CONFIG is not set")
@@ -65,7 +69,9 @@
 
     def address(key: str, variable: str = "") -> Address:
         try:
-            return parse_address(environment.get(variable) or data.get(key))
+            given = [environment.get(variable), data.get(key)]
+            first, second = reversed(given) if again else given
+            return parse_address(first or second)
         except ValueError as error:
             raise ValueError(f"{key}: {error}") from None
 
@@ -147,7 +153,7 @@
                 self.group.learn(config.known, cached=True)
             except ValueError as error:
                 log.warning("the known list is of no use: %s", error)
-        self.tasks.append(self.loop.create_task(self.group.follow()))
+        self.group.start()
         try:
             async with asyncio.timeout_at(self.loop.time() + PATIENCE if self.group.servers else None):
                 await self.group.heard.wait()
@@ -159,6 +165,22 @@
         # Port 0 takes any that is free: only the socket knows which.
         log.info("%s ready on %s:%d", config.name, *self.server.sockets[0].getsockname()[:2])
 
+    def reload(self, environment: Mapping[str, str]) -> None:
+        """Read the file anew and follow discovery to where it is now; a file of no use changes nothing.
+
+        Flows, connections and what the decisions have learnt are kept: the targets are the same machines.
+        """
+        try:
+            config = read_config(environment, again=True)
+        except (ValueError, OSError) as error:
+            log.error("the configuration is of no use and changes nothing: %s", " ".join(str(error).split()))
+            return
+        log.info("the configuration is read anew: discovery at %s:%d", *config.discovery)
+        self.group.move(config.discovery)
+        old = self.config
+        if (config.settings, config.listen, config.peers) != (old.settings, old.listen, old.peers):
+            log.warning("other settings, listen or peers in it wait for the next start")
+
     def _sweep(self, due: float) -> None:
         self.lag = max(self.lag, self.loop.time() - due)
         self.forwards.sweep()
@@ -191,6 +213,7 @@
         while self.front.connections and self.loop.time() < last:
             await asyncio.sleep(0.02)
             self.front.close_idle()
+        self.group.stop()
         for task in self.tasks:
             task.cancel()
 
@@ -201,6 +224,7 @@
     told = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, told.set)
+    loop.add_signal_handler(signal.SIGHUP, proxy.reload, os.environ)
     # An order to end is obeyed also while discovery has yet to give the first list.
     waits = loop.create_task(proxy.start()), loop.create_task(told.wait())
     await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
--- a/firvane/net/targets.py
+++ b/firvane/net/targets.py
@@ -138,7 +138,7 @@
         self.heard = asyncio.Event()  # discovery itself has told of the list
         self.pause = FIRST_PAUSE
         self.last = 0.0  # when anything last came
-        self.watch: Lines | None = None
+        self.task: asyncio.Task[None] | None = None
         self.logged = float("-inf")
 
     def learn(self, data: Any, cached: bool = False) -> None:
@@ -169,8 +169,28 @@
         whole = api.ServerList(api.ListKind.COMPLETE, self.index, tuple(self.servers.values()))
         self.loop.call_soon(self.on_list, whole)
 
+    def start(self) -> None:
+        self.task = self.loop.create_task(self.follow())
+
+    def stop(self) -> None:
+        if self.task:
+            self.task.cancel()
+
+    def move(self, address: Address) -> None:
+        """Follow discovery at another address from now on.
+
+        Its versions need not match those of the old one, so the list is asked for whole; until it comes, what
+        is known stays in force.
+        """
+        if address == self.address:
+            return
+        self.address, self.index, self.pause = address, 0, FIRST_PAUSE
+        if self.task:  # else it has yet to start
+            self.stop()
+            self.start()
+
     async def follow(self) -> None:
-        """Watch for as long as the proxy lives."""
+        """Watch for as long as the proxy lives, or until discovery moves."""
         while True:
             await self._watch_once()
             await asyncio.sleep(self.pause)
@@ -185,16 +205,17 @@
         try:
             async with asyncio.timeout_at(self.last + SILENCE):
                 await self.loop.create_connection(lambda: watch, *self.address)
+            while not ended.is_set():
+                try:
+                    async with asyncio.timeout_at(self.last + SILENCE):
+                        await ended.wait()
+                except TimeoutError:
+                    if self.loop.time() >= self.last + SILENCE:
+                        watch.end("discovery has fallen silent")
         except (OSError, TimeoutError) as error:
             self._note(f"discovery cannot be reached: {error or type(error).__name__}")
-            return
-        while not ended.is_set():
-            try:
-                async with asyncio.timeout_at(self.last + SILENCE):
-                    await ended.wait()
-            except TimeoutError:
-                if self.loop.time() >= self.last + SILENCE:
-                    watch.end("discovery has fallen silent")
+        finally:
+            watch.end(f"it is no longer followed at {host}")  # nothing old may speak after a move
 
     def _line(self, line: bytes) -> None:
         self.last = self.loop.time()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import signal
 import sys
 from pathlib import Path
 from typing import Any
@@ -64,6 +65,80 @@
     assert read.listen == ("127.0.0.1", 8) and read.name == "n7" and read.seed == 0x8C1F30D27A5BE964
 
 
+async def agent(index: int, port: int, asked: list[str]) -> asyncio.Server:
+    """Discovery that tells of one target and then says nothing more."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        asked.append((await reader.readuntil(b"\r\n\r\n")).decode().split()[1])
+        line = json.dumps({"index": index, "snapshot": True, "endpoints": [endpoint("s1", port)]}) + "\n"
+        head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        writer.write(f"{head}{len(line):x}\r\n{line}\r\n".encode())
+
+    return await asyncio.start_server(serve, "127.0.0.1", 0)
+
+
+async def program(env: dict[str, str]) -> tuple[asyncio.subprocess.Process, asyncio.StreamReader]:
+    made = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "firvane", env={**os.environ, **env}, stderr=asyncio.subprocess.PIPE
+    )
+    assert made.stderr
+    return made, made.stderr
+
+
+async def said(log: asyncio.StreamReader, words: str) -> str:
+    """The next line of the log that holds these words."""
+    while words not in (line := (await log.readline()).decode()):
+        assert line, f"it ended before it said {words!r}"
+    return line
+
+
+def address(server: asyncio.Server) -> str:
+    return "{}:{}".format(*server.sockets[0].getsockname()[:2])
+
+
+def test_a_reload_follows_discovery_and_keeps_what_is_out(tmp_path: Path) -> None:
+    # SIGHUP without a handler ends the process, and with it every request that it has taken.
+    async def work() -> None:
+        came, release = asyncio.Event(), asyncio.Event()
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while await reader.read(4096):
+                came.set()
+                await release.wait()
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")
+            writer.close()
+
+        targets = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = targets.sockets[0].getsockname()[1]
+        asked: list[list[str]] = [[], []]
+        agents = [await agent(n, port, asked[i]) for i, n in enumerate((41, 7))]
+        # The environment names the first agent for as long as the process lives; a reload goes by the file.
+        env = {**config(tmp_path, discovery=address(agents[0])), "NODE_DISCOVERY": address(agents[0])}
+        proxy, log = await program(env)
+        try:
+            host, number = (await said(log, "ready on")).split()[-1].split(":")
+            reader, writer = await asyncio.open_connection(host, int(number))
+            writer.write(b"GET /read/x HTTP/1.1\r\nX-Call-Id: 1\r\nX-Budget-Ms: 1900\r\n\r\n")
+            await came.wait()
+            Path(env["NODE_CONFIG"]).write_text("{half a file")
+            proxy.send_signal(signal.SIGHUP)
+            await said(log, "is not JSON")
+            config(tmp_path, discovery=address(agents[1]))
+            proxy.send_signal(signal.SIGHUP)
+            await said(log, f"discovery at {address(agents[1])}")
+            release.set()
+            assert (await reader.readuntil(b"\r\n\r\nhi")).startswith(b"HTTP/1.1 200 ")
+            proxy.terminate()
+            assert await proxy.wait() == 0
+            assert asked[0] == ["/discovery/hosts?watch=1&from=0"] == asked[1]
+            writer.close()
+        finally:
+            if proxy.returncode is None:
+                proxy.kill()
+
+    run(work())
+
+
 def test_a_request_goes_through_and_a_planned_end_loses_nothing(tmp_path: Path) -> None:
     async def work() -> None:
         came, release = asyncio.Event(), asyncio.Event()
@@ -75,32 +150,18 @@
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")
             writer.close()
 
-        async def discovery(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            await reader.readuntil(b"\r\n\r\n")
-            port = targets.sockets[0].getsockname()[1]
-            line = json.dumps({"index": 1, "snapshot": True, "endpoints": [endpoint("s1", port)]}) + "\n"
-            head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-            writer.write(f"{head}{len(line):x}\r\n{line}\r\n".encode())
-
         targets = await asyncio.start_server(target, "127.0.0.1", 0)
-        agent = await asyncio.start_server(discovery, "127.0.0.1", 0)
-        env = config(tmp_path, discovery=f"127.0.0.1:{agent.sockets[0].getsockname()[1]}")
-        program = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "firvane", env={**os.environ, **env}, stderr=asyncio.subprocess.PIPE
-        )
-        assert program.stderr
+        told = await agent(1, targets.sockets[0].getsockname()[1], [])
+        proxy, log = await program(config(tmp_path, discovery=address(told)))
         try:
-            while b"ready on" not in (line := await program.stderr.readline()):
-                assert line, "it ended before it was ready"
-            host, port = line.decode().split()[-1].split(":")
+            host, port = (await said(log, "ready on")).split()[-1].split(":")
             reader, writer = await asyncio.open_connection(host, int(port))
             writer.write(b"GET /up HTTP/1.1\r\n\r\n")
             assert b" 200 " in await reader.readuntil(b"\r\n\r\n200\n")
             writer.write(b"GET /read/x?a=1 HTTP/1.1\r\nX-Call-Id: 1\r\nX-Budget-Ms: 1900\r\n\r\n")
             await came.wait()
-            program.terminate()
-            while b"is ending" not in await program.stderr.readline():
-                pass
+            proxy.terminate()
+            await said(log, "is ending")
             # New connections are still taken, and what is out is still finished.
             late_reader, late_writer = await asyncio.open_connection(host, int(port))
             late_writer.write(b"GET /read/x?a=1 HTTP/1.1\r\nX-Call-Id: 2\r\nX-Budget-Ms: 1900\r\n\r\n")
@@ -108,11 +169,11 @@
             for stream in (reader, late_reader):
                 answer = await stream.read()
                 assert b" 200 OK" in answer and b"Connection: close" in answer and answer.endswith(b"hi")
-            assert await program.wait() == 0
+            assert await proxy.wait() == 0
             writer.close()
             late_writer.close()
         finally:
-            if program.returncode is None:
-                program.kill()
+            if proxy.returncode is None:
+                proxy.kill()
 
     run(work())
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -137,6 +137,36 @@
     run(work())
 
 
+def test_discovery_that_moves_is_asked_for_the_whole_list_at_once() -> None:
+    # The versions of the two need not match, and what the old one still says no longer counts.
+    async def work() -> None:
+        asked: list[str] = []
+        heard = asyncio.Event()
+        writers: list[asyncio.StreamWriter] = []
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            asked.append((await reader.readline()).decode().split()[1])
+            writers.append(writer)
+            writer.write(chunked(news(41 if len(asked) == 1 else 7, endpoint("s1", 1), snapshot=True)))
+
+        servers = [await asyncio.start_server(serve, "127.0.0.1", 0) for _ in range(2)]
+        made, lists, _ = group()
+        made.on_list = lambda news: (lists.append(news), heard.set())  # type: ignore[func-returns-value]
+        made.loop, made.address = asyncio.get_running_loop(), servers[0].sockets[0].getsockname()
+        made.start()
+        for _ in range(2):
+            await heard.wait()
+            heard.clear()
+            made.move(servers[1].sockets[0].getsockname())
+        assert asked == ["/discovery/hosts?watch=1&from=0"] * 2
+        assert [news.version for news in lists] == [41, 7] and made.index == 7
+        made.stop()
+        for writer in writers:
+            writer.close()
+
+    run(work())
+
+
 def _given(protocol: asyncio.DatagramProtocol) -> asyncio.DatagramProtocol:
     return protocol
 
