Keep no server out for one reset, and let it back in with its first answer

Lines at fault in choice.py: judge() kept a server out for 0.5 s on a single reset, send() for 1 s more on its trial, and an answer lifted neither; three resets in a row made a warm server cold for 22 s. Now a single reset keeps nobody out (those of a crash come together), an answer lifts what kept the server out, and only one that did not answer for 1 s counts as restarted.

--- a/firvane/choice.py
+++ b/firvane/choice.py
@@ -34,6 +34,7 @@
 HEAVY = 0.2  # of the aim: work from which on a request goes to the quicker kinds of its slice
 LEAST = 0.2  # part of a server's room that even what is worth nothing may fill
 DRIFT, CROWDED = 0.02, 10.0  # rates forgotten a second; s that a full table is minded
+DOWN = 1.0  # s without an answer that make failures the end of a process, not of connections
 POINTS = 24  # points of a server of mean size on the key ring
 ROW = struct.Struct("<BBBQHffffB")  # the fields of Row up to the count of entries
 ENTRY = struct.Struct("<HB")  # tag of a server, attempts out there
@@ -257,9 +258,11 @@
             self.served[-1] += 1
             if now < server.crowded_at + CROWDED:
                 self.actions.append(api.CloseIdle(server.entry.id))
-            if server.fails >= 3:
+            if server.fails >= 3 and now > server.answered_at + DOWN:
                 server.since = now  # it was down whatever the list says: treat it as just started
-            server.fails = 0
+            if server.fails:
+                server.fails, server.retry_at = 0, now  # what kept it out is disproved
+            server.answered_at = now
             if server.own + 1 > 0.7 * server.room:
                 server.room += 0.1 / server.room  # it was near its room and kept up
         elif result in (api.Result.CONNECT_FAILED, api.Result.RESET):
@@ -268,6 +271,8 @@
                 self.actions.append(api.CloseIdle(server.entry.id))
             else:
                 server.fails += 1
+            if result is api.Result.RESET and server.fails == 1:
+                return  # one connection's end is not yet the server's: those of a crash come together
             server.retry_at = now + 0.25 * 2 ** min(4, server.fails) * self.random.uniform(0.75, 1.25)
         elif result is api.Result.FULL:
             if now > server.cut_at + 0.1:
--- a/firvane/state.py
+++ b/firvane/state.py
@@ -30,6 +30,7 @@
     slow: float = 1.0  # how its answers' times compare with those of their classes, as of `slow_at`
     slow_at: float = 0.0
     fails: int = 0  # failures since its last answer
+    answered_at: float = 0.0  # when that was
     heard_at: float = 0.0  # when an attempt there last came to any end of the server's own
     gap: float = 0.0  # mean time between those of late
     retry_at: float = 0.0  # nothing is sent before
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -194,6 +194,44 @@
     assert {s.server for s in sends(proxies[0].handle(api.Request(1, 0, 1.0), 101.0))} <= others
 
 
+def attempt(balancer: Balancer, number: int, now: float) -> api.Send:
+    return sends(balancer.handle(api.Request(number, 0, 2.0, key="k"), now))[0]
+
+
+def test_a_connection_that_ends_does_not_keep_its_server_out() -> None:
+    # Targets close connections between requests all the time; each reset kept the server out for 0.5 s.
+    balancer = started("a")
+    first, second = attempt(balancer, 1, 100.0), attempt(balancer, 2, 100.0)
+    balancer.handle(outcome(first, 0, api.Result.RESET), 100.1)
+    assert attempt(balancer, 3, 100.1).server == "a"
+    balancer.handle(outcome(second, 0, api.Result.RESET), 100.2)
+    assert not sends(balancer.handle(api.Request(4, 0, 2.0, key="k"), 100.2))  # the second in a row does
+
+
+def test_an_answer_lets_a_server_back_in_at_once() -> None:
+    # The trial's own second stayed in force after it had been answered: half the fleet stood idle for it.
+    balancer = started("a")
+    out = [attempt(balancer, n, 100.0) for n in (1, 2)]
+    for send in out:
+        balancer.handle(outcome(send, 0, api.Result.RESET), 100.1)
+    trial = attempt(balancer, 3, 102.0)
+    balancer.handle(outcome(trial, 0, api.Result.OK), 102.1)
+    assert attempt(balancer, 4, 102.1).server == "a" and not balancer.is_cold(balancer.servers["a"], 102.1)
+
+
+def test_resets_in_a_row_beside_answers_do_not_make_a_server_cold() -> None:
+    balancer = started("a")
+    balancer.servers["a"].room = 20.0
+    first, *rest, last = [attempt(balancer, n, 100.0) for n in range(5)]
+    balancer.handle(outcome(first, 0, api.Result.OK), 100.1)
+    for send in rest:
+        balancer.handle(outcome(send, 0, api.Result.RESET), 100.2)
+    assert balancer.servers["a"].fails == 3
+    balancer.handle(outcome(last, 0, api.Result.OK), 100.3)
+    assert not balancer.is_cold(balancer.servers["a"], 100.3)
+    assert attempt(balancer, 9, 100.3).server == "a"
+
+
 def test_a_slow_server_loses_share_before_it_fails() -> None:
     balancer = started("ab", warm_keys=False)
     counts = {"a": 0, "b": 0}
