Turn down faulty requests at the listener, look at idle connections before use

Of 409 bad answers some 45 held a whole answer with noise behind it in the same read and were thrown away. 9 of 10 spoilt ones fail in the head. By lines: listener.Front.read took the last of repeated fields and any id, SLOW let half a request stand 10 s and IDLE the silent 120 s, shed() closed usual clients' idle connections before silent newcomers; forward.data_received dropped what was whole before a fault, eof_received served a body that may be cut short; Forwards.pools and Engine.known kept every name for good; 400 and 404 of a target were tried elsewhere. Now: those requests get 4xx and a close; a first request has 2.4 s from connecting; the silent go first, usual clients last, idle ones after 2 s only where more than half of the places are taken; a whole answer before noise is served; a connection rests 5 ms and is looked at (MSG_PEEK) before use; what is gone is forgotten.

--- a/firvane/__main__.py
+++ b/firvane/__main__.py
@@ -29,6 +29,7 @@
 LAME = 0.7  # s after SIGTERM for which clients may still come
 PATIENCE = 0.5  # s at the start for which discovery's own word is preferred to the list as last known
 RESERVE, TARGETS_PART = 32, 0.45  # descriptors for the rest; the targets' part of the others
+SWEEP = 0.25  # s from one look for what has stood for too long to the next
 REPORT = 5.0  # s from one line of figures in the log to the next
 
 
@@ -160,7 +161,7 @@
         except TimeoutError:
             log.warning("discovery is silent: starting from the list as last known")
         self.front.ready = True
-        self._sweep(self.loop.time() + 1.0)
+        self._sweep(self.loop.time() + SWEEP)
         self._report(self.loop.time() + REPORT)
         # Port 0 takes any that is free: only the socket knows which.
         log.info("%s ready on %s:%d", config.name, *self.server.sockets[0].getsockname()[:2])
@@ -185,7 +186,7 @@
         self.lag = max(self.lag, self.loop.time() - due)
         self.forwards.sweep()
         self.front.sweep()
-        self.loop.call_at(due + 1.0, self._sweep, due + 1.0)
+        self.loop.call_at(due + SWEEP, self._sweep, due + SWEEP)
 
     def _report(self, due: float) -> None:
         counts = ", ".join(f"{name} {n}" for name, n in sorted(self.engine.endings.items()))
--- a/firvane/engine.py
+++ b/firvane/engine.py
@@ -44,6 +44,9 @@
 
     def failed(self) -> None: ...
 
+    def at_fault(self) -> None:
+        """Its request cannot be used, as a target has found."""
+
 
 class Handle(Protocol):
     """An exchange under way."""
@@ -159,7 +162,7 @@
         self.balancer = Balancer(settings, seed, self.now())
         self.flows: dict[int, Flow[Q, A]] = {}
         self.owed = 0  # flows that have no final answer yet
-        self.known: set[str] = set()  # every target that a list has named
+        self.known: set[str] = set()  # the targets that the list names
         self.endings: Counter[str] = Counter()  # for the log
         self.faults = 0
         self._next_id = 0
@@ -212,7 +215,10 @@
             self._forget(flow)
 
     def listed(self, news: api.ServerList) -> None:
-        self.known.update(server.id for server in news.servers)
+        if news.kind is api.ListKind.COMPLETE:
+            self.known.clear()
+        for server in news.servers:
+            (self.known.discard if server.state is api.ServerState.GONE else self.known.add)(server.id)
         self.give(news)
 
     def give(self, event: api.Event) -> None:
@@ -312,6 +318,9 @@
         if ending is Ending.SERVED and flow.open and answer is not None:
             self._close(flow)
             flow.client.served(answer)
+        elif ending is Ending.AT_FAULT and flow.open:
+            self._close(flow)  # another target would say the same
+            flow.client.at_fault()
         took = self.clock.time() - forward.since
         self._forget(flow)
         self.give(
--- a/firvane/net/forward.py
+++ b/firvane/net/forward.py
@@ -19,6 +19,7 @@
 log = logging.getLogger(__name__)
 
 IDLE_PART = 0.5  # of the idle time in the settings: a target may close sooner than that, never later
+SETTLE = 0.005  # s after an answer in which more of it, or the connection's end, may still be on its way
 
 
 class Pool:
@@ -30,6 +31,13 @@
         self.down_since: float | None = None  # when the list said that it drains or is gone
         self.idle: list[Connection] = []
 
+    def take(self, settled: float) -> Connection:
+        """The newest one that has been idle since then, or else the oldest of all."""
+        place = len(self.idle) - 1
+        while place and self.idle[place].idle_since > settled:
+            place -= 1
+        return self.idle.pop(place)
+
     def close_idle(self, before: float = float("inf")) -> None:
         while self.idle and self.idle[0].idle_since < before:
             self.idle.pop(0).close()
@@ -101,9 +109,10 @@
 class Connection(asyncio.Protocol):
     """One connection to a target; it is in its pool whenever it is idle."""
 
-    def __init__(self, forwards: Forwards, pool: Pool) -> None:
-        self.forwards, self.pool = forwards, pool
+    def __init__(self, forwards: Forwards, pool: Pool, sock: socket.socket) -> None:
+        self.forwards, self.pool, self.sock = forwards, pool, sock
         self.reader = Reader(httptools.HttpResponseParser)
+        self.spoilt = False  # what came last made no sense
         self.run: Run | None = None
         self.idle_since = 0.0
         self.written = True  # the last byte of the request has gone to the kernel
@@ -124,6 +133,21 @@
         if not self.transport.is_closing() and not self.transport.get_write_buffer_size():
             self.written = True
 
+    def usable(self) -> bool:
+        """Whether nothing has come on it while idle, as far as the kernel knows: the loop may not know yet.
+
+        An end would turn the next forward into a reset, and more of the last answer into its answer.
+        """
+        if self.transport.is_closing():
+            return False
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            pass
+        return False
+
     def resume_writing(self) -> None:
         self.written = True
 
@@ -135,22 +159,27 @@
         try:
             self.reader.feed(data)
         except Fault:
-            self._end(Ending.BAD_ANSWER)
-            return
+            self.spoilt = True  # an answer that was whole before it is still one
         while self.reader.done:
             message = self.reader.done.pop(0)
             if message.status >= 200:  # an interim answer is followed by the real one
                 self._answered(message)
                 return
+            if message.status == 101:  # nobody asked for another protocol: nothing further can be read
+                self.spoilt = True
+        if self.spoilt:
+            self._end(Ending.BAD_ANSWER)
 
     def _answered(self, message: Message) -> None:
         ending = Ending.SERVER_ERROR
         if message.status == 200:
             ending = Ending.SERVED
+        elif message.status in (400, 404):
+            ending = Ending.AT_FAULT
         elif message.status in (503, 504) and message.fields.get(b"x-rejected") == b"1":
             ending = Ending.TURNED_AWAY
-        spoilt = self.reader.done or self.reader.message or not self.written
-        if message.keep and message.framed and not spoilt:
+        more = self.spoilt or self.reader.done or self.reader.message or not self.written
+        if message.keep and message.framed and not more:
             run, self.run = self.run, None
             self.forwards.park(self)
             if run:
@@ -167,7 +196,9 @@
     def eof_received(self) -> None:
         message = self.reader.message
         if self.run and message and message.status == 200 and not self.reader.in_head and not message.framed:
-            self._end(Ending.SERVED, message)  # a body that lasts until the connection ends
+            # A body that lasts until the connection ends; unless the head says so, it may be cut short.
+            told = message.fields.get(b"connection", b"").lower() == b"close"
+            self._end(Ending.SERVED if told else Ending.BROKE_SENT, message)
 
     def connection_lost(self, error: Exception | None) -> None:
         self.forwards.count -= 1
@@ -204,7 +235,7 @@
         while True:
             dial = await self.standing.get()
             run = dial.run
-            connection = Connection(self, run.pool)
+            connection = Connection(self, run.pool, dial.sock)
             try:
                 if run.over:
                     raise OSError("given up meanwhile")
@@ -232,10 +263,11 @@
             run.end(Ending.TOO_LATE)
             return run
         while pool.idle:
-            connection = pool.idle.pop()
-            if not connection.transport.is_closing():
+            connection = pool.take(self.loop.time() - SETTLE)
+            if connection.usable():
                 connection.send(run)
                 return run
+            connection.close()
         self._dial(run)
         return run
 
@@ -251,11 +283,15 @@
     # The list's side
 
     def listed(self, name: str, address: tuple[str, int] | None, up: bool) -> None:
-        """What the list says of a target takes effect at once."""
-        pool = self.pools.setdefault(name, Pool(name))
-        if address and address != pool.address:
-            pool.close_idle()
-            pool.address = address
+        """What the list says of a target takes effect at once; without an address it is gone."""
+        pool = self.pools.get(name) or Pool(name)
+        if address:
+            self.pools[name] = pool
+            if address != pool.address:
+                pool.close_idle()
+                pool.address = address
+        else:
+            self.pools.pop(name, None)  # what is still out on it keeps it until its end
         if up:
             pool.down_since = None
         elif pool.down_since is None:
--- a/firvane/net/http.py
+++ b/firvane/net/http.py
@@ -38,13 +38,26 @@
 class Message:
     """One message: its target, its header fields as they came, and its body."""
 
-    __slots__ = ("body", "complete", "fields", "framed", "headers", "keep", "method", "size", "status", "url")
+    __slots__ = (
+        "body",
+        "complete",
+        "fields",
+        "framed",
+        "headers",
+        "keep",
+        "method",
+        "repeated",
+        "size",
+        "status",
+        "url",
+    )
 
     def __init__(self) -> None:
         self.method = self.url = b""
         self.status = 0
         self.headers: list[tuple[bytes, bytes]] = []
-        self.fields: dict[bytes, bytes] = {}  # by lower-case name
+        self.fields: dict[bytes, bytes] = {}  # by lower-case name; of those repeated, the last
+        self.repeated: list[bytes] = []
         self.body: list[bytes] = []
         self.size = 0
         self.framed = False
@@ -105,7 +118,10 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.message and self.in_head:  # fields after a chunked body are dropped
             self.message.headers.append((name, value))
-            self.message.fields[name.lower()] = value
+            key = name.lower()
+            if key in self.message.fields:
+                self.message.repeated.append(key)
+            self.message.fields[key] = value
 
     def on_headers_complete(self) -> None:
         self.in_head = False
@@ -145,6 +161,7 @@
     404: b"Not Found",
     405: b"Method Not Allowed",
     408: b"Request Timeout",
+    409: b"Conflict",
     413: b"Content Too Large",
     429: b"Too Many Requests",
     431: b"Request Header Fields Too Large",
--- a/firvane/net/listener.py
+++ b/firvane/net/listener.py
@@ -12,7 +12,11 @@
 from firvane.net.http import Fault, Message, Reader, answer
 
 READY_PATH = b"/up"
-IDLE, SLOW, LINGER = 120.0, 10.0, 1.0  # s: between requests, for a whole request, for the client to hang up
+IDLE, CROWDED_IDLE = 60.0, 2.0  # s between requests; where the connections are more than half of the most
+SLOW, LINGER = 2.4, 2.0  # s for a whole request, the first from connecting on; to read the last answer
+YOUNG = 0.2  # s after connecting in which the first request may well be on its way
+# Two values of one of these would let the proxy and a target go by different ones.
+SINGLE = frozenset((b"host", b"x-call-id", b"x-caller", b"x-budget-ms", b"x-route-hash", b"x-call-cost"))
 PIPELINED = 8  # requests that may wait on one connection behind the one being served
 
 
@@ -30,6 +34,7 @@
         self.classes = {cls.name.encode(): (i, cls) for i, cls in enumerate(settings.classes)}
         self.tenants = {tenant.name.encode(): i for i, tenant in enumerate(settings.tenants)}
         self.connections: set[Listener] = set()
+        self.ids: set[bytes] = set()  # of the flows that are open here
         self.ready = False
         self.draining = False
 
@@ -51,6 +56,12 @@
         if message.method != (b"GET" if cls.repeat is api.Repeat.SAFE else b"POST"):
             raise Fault(405)
         fields = message.fields
+        if not SINGLE.isdisjoint(message.repeated) or (message.size and message.method == b"GET"):
+            raise Fault(400)
+        if fields.get(b"transfer-encoding", b"chunked").lower() != b"chunked":
+            raise Fault(400)  # a coding that would pass as the body itself
+        if fields.get(b"x-call-id") in self.ids:
+            raise Fault(409)  # only one of two can be the one that a target's answer is for
         budget, tenant = fields.get(b"x-budget-ms", b""), None
         if not fields.get(b"x-call-id") or not budget.isdigit() or len(budget) > 9:
             raise Fault(400)
@@ -74,8 +85,9 @@
     def sweep(self) -> None:
         """End what has stood unused, or has kept a request half sent, for too long."""
         now = self.loop.time()
+        unused = now - (CROWDED_IDLE if 2 * len(self.connections) > self.max_sockets else IDLE)
         for connection in list(self.connections):
-            if connection.expires <= now:
+            if connection.expires <= now or (connection.is_idle() and connection.since <= unused):
                 connection.expire()
 
     def close_idle(self) -> None:
@@ -84,10 +96,10 @@
                 connection.transport.close()
 
     def shed(self) -> None:
-        """Make room: the connection that has been idle longest may be closed, its client opens another."""
-        idle = (connection for connection in self.connections if connection.is_idle())
-        if oldest := min(idle, key=lambda connection: connection.expires, default=None):
-            oldest.transport.close()
+        """Make room: what has the least claim to its place, and among equals the longest there, is closed."""
+        spare = (connection for connection in self.connections if not connection.flow)
+        if least := min(spare, key=Listener.claim, default=None):
+            least.transport.abort()
 
 
 class Listener(asyncio.Protocol):
@@ -102,26 +114,43 @@
         self.lost = False  # the fault is being answered: whatever still comes is not read
         self.ending = False  # the last answer is written
         self.started = False  # part of a request has come
+        self.served_once = False  # a request of its has been taken on
+        self.since = 0.0  # when it was made or last fell idle
         self.expires = 0.0
         self.transport: asyncio.Transport
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.front.connections.add(self)
-        self.expires = self.front.loop.time() + IDLE
+        self.since = self.front.loop.time()
+        self.expires = self.since + SLOW
         if len(self.front.connections) > self.front.max_sockets:
             self.front.shed()
 
     def connection_lost(self, error: Exception | None) -> None:
         self.front.connections.discard(self)
         self.ending = True
-        flow, self.flow = self.flow, None
+        flow = self._taken_off()
         if flow:
             self.front.engine.leave(flow)
 
     def is_idle(self) -> bool:
         return not (self.flow or self.started or self.reader.done or self.ending)
 
+    def claim(self) -> tuple[int, float]:
+        """How strong its claim to a place is: those that only stand there go before the usual clients'."""
+        if not self.served_once or self.ending:
+            young = self.front.loop.time() < self.since + YOUNG
+            return (3 if young else 1 if self.started or self.ending else 0), self.since
+        return (2 if self.is_idle() else 3), self.since
+
+    def _taken_off(self) -> Flow[Message, Message] | None:
+        """The flow, if one is open, which is from now on no longer this connection's."""
+        flow, self.flow = self.flow, None
+        if flow:
+            self.front.ids.discard(flow.request.fields[b"x-call-id"])
+        return flow
+
     def expire(self) -> None:
         if self.ending:
             self.transport.abort()
@@ -141,7 +170,7 @@
         except Fault as fault:
             self.fault = fault
         started = self.reader.message is not None
-        if started and not self.started:
+        if started and not self.started and self.served_once:
             self.expires = self.front.loop.time() + SLOW
         self.started = started
         message = self.reader.message
@@ -156,8 +185,7 @@
         while not self.flow and not self.ending:
             if not self.reader.done:
                 if self.fault:
-                    self.keep, self.lost = False, True
-                    self._reply(self.fault.status)
+                    self._turn_down(self.fault)
                 return
             message = self.reader.done.pop(0)
             self.transport.resume_reading()
@@ -168,15 +196,22 @@
             try:
                 request, left = self.front.read(message)
             except Fault as fault:
-                self._reply(fault.status)
-                continue
+                self._turn_down(fault)
+                return
             if not self.front.ready:
                 self._reply(503)
                 continue
-            self.flow = Flow(message, self, self.front.loop.time() + left)
+            self.flow, self.served_once = Flow(message, self, self.front.loop.time() + left), True
+            self.front.ids.add(message.fields[b"x-call-id"])
             self.front.engine.take(self.flow, request)
 
+    def _turn_down(self, fault: Fault) -> None:
+        """Answer what is at fault and hang up: what follows it may not be what its client meant, or worse."""
+        self.keep, self.lost = False, True
+        self._reply(fault.status)
+
     def _ready(self, message: Message) -> None:
+        self.served_once = True
         if message.method != b"GET":
             self._reply(405)
         else:
@@ -194,6 +229,9 @@
     def failed(self) -> None:
         self._finish(502, [b"failed\n"], 7, [])
 
+    def at_fault(self) -> None:
+        self._turn_down(Fault(400))
+
     def _reply(self, status: int) -> None:
         """An answer of the proxy's own, with its status as a short body."""
         headers = [b"Content-Type: text/plain\r\n"] + ([b"Allow: GET\r\n"] if status == 405 else [])
@@ -203,9 +241,11 @@
         front = self.front
         crowded = len(front.connections) > front.max_sockets
         close = not self.keep or front.draining or crowded
-        called_back, self.flow = self.flow is not None, None
+        called_back = self._taken_off() is not None
         self.transport.writelines(answer(status, body, size, close, headers))
-        self.expires = front.loop.time() + IDLE
+        self.since = front.loop.time()
+        # A request that has begun to come behind this one has its own time.
+        self.expires = self.since + (SLOW if self.started else 2 * IDLE)
         if close:
             self.ending = True
             self.reader.done.clear()
--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -169,6 +169,9 @@
     def failed(self) -> None:
         self.answers.append(("failed", None))
 
+    def at_fault(self) -> None:
+        self.answers.append(("at fault", None))
+
 
 def endpoint(name: str, port: int, **more: Any) -> dict[str, Any]:
     base = {"name": name, "address": f"127.0.0.1:{port}", "zone": "a", "type": "big", "group": 0}
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -7,7 +7,7 @@
 from firvane import interface as api
 from firvane.endings import RESULTS, Ending
 from firvane.engine import Engine, Flow
-from tests.helpers import full_list, server, settings
+from tests.helpers import changes, full_list, server, settings
 from tests.net_helpers import Clock, Parties
 
 
@@ -79,6 +79,24 @@
     assert not parties.forwards and results(script) == [api.Result.MOOT]
 
 
+def test_only_targets_that_the_list_still_names_are_known() -> None:
+    # On a long day every backend is replaced many times over.
+    made, _, _ = engine(Script())
+    made.listed(changes(server("b", state=api.ServerState.GONE), server("c")))
+    assert made.known == {"a", "c"}
+    made.listed(full_list(server("d")))
+    assert made.known == {"d"}
+
+
+def test_a_request_that_a_target_finds_fault_with_is_tried_nowhere_else() -> None:
+    script = Script(Request=[api.Send(1, "a")], Outcome=[api.Send(1, "b")])
+    made, parties, _ = engine(script)
+    take(made, parties)
+    parties.forwards[0][1].ended(Ending.AT_FAULT)
+    assert parties.answers == [("at fault", None)] and len(parties.forwards) == 1
+    assert results(script)[0] is api.Result.ERROR and not made.flows
+
+
 def test_no_second_copy_where_the_settings_forbid_it() -> None:
     made, parties, _ = engine(Script(Request=[api.Send(1, "a"), api.Send(1, "b")]), second_copies=False)
     take(made, parties)
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import socket
-import struct
 from collections.abc import Awaitable, Callable
 
 import httptools
@@ -66,7 +65,13 @@
     [
         (OK, False, Ending.SERVED),
         (b"HTTP/1.1 103 Early Hints\r\n\r\n" + OK, False, Ending.SERVED),
+        (b"HTTP/1.1 101 No\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n" + OK, False, Ending.BAD_ANSWER),
+        (OK + OK, False, Ending.SERVED),
+        (OK + b"\0noise\r\n\r\n", False, Ending.SERVED),
         (b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nto the end", True, Ending.SERVED),
+        (b"HTTP/1.1 200 OK\r\n\r\nto the end, or not", True, Ending.BROKE_SENT),
+        (b"HTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n", False, Ending.AT_FAULT),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 2\r\n\r\nhi", False, Ending.BAD_ANSWER),
         (b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", False, Ending.SERVER_ERROR),
         (b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", False, Ending.SERVER_ERROR),
         (b"HTTP/1.1 503 No\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n", False, Ending.TURNED_AWAY),
@@ -145,7 +150,7 @@
         await bench.target(OK)
         ended = Ended(bench.loop.time() + 1.0)
         bench.forwards.forward(request(), "s", ended)
-        bench.forwards.listed("s", None, False)
+        bench.forwards.listed("s", bench.forwards.pools["s"].address, False)
         bench.forwards.pools["s"].down_since = bench.loop.time() - RULES.drain_grace
         await ended.over.wait()
         assert ended.endings == [Ending.TOO_LATE] and not bench.heads
@@ -174,7 +179,7 @@
 @pytest.mark.parametrize(("buffered", "ending"), [(0, Ending.BROKE_SENT), (9, Ending.BROKE_UNSENT)])
 def test_a_break_before_the_last_byte_could_not_connect(buffered: int, ending: Ending) -> None:
     forwards = Forwards(Clock(), api.Limits(3), RULES, 9)  # type: ignore[arg-type]
-    connection = Connection(forwards, Pool("s"))
+    connection = Connection(forwards, Pool("s"), socket.socket())
     wire = Wire(connection)
     wire.buffered = buffered
     ended = Ended(1001.0)
@@ -189,7 +194,7 @@
     forwards.listed("s", ("127.0.0.1", 1), True)
     wires = []
     for _ in range(2):
-        connection = Connection(forwards, forwards.pools["s"])
+        connection = Connection(forwards, forwards.pools["s"], socket.socket())
         wires.append(Wire(connection))
         forwards.park(connection)
         clock.advance(10.0)
@@ -199,27 +204,57 @@
     assert wires[1].closed and not forwards.pools["s"].idle
 
 
-def test_a_connection_reset_while_idle_could_not_connect() -> None:
-    # The kernel knows of the reset and the loop does not yet: the write fails, so nothing can have run.
+@pytest.mark.parametrize("left", [b"", OK])
+def test_a_connection_on_which_anything_came_while_idle_is_not_used(left: bytes) -> None:
+    # The kernel knows of the end, or of a second answer, the loop does not yet: the next forward would end
+    # as a reset that may have run, or be answered with what was made for another.
     async def work() -> None:
         bench = Bench()
         with socket.socket() as target:
             target.bind(("127.0.0.1", 0))
             target.listen()
             bench.forwards.listed("s", target.getsockname(), True)
-            first = Ended(bench.loop.time() + 1.0)
-            bench.forwards.forward(request(), "s", first)
-            peer, _ = target.accept()
-            with peer:
+            for _ in range(2):
+                ended = Ended(bench.loop.time() + 1.0)
+                bench.forwards.forward(request(), "s", ended)
+                peer, _ = target.accept()  # also the second is a new one
                 peer.setblocking(False)
                 assert b"X-Call-Id: 1" in await bench.loop.sock_recv(peer, 4096)
                 await bench.loop.sock_sendall(peer, OK)
-                await first.over.wait()
-                peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        second = Ended(bench.loop.time() + 1.0)
-        bench.forwards.forward(request(), "s", second)
-        await second.over.wait()
-        assert first.endings == [Ending.SERVED] and second.endings == [Ending.BROKE_UNSENT]
+                await ended.over.wait()
+                assert ended.endings == [Ending.SERVED]
+                if left:
+                    peer.send(left)
+                else:
+                    peer.close()
         bench.dialer.cancel()
 
     run(work())
+
+
+def test_a_connection_rests_before_it_is_used_again() -> None:
+    # More than belongs to an answer may come right behind it; the next flow's must not be taken from there.
+    clock = Clock()
+    forwards = Forwards(clock, api.Limits(3), RULES, 9)  # type: ignore[arg-type]
+    pool = Pool("s")
+    made = [Connection(forwards, pool, socket.socket()) for _ in range(4)]
+    for connection in made:
+        Wire(connection)
+        forwards.park(connection)
+        clock.advance(0.002)
+    order = [pool.take(clock.time() - 0.005) for _ in made]
+    assert [made.index(connection) for connection in order] == [1, 0, 2, 3]
+
+
+def test_a_target_that_is_gone_is_forgotten_and_its_successor_inherits_nothing() -> None:
+    forwards = Forwards(Clock(), api.Limits(3), RULES, 9)  # type: ignore[arg-type]
+    forwards.listed("s", ("127.0.0.1", 1), True)
+    idle = Connection(forwards, forwards.pools["s"], socket.socket())
+    out = Connection(forwards, forwards.pools["s"], socket.socket())
+    wires = [Wire(idle), Wire(out)]
+    forwards.park(idle)
+    forwards.listed("s", None, False)
+    forwards.listed("t", ("127.0.0.1", 1), True)
+    forwards.park(out)  # what was out ends later
+    assert [wire.closed for wire in wires] == [True, True]
+    assert list(forwards.pools) == ["t"] and not forwards.pools["t"].idle
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -110,11 +110,19 @@
 @pytest.mark.parametrize(
     ("data", "status", "closes"),
     [
-        (GET.replace(b"/read", b"/none"), 404, False),
-        (GET.replace(b"GET", b"POST"), 405, False),
-        (GET.replace(b"480", b"soon"), 400, False),
-        (GET.replace(b"X-Call-Id: 9b1f\r\n", b""), 400, False),
-        (GET.replace(b"acme", b"emca"), 400, False),
+        (GET.replace(b"/read", b"/none"), 404, True),
+        (GET.replace(b"GET", b"POST"), 405, True),
+        (GET.replace(b"480", b"soon"), 400, True),
+        (GET.replace(b"480", b"-1"), 400, True),
+        (GET.replace(b"X-Call-Id: 9b1f\r\n", b""), 400, True),
+        (GET.replace(b"X-Call-Id: 9b1f\r\n", b"X-Call-Id: 9b1f\r\nx-call-id: 9b1e\r\n"), 400, True),
+        (GET.replace(b"acme", b"emca"), 400, True),
+        (GET.replace(b"\r\n\r\n", b"\r\nContent-Length: 4\r\n\r\nbody"), 400, True),
+        (POST.replace(b"Length: 4", b"Length: 4\r\nTransfer-Encoding: chunked"), 400, True),
+        (POST.replace(b"Length: 4", b"Length: 4\r\nContent-Length: 4"), 400, True),
+        (POST.replace(b"Length: 4", b"Length: -4"), 400, True),
+        (POST.replace(b"Content-Length: 4\r\n\r\nbody", b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n"),
+         400, True),
         (b"GET /read HTTP/1.1\r\nbad header\r\n\r\n", 400, True),
         (POST.replace(b"Length: 4", b"Length: 65537"), 413, True),
         (b"GET /read HTTP/1.1\r\nX-A: " + b"a" * 20000 + b"\r\n\r\n", 431, True),
@@ -131,6 +139,65 @@
         assert len(taken.flows) == 1
 
 
+def test_an_id_that_is_open_is_turned_down_until_it_is_answered() -> None:
+    # Two flows under one id: a target's answer, or its refusal, could be for either.
+    first, wire, taken = listener()
+    first.data_received(GET)
+    second = Listener(first.front)
+    other = Wire(second)
+    second.data_received(GET)
+    assert statuses(other) == [409] and other.eof and len(taken.flows) == 1
+    first.served(answer())
+    assert statuses(wire) == [200]
+    third = Listener(first.front)
+    Wire(third).protocol.data_received(GET)
+    assert len(taken.flows) == 2
+
+
+def later(front: Front, span: float) -> None:
+    front.loop.advance(span)  # type: ignore[attr-defined]
+    front.sweep()
+
+
+@pytest.mark.parametrize(("sent", "answers"), [(b"", []), (b"GET /read", [408]), (GET[:-2], [408])])
+def test_who_does_not_ask_within_three_seconds_is_hung_up_on(sent: bytes, answers: list[int]) -> None:
+    made, wire, _ = listener()
+    made.data_received(sent[:3])
+    later(made.front, 2.0)
+    assert not wire.closed and not wire.eof
+    made.data_received(sent[3:])  # more of the same half does not win more time
+    later(made.front, 0.8)
+    assert statuses(wire) == answers and (wire.closed or wire.eof)
+    later(made.front, 2.5)
+    assert wire.closed
+
+
+def test_the_silent_make_room_first_and_the_usual_clients_last() -> None:
+    made, wire, taken = listener()
+    front = made.front
+    front.max_sockets = 4
+    made.data_received(GET)
+    made.served(answer())  # has asked and is idle
+    busy, silent = Listener(front), Listener(front)
+    wires = [Wire(busy), Wire(silent)]
+    busy.data_received(GET)
+    front.loop.advance(1.0)  # type: ignore[attr-defined]
+    wires += [Wire(Listener(front)) for _ in range(3)]  # the last of them is one too many twice
+    assert [w.closed for w in (wire, *wires)] == [True, False, True, False, False, False]
+    assert not taken.left
+
+
+def test_unused_connections_are_kept_for_long_only_where_there_is_room() -> None:
+    made, wire, _ = listener()
+    made.data_received(GET)
+    made.served(answer())
+    later(made.front, 50.0)
+    assert not wire.closed
+    made.front.max_sockets = 1
+    later(made.front, 0.1)
+    assert wire.closed
+
+
 def test_a_head_without_an_end_is_cut_off() -> None:
     # The parser gathers a field of any length; only the count of raw bytes ends it.
     made, wire, _ = listener()
