Tell single lost connections from a server that is down or has no more to give

Each connection that was reset on arrival beside others closed all idle ones for 10 s, so nearly every request dialled (9,309 dials for 13,562 requests) and lost 8% of those dials the same way. Lines at fault: judge() in choice.py took one CONNECT_FAILED for a full table, and kept a server out 0.25 s times 2^failures whether the failure had cost time or none; three failures in a row and a second of its own making made a warm server cold. Now it takes three within about a second to be crowded; only a dial that has waited in vain keeps a server out by itself, what fails at once from the second in a row and for a fifth of the time; cold takes four over a second.

--- a/firvane/choice.py
+++ b/firvane/choice.py
@@ -34,7 +34,8 @@
 HEAVY = 0.2  # of the aim: work from which on a request goes to the quicker kinds of its slice
 LEAST = 0.2  # part of a server's room that even what is worth nothing may fill
 DRIFT, CROWDED = 0.02, 10.0  # rates forgotten a second; s that a full table is minded
-DOWN = 1.0  # s without an answer that make failures the end of a process, not of connections
+DOWN, DOWN_FAILS = 1.0, 4  # s and failures without an answer that are a process's end, not a connection's
+UNMADE = 0.5  # s in which the count of connections that a working server did not take halves
 POINTS = 24  # points of a server of mean size on the key ring
 ROW = struct.Struct("<BBBQHffffB")  # the fields of Row up to the count of entries
 ENTRY = struct.Struct("<HB")  # tag of a server, attempts out there
@@ -258,22 +259,14 @@
             self.served[-1] += 1
             if now < server.crowded_at + CROWDED:
                 self.actions.append(api.CloseIdle(server.entry.id))
-            if server.fails >= 3 and now > server.answered_at + DOWN:
+            if server.fails >= DOWN_FAILS and now > server.failing_since + DOWN:
                 server.since = now  # it was down whatever the list says: treat it as just started
             if server.fails:
                 server.fails, server.retry_at = 0, now  # what kept it out is disproved
-            server.answered_at = now
             if server.own + 1 > 0.7 * server.room:
                 server.room += 0.1 / server.room  # it was near its room and kept up
         elif result in (api.Result.CONNECT_FAILED, api.Result.RESET):
-            if result is api.Result.CONNECT_FAILED and server.own:
-                server.crowded_at = now  # it holds others of ours: its connections ran out, our idle too
-                self.actions.append(api.CloseIdle(server.entry.id))
-            else:
-                server.fails += 1
-            if result is api.Result.RESET and server.fails == 1:
-                return  # one connection's end is not yet the server's: those of a crash come together
-            server.retry_at = now + 0.25 * 2 ** min(4, server.fails) * self.random.uniform(0.75, 1.25)
+            self.broke(server, result, outcome.took, now)
         elif result is api.Result.FULL:
             if now > server.cut_at + 0.1:
                 server.room, server.cut_at = max(1.0, 0.85 * server.room), now
@@ -288,6 +281,23 @@
             ratio = min(8.0, outcome.took / typical)
             server.slow, server.slow_at = 0.8 * slowness(server, now) + 0.2 * ratio, now
 
+    def broke(self, server: Backend, result: api.Result, took: float, now: float) -> None:
+        """A connection ended or was not made: the server is left alone only if it seems to be why."""
+        unmade = result is api.Result.CONNECT_FAILED
+        if unmade and server.own:  # it holds others of ours
+            server.unmade = 1.0 + server.unmade * math.exp2((server.unmade_at - now) / UNMADE)
+            server.unmade_at = now
+            if server.unmade > 2.5:  # not one alone: its connections have run out, our idle ones among them
+                server.crowded_at = now
+                self.actions.append(api.CloseIdle(server.entry.id))
+        else:
+            server.failing_since = server.failing_since if server.fails else now
+            server.fails += 1
+        waited = unmade and took > 0.9 * self.settings.limits.connect_timeout
+        if waited or server.fails > 1 or now == server.crowded_at:  # one alone says nothing of the server
+            base = 0.25 if waited else 0.05  # s; what fails at once costs little to try
+            server.retry_at = now + base * 2 ** min(6, server.fails) * self.random.uniform(0.75, 1.25)
+
     def choose(self, job: Job, now: float, limit: float) -> Backend | None:
         """The key's own server, or its slice's next where that is too full; after moves between slices."""
         home, first = self.home(job)
--- a/firvane/state.py
+++ b/firvane/state.py
@@ -30,7 +30,9 @@
     slow: float = 1.0  # how its answers' times compare with those of their classes, as of `slow_at`
     slow_at: float = 0.0
     fails: int = 0  # failures since its last answer
-    answered_at: float = 0.0  # when that was
+    failing_since: float = 0.0  # when the first of them was
+    unmade: float = 0.0  # connections that it lately did not take while it held others, as of `unmade_at`
+    unmade_at: float = 0.0
     heard_at: float = 0.0  # when an attempt there last came to any end of the server's own
     gap: float = 0.0  # mean time between those of late
     retry_at: float = 0.0  # nothing is sent before
