Let an ending proxy serve the clients it has for as long as it can finish in time

A probe at the ending proxy showed that it answered all that came, each with Connection: close, and that nothing came from 0.3 s on: clients are dealt to other proxies, but the one before is back only 0.4 s after this one is told. Lines at fault: Front.draining made each answer the connection's last from SIGTERM on, so its clients had nobody. Now a proxy takes new clients for 0.7 s as before and serves those that are here for half of the longest deadline more; no flow may outlast the time before SIGKILL. It still finishes, closes and exits 0.

--- a/firvane/__main__.py
+++ b/firvane/__main__.py
@@ -26,7 +26,8 @@
 
 log = logging.getLogger("firvane")
 
-LAME = 0.7  # s after SIGTERM for which clients may still come
+LAME = 0.7  # s after SIGTERM for which clients may still come; SIGKILL is the longest deadline away from then
+COUNTED, MARGIN = 3.0, 0.2  # s: the longest that a deadline counts there; kept for the last answers
 PATIENCE = 0.5  # s at the start for which discovery's own word is preferred to the list as last known
 RESERVE, TARGETS_PART = 32, 0.45  # descriptors for the rest; the targets' part of the others
 SWEEP = 0.25  # s from one look for what has stood for too long to the next
@@ -204,16 +205,24 @@
         self.loop.call_at(due + REPORT, self._report, due + REPORT)
 
     async def drain(self) -> None:
-        """The end in order: take on what still comes for a while, then finish what is out."""
-        self.front.draining = True
+        """The end in order: take on what still comes for a while, then finish what is out.
+
+        No new client comes after a while, but those that are here may have no other proxy to go to yet, where
+        one before this has not come back. They are served on the connections that they have for as long as
+        leaves time to finish before the platform kills.
+        """
+        front, told = self.front, self.loop.time()
+        longest = min(COUNTED, max(cls.deadline for cls in self.config.settings.classes))
+        front.draining, front.last = True, told + LAME + longest - MARGIN
         await asyncio.sleep(LAME)
         if self.server:
             self.server.close()
-        self.front.close_idle()
-        last = self.loop.time() + 1.0 + max(cls.deadline for cls in self.config.settings.classes)
-        while self.front.connections and self.loop.time() < last:
+        while front.connections and self.loop.time() < told + LAME + longest / 2:
+            await asyncio.sleep(0.02)
+        front.closing = True
+        while front.connections and self.loop.time() < front.last + MARGIN / 2:
+            front.close_idle()
             await asyncio.sleep(0.02)
-            self.front.close_idle()
         self.group.stop()
         for task in self.tasks:
             task.cancel()
--- a/firvane/net/listener.py
+++ b/firvane/net/listener.py
@@ -36,7 +36,9 @@
         self.connections: set[Listener] = set()
         self.ids: set[bytes] = set()  # of the flows that are open here
         self.ready = False
-        self.draining = False
+        self.draining = False  # no longer ready for new clients
+        self.closing = False  # nor for those that are here: each answer is a connection's last
+        self.last = float("inf")  # no flow may still be open then
 
     def accept(self) -> Listener:
         return Listener(self)
@@ -201,7 +203,8 @@
             if not self.front.ready:
                 self._reply(503)
                 continue
-            self.flow, self.served_once = Flow(message, self, self.front.loop.time() + left), True
+            deadline = min(self.front.loop.time() + left, self.front.last)
+            self.flow, self.served_once = Flow(message, self, deadline), True
             self.front.ids.add(message.fields[b"x-call-id"])
             self.front.engine.take(self.flow, request)
 
@@ -240,7 +243,7 @@
     def _finish(self, status: int, body: list[bytes], size: int, headers: list[bytes]) -> None:
         front = self.front
         crowded = len(front.connections) > front.max_sockets
-        close = not self.keep or front.draining or crowded
+        close = not self.keep or front.closing or crowded
         called_back = self._taken_off() is not None
         self.transport.writelines(answer(status, body, size, close, headers))
         self.since = front.loop.time()
