Send a second copy where one attempt alone stays out four times its usual time

Now, after 0.4 of the aim and four times what such a request usually takes (by its hint and its server's kind), a copy goes elsewhere if a server there is less than half full.

--- a/firvane/choice.py
+++ b/firvane/choice.py
@@ -30,6 +30,7 @@
 HOLD, PAUSE = 0.3, 0.15  # parts of the aim: held for room at the longest; asked to stay away
 BOLD = 1.25  # of what a cold server is thought able to: 1.6 kept the rule on all days tried, 1.9 did not
 DOUBT = 0.4  # of the aim without a word from a server: a second copy goes elsewhere
+LONG = 4.0  # usual times without an answer after which a second copy goes elsewhere all the same
 SILENCES = 2.5  # usual gaps between a server's answers that make a silence
 HEAVY = 0.2  # of the aim: work from which on a request goes to the quicker kinds of its slice
 LEAST = 0.2  # part of a server's room that even what is worth nothing may fill
@@ -169,8 +170,14 @@
         server, wait = self.servers.get(next(iter(job.out.values()))), DOUBT * job.cls.aim
         if len(job.out) > 1 or now < job.sent_at + wait - self.settings.tick or not server:
             return
-        if server.heard_at >= job.sent_at:
-            return  # it answers others: this one is only slow
+        if server.heard_at >= job.sent_at:  # it answers others: this one is slow, or its connection is silent
+            pace = self.pace.get(server.entry.kind, 1.0)
+            usual = max(self.typical[job.request.cls], pace * (job.request.work or 0.0))
+            if (left := job.sent_at + LONG * usual - now) > self.settings.tick:
+                self.actions.append(api.SetTimer(left, job.request.id + 1))
+            elif other := self.choose(job, now, 0.5):  # where there is room to spare: a copy must not crowd
+                self.send(job, other, now)
+            return
         if now < server.heard_at + SILENCES * server.gap:  # a quiet server may well say nothing for as long
             if now < job.sent_at + 2 * wait - self.settings.tick:
                 self.actions.append(api.SetTimer(wait, job.request.id + 1))
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -534,6 +534,30 @@
     assert not sends(balancer.handle(api.TimerFired(2), 100.2))
 
 
+def test_an_attempt_that_alone_stays_out_gets_a_second_copy_where_there_is_room() -> None:
+    # A connection may fall silent, or an answer stop short, at a server that answers all others: its request
+    # then waited for its deadline.
+    balancer = started("ab")
+    balancer.typical[0] = 0.08
+    first = attempt(balancer, 1, 100.0)
+    backend = balancer.servers[first.server]
+    backend.heard_at = 100.19
+    early = balancer.handle(api.TimerFired(2), 100.2)
+    assert not sends(early)  # it may be only slow
+    (again,) = (action.span for action in early if isinstance(action, api.SetTimer))
+    assert again == pytest.approx(0.12)
+    (copy,) = sends(balancer.handle(api.TimerFired(2), 100.32))
+    assert copy.server != first.server and backend.fails == 0
+
+
+def test_what_is_known_to_take_long_gets_no_second_copy_for_it() -> None:
+    balancer = started("ab")
+    balancer.typical[0] = 0.08
+    first = sends(balancer.handle(api.Request(1, 0, 2.0, "k", work=0.2), 100.0))[0]
+    balancer.servers[first.server].heard_at = 100.3
+    assert not sends(balancer.handle(api.TimerFired(2), 100.32))
+
+
 def test_a_quiet_server_is_not_taken_for_silent() -> None:
     # At a few requests a second, a fifth of a second without a word from a server is nothing unusual.
     balancer = started("ab")
