Close connections that asked once and stay before they keep the usual clients out

A probe at the listener showed 192 of 194 places idle, 128 of them by clients that had asked once, the third of the descriptors that clients may hold, and 2 to 4 flows: nobody else could ask. Silent connections took the rest, so each newcomer pushed out a usual client's (678 in 1.3 s), which came back at once. Now, where more than half of the places are taken, a connection that has asked once has 0.1 s, a silent one 0.5 s, one that is used 2 s; the look is taken ten times a second, and those go first where all places are taken.

--- a/firvane/__main__.py
+++ b/firvane/__main__.py
@@ -30,7 +30,7 @@
 COUNTED, MARGIN = 3.0, 0.2  # s: the longest that a deadline counts there; kept for the last answers
 PATIENCE = 0.5  # s at the start for which discovery's own word is preferred to the list as last known
 RESERVE, TARGETS_PART = 32, 0.45  # descriptors for the rest; the targets' part of the others
-SWEEP = 0.25  # s from one look for what has stood for too long to the next
+SWEEP = 0.1  # s from one look for what has stood for too long to the next
 REPORT = 5.0  # s from one line of figures in the log to the next
 
 
--- a/firvane/net/listener.py
+++ b/firvane/net/listener.py
@@ -12,7 +12,10 @@
 from firvane.net.http import Fault, Message, Reader, answer
 
 READY_PATH = b"/up"
-IDLE, CROWDED_IDLE = 60.0, 2.0  # s between requests; where the connections are more than half of the most
+IDLE = 60.0  # s between requests
+# The same where more than half of the places are taken, by the requests that a connection has brought: those
+# that ask once and stay would in the end keep out the clients that use theirs.
+CROWDED_IDLE = (0.5, 0.1, 2.0)
 SLOW, LINGER = 2.4, 2.0  # s for a whole request, the first from connecting on; to read the last answer
 YOUNG = 0.2  # s after connecting in which the first request may well be on its way
 # Two values of one of these would let the proxy and a target go by different ones.
@@ -87,9 +90,10 @@
     def sweep(self) -> None:
         """End what has stood unused, or has kept a request half sent, for too long."""
         now = self.loop.time()
-        unused = now - (CROWDED_IDLE if 2 * len(self.connections) > self.max_sockets else IDLE)
+        crowded = 2 * len(self.connections) > self.max_sockets
         for connection in list(self.connections):
-            if connection.expires <= now or (connection.is_idle() and connection.since <= unused):
+            idle = CROWDED_IDLE[min(2, connection.asked)] if crowded else IDLE
+            if connection.expires <= now or (connection.is_idle() and connection.since <= now - idle):
                 connection.expire()
 
     def close_idle(self) -> None:
@@ -116,7 +120,7 @@
         self.lost = False  # the fault is being answered: whatever still comes is not read
         self.ending = False  # the last answer is written
         self.started = False  # part of a request has come
-        self.served_once = False  # a request of its has been taken on
+        self.asked = 0  # requests of its that have been taken on
         self.since = 0.0  # when it was made or last fell idle
         self.expires = 0.0
         self.transport: asyncio.Transport
@@ -141,10 +145,10 @@
 
     def claim(self) -> tuple[int, float]:
         """How strong its claim to a place is: those that only stand there go before the usual clients'."""
-        if not self.served_once or self.ending:
+        if not self.asked or self.ending:
             young = self.front.loop.time() < self.since + YOUNG
-            return (3 if young else 1 if self.started or self.ending else 0), self.since
-        return (2 if self.is_idle() else 3), self.since
+            return (4 if young else 1 if self.started or self.ending else 0), self.since
+        return ((2 if self.asked == 1 else 3) if self.is_idle() else 4), self.since
 
     def _taken_off(self) -> Flow[Message, Message] | None:
         """The flow, if one is open, which is from now on no longer this connection's."""
@@ -172,7 +176,7 @@
         except Fault as fault:
             self.fault = fault
         started = self.reader.message is not None
-        if started and not self.started and self.served_once:
+        if started and not self.started and self.asked:
             self.expires = self.front.loop.time() + SLOW
         self.started = started
         message = self.reader.message
@@ -204,7 +208,8 @@
                 self._reply(503)
                 continue
             deadline = min(self.front.loop.time() + left, self.front.last)
-            self.flow, self.served_once = Flow(message, self, deadline), True
+            self.flow = Flow(message, self, deadline)
+            self.asked += 1
             self.front.ids.add(message.fields[b"x-call-id"])
             self.front.engine.take(self.flow, request)
 
@@ -214,7 +219,7 @@
         self._reply(fault.status)
 
     def _ready(self, message: Message) -> None:
-        self.served_once = True
+        self.asked += 1
         if message.method != b"GET":
             self._reply(405)
         else:
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -187,14 +187,19 @@
     assert not taken.left
 
 
-def test_unused_connections_are_kept_for_long_only_where_there_is_room() -> None:
+@pytest.mark.parametrize(("asked", "kept"), [(0, 0.3), (1, 0.05), (2, 1.9)])
+def test_unused_connections_are_kept_for_long_only_where_there_is_room(asked: int, kept: float) -> None:
+    # Clients that ask once and stay took all the places that clients may have: those with requests had none.
     made, wire, _ = listener()
-    made.data_received(GET)
-    made.served(answer())
-    later(made.front, 50.0)
+    for _ in range(asked):
+        made.data_received(GET)
+        made.served(answer())
+    later(made.front, 50.0 if asked else 2.0)
+    assert not wire.closed
+    made.front.max_sockets, made.since = 1, made.front.loop.time()
+    later(made.front, kept)
     assert not wire.closed
-    made.front.max_sockets = 1
-    later(made.front, 0.1)
+    later(made.front, 0.3)
     assert wire.closed
 
 
