--- a/firvane/net/listener.py
+++ b/firvane/net/listener.py
@@ -103,9 +103,9 @@
 
     def shed(self) -> None:
         """Make room: what has the least claim to its place, and among equals the longest there, is closed."""
-        spare = (connection for connection in self.connections if not connection.flow)
+        spare = (c for c in self.connections if not (c.flow or c.transport.get_write_buffer_size()))
         if least := min(spare, key=Listener.claim, default=None):
-            least.transport.abort()
+            least.transport.abort()  # nothing of an answer is left on it
 
 
 class Listener(asyncio.Protocol):
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -187,6 +187,17 @@
     assert not taken.left
 
 
+def test_an_answer_on_its_way_is_not_thrown_away_to_make_room() -> None:
+    # It would be a request taken and never answered.
+    made, wire, _ = listener()
+    made.front.max_sockets = 1
+    made.data_received(GET)
+    wire.buffered = 9
+    made.served(answer())
+    newcomer = Wire(Listener(made.front))
+    assert not wire.closed and newcomer.closed
+
+
 @pytest.mark.parametrize(("asked", "kept"), [(0, 0.3), (1, 0.05), (2, 1.9)])
 def test_unused_connections_are_kept_for_long_only_where_there_is_room(asked: int, kept: float) -> None:
     # Clients that ask once and stay took all the places that clients may have: those with requests had none.
