--- a/firvane/choice.py
+++ b/firvane/choice.py
@@ -36,6 +36,7 @@
 LEAST = 0.2  # part of a server's room that even what is worth nothing may fill
 DRIFT, CROWDED = 0.02, 10.0  # rates forgotten a second; s that a full table is minded
 DOWN, DOWN_FAILS = 1.0, 4  # s and failures without an answer that are a process's end, not a connection's
+GUESS = 5.0  # s after the start in which rooms grow quickly; servers that come later start cold
 UNMADE = 0.5  # s in which the count of connections that a working server did not take halves
 POINTS = 24  # points of a server of mean size on the key ring
 ROW = struct.Struct("<BBBQHffffB")  # the fields of Row up to the count of entries
@@ -271,8 +272,9 @@
             if server.fails:
                 server.fails, server.retry_at = 0, now  # what kept it out is disproved
             if server.own + 1 > 0.7 * server.room:
-                # It was near its room and kept up; till it first turns one away, its room is only a guess.
-                server.room += 0.1 / server.room if server.cut_at else 0.5
+                # It was near its room and kept up; at the start of the proxy its room is only a guess.
+                guess = not server.cut_at and now < self.started + GUESS
+                server.room += 0.5 if guess else 0.1 / server.room
         elif result in (api.Result.CONNECT_FAILED, api.Result.RESET):
             self.broke(server, result, outcome.took, now)
         elif result is api.Result.FULL:
