Tell the whole list as it is known when it is told, not when it was asked for

TargetGroup.refresh made the whole list in that call and told it in the next turn; the list that the proxy was started with was read in between (Proxy.start), so all 40 proxies were told an empty list after a full one and refused 100% of 21,061 requests, with not one dial. Seen in the logs (60 targets at 'ready', to_targets=0 dials=0 throughout), and in a trace of what was learnt: cached 60, changes 0, then nothing. Change: refresh puts off the making of the list to when it is told, and tells none while none is known. Two tests fail without it.

--- a/firvane/net/targets.py
+++ b/firvane/net/targets.py
@@ -146,6 +146,7 @@
         self.on_target, self.on_list = on_target, on_list
         self.index = 0
         self.servers: dict[str, api.Server] = {}
+        self.known = False  # some list was taken in, be it an old one
         self.heard = asyncio.Event()  # discovery itself has told of the list
         self.pause = FIRST_PAUSE
         self.last = 0.0  # when anything last came
@@ -176,13 +177,22 @@
                 self.servers.pop(server.id, None)
             else:
                 self.servers[server.id] = server
-        self.index = news.version
+        self.index, self.known = news.version, True
         self.on_list(news)
 
     def refresh(self) -> None:
         """Tell the list again, whole, where the decisions ask for it: the watch always stands."""
-        whole = api.ServerList(api.ListKind.COMPLETE, self.index, tuple(self.servers.values()))
-        self.loop.call_soon(self.on_list, whole)
+        self.loop.call_soon(self._tell_whole)
+
+    def _tell_whole(self) -> None:
+        """What is known when it is told, not when it was asked for: a list may come in between.
+
+        Nothing known yet is no list: what tells of it first goes to the decisions anyway.
+        """
+        if self.known:
+            self.on_list(
+                api.ServerList(api.ListKind.COMPLETE, self.index, tuple(self.servers.values()))
+            )
 
     def start(self) -> None:
         if self.address:
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -93,6 +93,28 @@
     assert not made.servers and told["s1"] == (None, False)
 
 
+def test_a_whole_list_that_is_asked_for_is_told_as_it_is_known_then() -> None:
+    # Forty proxies asked before the list they were started with was read, were told an empty one after it,
+    # and refused everything from then on.
+    made, lists, _ = group()
+    clock: Any = made.loop
+    made.refresh()
+    made.learn(json.loads(news(1, endpoint("s1", 1), snapshot=True)), cached=True)
+    clock.advance(0.0)
+    assert [(n.kind, len(n.servers)) for n in lists] == [
+        (api.ListKind.CACHED, 1),
+        (api.ListKind.COMPLETE, 1),
+    ]
+
+
+def test_no_list_is_not_an_empty_list() -> None:
+    made, lists, _ = group()
+    clock: Any = made.loop
+    made.refresh()
+    clock.advance(0.0)
+    assert not lists
+
+
 def test_a_restarted_target_is_gone_before_it_is_back() -> None:
     # Connections to the old process are of no use: each would cost an attempt a reset.
     made, _, _ = group()
