Spread a fleet's calls for its list over its size, and back off where they fail

All 40 proxies called in the first 0.1 s and again 0.1 to 1 s after each failure (net/targets.py, FIRST_PAUSE, LONGEST_PAUSE, no jitter): over 25 s some 600 calls, not one of them answered; from 15 s on each restarted proxy dialled boxes that were gone (700 to 1,200 failed connects a second in the fleet). Harmless from one proxy: it has the queue to itself. Ruled out: a lost watch (none broke once it stood), the size of the list (a call for nothing new took as long), the price of lines (0.0002). Change: limits/pauses.py, pure, draws the first call over 0.1 s for each proxy of the fleet where the list is asked for, and doubles from there to 16 s; free calls keep their schedule. There a start with a list at hand does not wait for discovery.

--- a/firvane/net/targets.py
+++ b/firvane/net/targets.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import random
 from collections.abc import Callable, Sequence
 from typing import Any, cast
 
@@ -11,11 +12,11 @@
 
 from firvane import interface as api
 from firvane.address import Address, parse_address
+from firvane.limits.pauses import Pauses
 from firvane.logs import QUIET, Log
 
 STATES = {"up": api.ServerState.UP, "draining": api.ServerState.DRAINING, "removed": api.ServerState.GONE}
 SILENCE = 4.5  # s: discovery writes a line every 2 s while it lives
-FIRST_PAUSE, LONGEST_PAUSE = 0.1, 1.0  # s before a watch is tried again; what it tells binds within 6 s
 
 
 class BadList(ValueError):  # noqa: N818 - discovery's fault, not the program's
@@ -140,15 +141,17 @@
         on_target: Callable[[str, Address | None, bool], None],
         on_list: Callable[[api.ServerList], None],
         log: Log = QUIET,
+        pauses: Pauses | None = None,
     ) -> None:
+        """Without `pauses` calls are free."""
         self.log = log
+        self.pauses = pauses or Pauses(0, random.Random(0))
         self.loop, self.address, self.reader = loop, address, reader
         self.on_target, self.on_list = on_target, on_list
         self.index = 0
         self.servers: dict[str, api.Server] = {}
         self.known = False  # some list was taken in, be it an old one
         self.heard = asyncio.Event()  # discovery itself has told of the list
-        self.pause = FIRST_PAUSE
         self.last = 0.0  # when anything last came
         self.task: asyncio.Task[None] | None = None
         self.logged = float("-inf")
@@ -212,17 +215,18 @@
         """
         if address == self.address:
             return
-        self.address, self.index, self.pause = address, 0, FIRST_PAUSE
+        self.address, self.index = address, 0
+        self.pauses.told()
         if self.task:  # else it has yet to start
             self.stop()
             self.start()
 
     async def follow(self) -> None:
         """Watch for as long as the proxy lives, or until discovery moves."""
+        await asyncio.sleep(self.pauses.before_first(self.known))
         while self.address:
             await self._watch_once(self.address)
-            await asyncio.sleep(self.pause)
-            self.pause = min(LONGEST_PAUSE, 2 * self.pause)
+            await asyncio.sleep(self.pauses.before_next())
 
     async def _watch_once(self, address: Address) -> None:
         ended = asyncio.Event()
@@ -255,7 +259,7 @@
             # What it meant to say is not known, so the next watch begins with the whole list.
             self.index = 0
             raise BadList(f"bad line from discovery: {error}") from None
-        self.pause = FIRST_PAUSE
+        self.pauses.told()
         self.heard.set()
 
     def _ended(self, why: str, ended: asyncio.Event) -> None:
--- a/firvane/proxy.py
+++ b/firvane/proxy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 from collections.abc import Callable
 from dataclasses import replace
@@ -14,6 +15,7 @@
 from firvane.limits.account import Held
 from firvane.limits.costs import BOX, MB
 from firvane.limits.descriptors import Use
+from firvane.limits.pauses import Pauses
 from firvane.net.dial import Dialer, SocketDialer
 from firvane.net.door import Door, LoopDoor, SocketDoor
 from firvane.net.forward import Forwards
@@ -66,8 +68,9 @@
         )
         self.forwards = Forwards(loop, settings.limits, settings.rules, self.guard, self.dialer)
         reader = ListReader(config.zones, config.kinds, self.guard.bounds.boxes, self.guard.bounds.line)
+        pauses = Pauses(settings.proxies if settings.ask else 0, random.Random(config.seed))
         self.group = TargetGroup(
-            loop, config.discovery, reader, self.forwards.listed, self._listed, self.log
+            loop, config.discovery, reader, self.forwards.listed, self._listed, self.log, pauses
         )
         self.unseen = 0, 0  # turned away unseen, and for want of a turn, up to the last line of figures
         self.tables = 0  # bytes charged for the list and what is kept of each target
@@ -105,7 +108,9 @@
             self.config = replace(config, known=None)  # the group keeps it in a form of its own
         self.group.start()
         try:
-            async with asyncio.timeout_at(self.loop.time() + PATIENCE if self.group.servers else None):
+            # Where the list has to be asked for, its turn may come late: the fleet is served meanwhile.
+            patience = 0.0 if config.settings.ask else PATIENCE
+            async with asyncio.timeout_at(self.loop.time() + patience if self.group.servers else None):
                 await self.group.heard.wait()
         except TimeoutError:
             self.log.warning("discovery_silent", targets=len(self.group.servers))
