Let all proxies of a large fleet send to cold boxes, and pool what the kinds can do

Counted over the fleet at 12 to 15 s: 160 sends a second to 36 cold boxes with tokens left to grow (15 held by each proxy), 3,400 to 24 warm ones that answered 620 and turned 2,600 away. Ruled out: rows not heard (40 of 40), lists (60 of 60 known), rooms of the cold (own under 1). Change: from 12 proxies on all send to cold boxes, each within an even part of the budget, begun with a part of a token, within one room in all (rooms/cold.py); and proxies tell their answers by kind (rooms/kinds.py, 22 bytes each 0.5 s) so that ring and power go by what kinds do. Smaller fleets stay as they were.

--- a/firvane/choice.py
+++ b/firvane/choice.py
@@ -15,6 +15,7 @@
 from zlib import crc32
 
 from firvane import interface as api
+from firvane.rooms import cold
 from firvane.rooms.evidence import FADE, LONG, SILENCES, Evidence
 from firvane.routing.large import Figures, Large
 from firvane.routing.listing import Listing
@@ -32,7 +33,6 @@
 CROSS_MARGIN = 0.15  # excess below this part of the target stays in its zone
 SHARE_SPAN = 5.0  # s that tenants' rates look back
 HOLD, PAUSE = 0.3, 0.15  # parts of the aim: held for room at the longest; asked to stay away
-BOLD = 1.25  # of what a cold server is thought able to: 1.6 kept the rule on all days tried, 1.9 did not
 DOUBT = 0.4  # of the aim without a word from a server: a second copy goes elsewhere
 HEAVY, QUICK = 0.2, 1.25  # of the aim: work that goes to the quicker kinds; of the best pace: which those are
 LEAST = 0.2  # part of a server's room that even what is worth nothing may fill
@@ -58,7 +58,8 @@
         self.evidence = Evidence(settings, self.random, now)  # what is believed of the servers
         self.tenants = dict.fromkeys(range(len(settings.tenants)), 0.0)  # recent requests of each
         self.row_every = max(ROW_EVERY, round(settings.proxies / ROWS_HEARD))
-        self.heard_at = now + 2 * WINDOW * self.row_every  # by then peers are heard
+        # By then peers are heard; where all send to cold servers it does not matter who is.
+        self.heard_at = now if self.evidence.pooled else now + 2 * WINDOW * self.row_every
         self.windows, self.arrived, self.served = 0, [0], [0]
         self.actions: list[api.Action] = []
         self.handlers: dict[type, Callable[..., None]] = {
@@ -328,11 +329,11 @@
         if not self.evidence.is_cold(server, now):
             return Figures(power, ready_at, math.inf, now + RENEW if slow else math.inf)
         warm_at = (server.since or 0.0) + self.settings.rules.cold
-        if server not in self.mine:
+        if not (senders := self.senders(server)):
             return Figures(power, max(ready_at, warm_at), math.inf, warm_at)
         self.budget(server, now)
         ready_at = max(ready_at, self.heard_at)
-        rate, most = self.rate(server, now)
+        rate, most = cold.rate(self.evidence, server, senders, now)
         first, second = (max(ready_at, now + max(0.0, n - server.tokens) / rate) for n in (1.0, 2.0))
         return Figures(power, first, second if most >= 2.0 else math.inf, min(warm_at, now + WINDOW))
 
@@ -360,22 +361,17 @@
         return free[0] if free else None
 
     def budget(self, server: Backend, now: float) -> bool:
-        """Whether the home proxies' token budget lets this proxy send to a cold server."""
-        if server not in self.mine or now < self.heard_at:
-            return False  # not its home, or peers that may be are not heard yet
-        rate, most = self.rate(server, now)
-        tokens = server.tokens + rate * (now - server.tokens_at)
-        server.tokens, server.tokens_at = min(most, tokens), now
-        return server.tokens >= 1.0
-
-    def rate(self, server: Backend, now: float) -> tuple[float, float]:
-        """Tokens a second that a cold server gets here, and how many it may have."""
-        part = self.evidence.kinds.get(server.entry.kind, 1.0)
-        able = self.evidence.able(server, now) * (server.weight * part)
+        """Whether the budget of a cold server's senders lets this proxy send to it."""
+        senders = self.senders(server)
+        return senders > 0 and now >= self.heard_at and cold.refill(
+            self.evidence, server, senders, now, self.random)  # fmt: skip
+
+    def senders(self, server: Backend) -> int:
+        """How many share a cold server's budget, this proxy among them; 0 where it has no part."""
+        if self.evidence.pooled:
+            return self.settings.proxies
         # A peer cut off from here deals this slice anew and may send as well: it is left its part.
-        senders = server.homes + self.settings.proxies - len(self.rows)
-        rate = max(BOLD * able * self.evidence.best, 1.0) / senders
-        return rate, max(1.0, 0.3 * rate * self.settings.rules.fall_window)
+        return server.homes + self.settings.proxies - len(self.rows) if server in self.mine else 0
 
     def on_window(self, now: float) -> None:
         self.windows += 1
@@ -390,6 +386,8 @@
                 self.resize()
         if self.windows % self.row_every == 0:
             self.announce(now, 0)
+            if self.evidence.pooled:
+                self.actions.append(api.Tell(None, self.evidence.tell(now)))
         self.arrived, self.served = [*self.arrived, 0][-HISTORY:], [*self.served, 0][-HISTORY:]
         for n in self.rows.keys() - {self.settings.me}:
             if self.rows[n].at < now - SILENT * self.row_every * WINDOW:
@@ -419,6 +417,8 @@
 
     def on_row(self, message: api.PeerMessage, now: float) -> None:
         try:
+            if self.evidence.told(message.sender, message.payload):
+                return
             row, old = unpack(message.payload, now), self.rows.get(message.sender)
         except (ValueError, struct.error):
             return  # malformed, cut or foreign rows harm nothing
--- /dev/null
+++ b/firvane/rooms/cold.py
@@ -0,0 +1,38 @@
+"""What a cold box may be sent: tokens, dealt out among the proxies that send to it.
+
+Rules that hold here and nowhere else:
+
+1. The fleet's budget is `BOLD` times what the box is thought able to; of that each sender has an even part.
+2. In a small fleet the box's homes send, and a peer that is not heard is left its part: it may deal the
+   slices anew. In a large one all proxies send, heard or not: the one home of a slice of one box sees a
+   fortieth of its keys, and so a box whose home alone sent did a fifth of what it could.
+3. Where all send, each meets a box with a part of a token: full ones would be spent together.
+4. The budget is a guess, so the attempts out there, of all proxies as far as heard, stay within one room.
+"""
+
+from __future__ import annotations
+
+import random
+
+from firvane.rooms.evidence import Evidence
+from firvane.state import Backend
+
+BOLD = 1.25  # of what a cold box is thought able to: 1.6 kept the rule on all days tried, 1.9 did not
+
+
+def rate(evidence: Evidence, server: Backend, senders: int, now: float) -> tuple[float, float]:
+    """Tokens a second that a cold server gets here, and how many it may have."""
+    part = evidence.kinds.get(server.entry.kind, 1.0)
+    able = evidence.able(server, now) * (server.weight * part)
+    each = max(BOLD * able * evidence.best, 1.0) / senders
+    return each, max(1.0, 0.3 * each * evidence.settings.rules.fall_window)
+
+
+def refill(evidence: Evidence, server: Backend, senders: int, now: float, dice: random.Random) -> bool:
+    """Bring its tokens up to date; whether they allow a send."""
+    each, most = rate(evidence, server, senders, now)
+    if evidence.pooled and server.tokens_at < (server.since or 0.0):
+        server.tokens, server.tokens_at = dice.random(), now
+    server.tokens, server.tokens_at = min(most, server.tokens + each * (now - server.tokens_at)), now
+    held = server.own + server.peers if evidence.pooled else 0
+    return server.tokens >= 1.0 and held < max(1.0, server.room)
--- a/firvane/rooms/evidence.py
+++ b/firvane/rooms/evidence.py
@@ -25,6 +25,7 @@
 import random
 
 from firvane import interface as api
+from firvane.rooms import kinds
 from firvane.state import Backend, Mark
 
 FADE = 3.0  # s that halve what was seen of slowness
@@ -44,14 +45,16 @@
 FLOW, MANY = 0.9, 40.0  # kept from window to window of what a kind did; answers that tell its rate
 STEP, LEAST_SIZE = 1.25, 0.2  # times by which a kind's size must differ to be changed; the smallest
 SLOW, LIGHT = 0.8, 0.2  # of the aim: an answer's time that is too long, for work of less than that
+THIN = 12  # proxies from which on none sees enough of a kind alone to tell its rate
 RARE = 0.03  # part lost below which a single attempt is enough to doubt its box
 
 
 class Flow:
     """What the warm servers of a kind have done of late."""
 
-    def __init__(self) -> None:
-        self.answers = 0.0  # to this proxy
+    def __init__(self, pooled: bool) -> None:
+        self.pooled = pooled  # peers tell of their answers, too
+        self.answers = 0.0  # to this proxy, or to all
         self.own = 0.0  # attempts out there from here, window by window
         self.all = 0.0  # and from all proxies
         self.span = 0.0  # s and weight of servers
@@ -65,10 +68,12 @@
     def rate(self) -> float:
         """Answers a second and weight to all proxies; 0 where too few came to tell.
 
-        They are answered alike, so that the parts of the answers are those of the attempts out.
+        Where only the own ones are known, all are answered alike: their parts are those of the attempts out.
         """
-        if self.answers < MANY or not self.own:
+        if self.answers < MANY or not (self.pooled or self.own):
             return 0.0
+        if self.pooled:
+            return self.answers / self.span
         return self.answers / self.span * self.all / self.own
 
 
@@ -87,13 +92,17 @@
         self.best = 0.0  # answers a second and weight
         self.quick = dict[int, tuple[float, float]]()  # s taken and work hinted, warm servers
         self.marks = dict[tuple[int, int], Mark]()  # attempts that have not ended, by request and number
+        self.pooled = settings.limits.peers and settings.proxies >= THIN
+        self.counts = dict[int, int]()  # answers of warm servers since the start, by kind, to tell the peers
+        self.heard = kinds.Heard()
         self.lossy = 0.0  # part of attempts that are never answered though their box answers others
 
     # What is asked
 
     def power(self, server: Backend, now: float) -> float:
         """Weight, less while its answers take longer than its peers': acts before errors show."""
-        return server.weight * server.room * min(1.0, 1.5 / slowness(server, now))
+        size = self.sizes.get(server.entry.kind, 1.0) if self.pooled else 1.0  # else the room tells
+        return server.weight * size * server.room * min(1.0, 1.5 / slowness(server, now))
 
     def usual(self, cls: int, server: Backend, work: float | None) -> float:
         """s that an answer to such a request usually takes there."""
@@ -174,8 +183,9 @@
                     break
                 other.passed += 1
         if result is api.Result.OK:
-            if (flow := self.flows.get(server.entry.kind)) and not self.is_cold(server, now):
-                flow.answers += 1.0
+            if not self.is_cold(server, now):
+                self._did(server.entry.kind, 1)
+                self.counts[server.entry.kind] = self.counts.get(server.entry.kind, 0) + 1
             self.lossy -= FORGET * self.lossy
             close = now < server.crowded_at + CROWDED
             self._answered(server, request, outcome.took, now)
@@ -252,6 +262,23 @@
 
     # What is learnt of the fleet
 
+    def _did(self, kind: int, answers: int) -> None:
+        if flow := self.flows.get(kind):
+            flow.answers += answers
+
+    def tell(self, now: float) -> bytes:
+        """What the peers are to know of it, once a row."""
+        return kinds.pack(self.counts, now)
+
+    def told(self, sender: int, payload: bytes) -> bool:
+        """Whether a message is a peer's counts; they are taken in. Raises as `kinds.unpack` does."""
+        if payload[:1] != kinds.MARK:
+            return False
+        for kind, answers in self.heard.more(sender, payload).items():
+            if self.pooled:
+                self._did(kind, answers)
+        return True
+
     def weigh(self, warm: list[Backend], served: float, fleet: float, window: float) -> None:
         """Once a window: what a warm server of each kind can do, and the best rate seen.
 
@@ -260,7 +287,7 @@
         """
         self.best = max(self.best * (1.0 - DRIFT * window), served / fleet)
         for server in warm:
-            flow = self.flows.setdefault(server.entry.kind, Flow())
+            flow = self.flows.setdefault(server.entry.kind, Flow(self.pooled))
             flow.own += server.own
             flow.all += server.own + server.peers
             flow.span += server.weight * window
--- a/tests/rooms/test_evidence.py
+++ b/tests/rooms/test_evidence.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import struct
 
 import pytest
 from hypothesis import given
@@ -10,6 +11,7 @@
 
 from benchmarks.small_world import SITUATIONS, Situation, World
 from firvane import interface as api
+from firvane.rooms import kinds
 from firvane.rooms.evidence import LATE, LIGHT, LONG, RARE, SHOWN, SLOW, Evidence
 from firvane.state import Backend, Job
 from tests.helpers import RULES, SAFE, server, settings, started
@@ -141,6 +143,43 @@
     assert made.rates[0] == pytest.approx(rates[-1], rel=0.02)  # no warm one is left: it stays known
 
 
+def test_in_a_large_fleet_the_rate_of_a_kind_is_that_of_all_answers_told() -> None:
+    # Of 40 proxies each has some 6 answers a second of 30 small boxes, too few to tell their rate: they were
+    # given as many keys as boxes that do four times as much, and turned away three in four.
+    made, warm = Evidence(settings(proxies=40), random.Random(1), 100.0), Backend(server("a"), 1, 1.0, None)
+    for window in range(80):
+        now = 100.0 + window / 4
+        if window % 10 == 0:
+            made.sent(warm, 0, None, (window, 0), now)
+            made.ended(warm, None, api.Outcome(window, 0, "a", api.Result.OK, 0.05, True), now)
+        if window % 2 == 0:
+            for peer in range(1, 5):
+                assert made.told(peer, kinds.pack({0: 1000 * peer + 5 * window}, now))
+        made.weigh([warm], 80.0, 1.0, 0.25)
+    assert made.rates[0] == pytest.approx(4 * 5 / 0.25, rel=0.1)
+
+
+@seeded
+@given(st.binary(max_size=64), st.booleans())
+def test_counts_that_are_none_are_refused_and_change_nothing(payload: bytes, marked: bool) -> None:
+    heard = kinds.Heard()
+    if marked:
+        payload = kinds.MARK + payload
+    try:
+        heard.more(1, payload)
+    except (ValueError, struct.error):
+        assert not heard.last
+
+
+def test_counts_lost_late_or_begun_anew_add_up() -> None:
+    heard = kinds.Heard()
+    assert heard.more(1, kinds.pack({0: 50, 1: 5}, 1.0)) == {0: 0, 1: 0}  # long ago, for all one knows
+    assert heard.more(1, kinds.pack({0: 70, 1: 6}, 3.0)) == {0: 20, 1: 1}  # one in between was lost
+    assert heard.more(1, kinds.pack({0: 60, 1: 6}, 2.0)) == {}  # and comes late
+    assert heard.more(1, kinds.pack({0: 4}, 4.0)) == {0: 4}  # it has started anew
+    assert heard.more(1, kinds.pack({n: n for n in range(300)}, 5.0)).keys() == set(range(kinds.MOST))
+
+
 def test_keys_go_to_kinds_by_what_these_can_do_and_move_seldom() -> None:
     balancer, owners = started("abcd"), list[Backend]()
     for name in "ab":
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -8,6 +8,7 @@
 
 from firvane import interface as api
 from firvane.choice import MAX_ENTRIES, WINDOW, Balancer, forecast, pair
+from firvane.rooms.cold import BOLD
 from firvane.state import ENTRY, ROW, Job, unpack
 from tests.helpers import (
     CLASSES,
@@ -520,6 +521,25 @@
     assert tokens(1, 3) == pytest.approx(tokens(1, 1) / 3, rel=0.01)
 
 
+def test_a_fleet_spreads_its_budget_for_a_cold_server_over_all_proxies_and_over_time() -> None:
+    # Only homes sent to a cold server: of 40 proxies one, which sees a fortieth of its keys, so that 36 cold
+    # servers of 60 were sent a fifth of what they could do. A full bucket at each start would be 40 at once.
+    sent, times = 0, [round(0.1 * n, 1) for n in range(51)]
+    by_time = dict.fromkeys(times, 0)
+    for me in range(40):
+        balancer = Balancer(settings(proxies=40, me=me), me, 90.0)
+        balancer.start(90.0)
+        balancer.handle(full_list(server("x", up_since=99.9)), 100.0)
+        balancer.evidence.best = 8.0 / BOLD / 0.3
+        for n, past in enumerate(times):
+            for i in (2 * n, 2 * n + 1):  # more is asked for than it may have
+                if out := sends(balancer.handle(api.Request(i, 0, 0.4, f"k{i}"), 100.0 + past)):
+                    balancer.handle(outcome(out[0], 0, api.Result.OK), 100.0 + past)
+                    sent, by_time[past] = sent + 1, by_time[past] + 1
+    able = sum(8.0 * (0.3 + 0.7 * (0.1 + t) / 8.0) / 0.3 * 0.1 for t in times)  # it warms meanwhile
+    assert 0.7 * able < sent < 1.15 * able and max(by_time.values()) < 8
+
+
 def test_a_cold_server_is_sent_no_more_than_its_room_however_large_its_budget() -> None:
     # Where nobody is full a slow kind's rooms look large: a small server's budget was 2.8 times too high.
     balancer = Balancer(settings(warm_keys=False), 7, 90.0)
