Leave a box without a place for a connection to the proxies that have one

Cause: small boxes hold 33 connections (logs: idle ones at them add up to 33 at box after box), and 40 proxies keep one each, and more. Nothing told it from a full queue (net/forward.py, _answered): the room was cut by 15%, and the box tried again after 0.03 s. Ruled out: drains (the boxes were up), refused dials (13 in 10 s). Change: an ending and a result of its own, NO_PLACE. With attempts out at the box its room is what these carry; without one it is left alone for 1 s, doubled to 8.

--- a/firvane/endings.py
+++ b/firvane/endings.py
@@ -13,6 +13,7 @@
     SERVED = "served"
     SERVER_ERROR = "server error"  # the target says that it failed
     TURNED_AWAY = "turned away"  # the target says that it never began
+    NO_PLACE = "no place for a connection"  # turned away on a new connection that ends with that
     AT_FAULT = "request at fault"  # the target says that it will not have such a request, and no other will
     BAD_ANSWER = "bad answer"  # what came back is no HTTP, too large, or of no agreed meaning
     REFUSED = "connection refused"
@@ -32,6 +33,7 @@
     Ending.SERVED: Result.OK,
     Ending.SERVER_ERROR: Result.ERROR,
     Ending.TURNED_AWAY: Result.FULL,
+    Ending.NO_PLACE: Result.NO_PLACE,
     Ending.AT_FAULT: Result.ERROR,
     Ending.BAD_ANSWER: Result.ERROR,
     Ending.REFUSED: Result.CONNECT_FAILED,
--- a/firvane/interface.py
+++ b/firvane/interface.py
@@ -57,6 +57,7 @@
     OK = "ok"
     ERROR = "error"
     FULL = "full"
+    NO_PLACE = "no_place"  # the server's table of connections is full: it turned away a new one
     TIMEOUT = "timeout"
     CONNECT_FAILED = "connect_failed"
     RESET = "reset"
@@ -66,7 +67,7 @@
 
     @property
     def never_ran(self) -> bool:
-        return self in (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
+        return self in (Result.FULL, Result.NO_PLACE, Result.CONNECT_FAILED, Result.MOOT)
 
 
 @dataclass(slots=True, frozen=True)
--- a/firvane/net/forward.py
+++ b/firvane/net/forward.py
@@ -168,7 +168,9 @@
         elif message.status in (400, 404):
             ending = Ending.AT_FAULT
         elif message.status in (503, 504) and message.fields.get(b"x-rejected") == b"1":
-            ending = Ending.TURNED_AWAY
+            # What is said on a connection that was never used, and ends it, is said of the connection.
+            new = not message.keep and not self.idle_since
+            ending = Ending.NO_PLACE if new else Ending.TURNED_AWAY
         more = followed or self.spoilt or self.reader.done or self.reader.message or not self.written
         if message.keep and message.framed and not more:
             run, self.run = self.run, None
--- a/firvane/rooms/evidence.py
+++ b/firvane/rooms/evidence.py
@@ -17,6 +17,8 @@
    for of that, or the part of its kind's pace that its answers show, less a margin: the work sent to it
    stays under the rule's line where the hints are right in the mean.
 6. One failure of a connection says nothing of the box; the next answer disproves all of them.
+7. A box whose table of connections is full takes from a proxy what that has connections for. Without one it
+   is left to the proxies that have: each new connection that it turns away costs it a handshake.
 """
 
 from __future__ import annotations
@@ -46,6 +48,7 @@
 STEP, LEAST_SIZE = 1.25, 0.2  # times by which a kind's size must differ to be changed; the smallest
 SLOW, LIGHT = 0.8, 0.2  # of the aim: an answer's time that is too long, for work of less than that
 CROWDING, CROWD = 0.05, 0.25  # how far one end moves the part that find no room; from which copies only crowd
+PLACE = 1.0  # s for which a box without a place for a first connection is left alone; doubled to eight times
 THIN = 12  # proxies from which on none sees enough of a kind alone to tell its rate
 RARE = 0.03  # part lost below which a single attempt is enough to doubt its box
 
@@ -195,6 +198,8 @@
             self._answered(server, request, outcome.took, now)
         elif result in (api.Result.CONNECT_FAILED, api.Result.RESET):
             close = self._broke(server, result, outcome.took, now)
+        elif result is api.Result.NO_PLACE:
+            self._unplaced(server, now)
         elif result is api.Result.FULL:
             if now > server.cut_at + 0.1:
                 server.room, server.cut_at = max(1.0, 0.85 * server.room), now
@@ -210,6 +215,7 @@
         enough = server.downs > 0 if self.pooled else server.fails >= DOWN_FAILS
         if enough and now > server.failing_since + DOWN:
             server.since, server.timed = now, 0.0  # it was down whatever the list says: as if just started
+        server.unplaced = 0
         if server.fails:
             server.fails, server.downs, server.retry_at = 0, 0, now  # what kept it out is disproved
         aim = self.settings.classes[request.cls].aim if request else took
@@ -221,6 +227,15 @@
             guess = not server.cut_at and now < self.started + GUESS
             server.room += 0.5 if guess else 0.1 / server.room
 
+    def _unplaced(self, server: Backend, now: float) -> None:
+        """Its connections have run out: ours are enough for what is out there, or there is none."""
+        if server.own:
+            server.room, server.cut_at = float(server.own), now
+        else:
+            pause = PLACE * 2 ** min(3, server.unplaced)
+            server.retry_at = max(server.retry_at, now + pause * self.random.uniform(0.75, 1.25))
+            server.unplaced += 1
+
     def _timed(
         self, server: Backend, request: api.Request, result: api.Result, took: float, now: float
     ) -> None:
--- a/firvane/state.py
+++ b/firvane/state.py
@@ -66,6 +66,7 @@
     fails: int = 0  # failures since its last answer
     downs: int = 0  # of those, connections that ended or were not made
     failing_since: float = 0.0  # when the first of them was
+    unplaced: int = 0  # times in a row that it had no place for a first connection of ours
     unmade: float = 0.0  # connections that it lately did not take while it held others, as of `unmade_at`
     unmade_at: float = 0.0
     heard_at: float = 0.0  # when an attempt there last came to any end of the server's own
--- a/tests/rooms/test_evidence.py
+++ b/tests/rooms/test_evidence.py
@@ -159,6 +159,27 @@
     assert made.rates[0] == pytest.approx(4 * 5 / 0.25, rel=0.1)
 
 
+def test_a_box_without_a_place_for_a_connection_is_left_to_those_who_have_one() -> None:
+    # Small boxes hold 33 connections, and 40 proxies dialled them again and again: up to 400 handshakes a
+    # second for nothing, each one of a request's three attempts.
+    made, box = evidence()
+    pauses = list[float]()
+    for n in range(6):
+        now = 100.0 + 20 * n
+        made.sent(box, 0, None, (n, 0), now)
+        made.ended(box, None, api.Outcome(n, 0, "a", api.Result.NO_PLACE, 0.01, False), now)
+        pauses.append(box.retry_at - now)
+    assert all(0.7 * x < pause < 1.3 * x for x, pause in zip((1, 2, 4, 8, 8, 8), pauses, strict=True))
+    # With connections there it is not left alone, and gets as many at once as these carry.
+    box.retry_at = 0.0
+    for n in (10, 11, 12):
+        made.sent(box, 0, None, (n, 0), 300.0)
+    made.ended(box, None, api.Outcome(12, 0, "a", api.Result.NO_PLACE, 0.01, False), 300.0)
+    assert box.retry_at == 0.0 and box.room == box.own == 2 and not box.fails
+    made.ended(box, None, api.Outcome(11, 0, "a", api.Result.OK, 0.1, True), 300.1)
+    assert box.unplaced == 0
+
+
 @pytest.mark.parametrize(("proxies", "failures", "cold"), [(40, 1, True), (3, 1, False), (3, 4, True)])
 def test_a_box_that_was_down_is_cold_to_each_of_many_proxies(proxies: int, failures: int, cold: bool) -> None:
     # 26 boxes came back cold before the list said so. Of forty proxies hardly one had met four failures of a
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -20,6 +20,7 @@
 from tests.net_helpers import Clock, Ended, Wire, guard, run
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
+TOO_MANY = b"HTTP/1.1 503 No\r\nX-Rejected: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 NOBODY = SocketDialer(Clock(), Hands(Clock()))  # type: ignore[arg-type]  # never asked to dial
 Target = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
@@ -58,6 +59,8 @@
         self.connections = 0
 
     async def target(self, reply: bytes, close: bool = False) -> None:
+        self.reply = reply
+
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             self.connections += 1
             while True:
@@ -65,7 +68,7 @@
                     self.heads.append(await reader.readuntil(b"\r\n\r\n"))
                 except (asyncio.IncompleteReadError, ConnectionError):
                     break
-                writer.write(reply)
+                writer.write(self.reply)
                 if close:
                     break
             writer.close()
@@ -96,6 +99,7 @@
         (b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", False, Ending.SERVER_ERROR),
         (b"HTTP/1.1 503 No\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n", False, Ending.TURNED_AWAY),
         (b"HTTP/1.1 504 No\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n", False, Ending.TURNED_AWAY),
+        (TOO_MANY, False, Ending.NO_PLACE),
         (b"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n", False, Ending.BAD_ANSWER),
         (b"rubbish\r\n\r\n", False, Ending.BAD_ANSWER),
         (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", True, Ending.BROKE_SENT),
@@ -115,6 +119,18 @@
     run(work())
 
 
+def test_on_a_connection_that_was_used_what_turns_away_and_closes_is_a_full_queue() -> None:
+    async def work() -> None:
+        bench = Bench()
+        await bench.target(OK)
+        await bench.send()
+        bench.reply = TOO_MANY
+        assert (await bench.send()).endings == [Ending.TURNED_AWAY] and bench.connections == 1
+        bench.hands.close()
+
+    run(work())
+
+
 def test_connections_are_reused_and_a_cancel_closes_one() -> None:
     async def work() -> None:
         bench = Bench()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -18,7 +18,7 @@
 from firvane.choice import Balancer
 from tests.helpers import CLASSES, RULES, full_list, server, settings
 
-NEVER_RAN = {api.Result.FULL, api.Result.CONNECT_FAILED, api.Result.MOOT}
+NEVER_RAN = {api.Result.FULL, api.Result.NO_PLACE, api.Result.CONNECT_FAILED, api.Result.MOOT}
 RESULTS = list(api.Result)
 
 
