Keep the power of a slow cold server fresh in the index of a large slice

Cause: choice.py, figures, asked for a slow server's figures anew after 0.1 s only where it was warm; a cold one of another's slice kept its power until warm, a cold one of the own slice for 0.25 s, so that the index was 2.6% off where 2.5% is allowed. Change: the time after which a slow server is looked at again holds for cold ones too.

--- a/firvane/choice.py
+++ b/firvane/choice.py
@@ -325,17 +325,17 @@
     def figures(self, server: Backend, now: float) -> Figures:
         """What the index of a large slice is to know of a server."""
         power, ready_at = self.evidence.power(server, now), server.retry_at
-        slow = server.slow > 1.5 and server.slow_at > now - 4 * FADE
+        soon = now + RENEW if server.slow > 1.5 and server.slow_at > now - 4 * FADE else math.inf
         if not self.evidence.is_cold(server, now):
-            return Figures(power, ready_at, math.inf, now + RENEW if slow else math.inf)
+            return Figures(power, ready_at, math.inf, soon)
         warm_at = (server.since or 0.0) + self.settings.rules.cold
         if not (senders := self.senders(server)):
-            return Figures(power, max(ready_at, warm_at), math.inf, warm_at)
+            return Figures(power, max(ready_at, warm_at), math.inf, min(warm_at, soon))
         self.budget(server, now)
         ready_at = max(ready_at, self.heard_at)
         rate, most = cold.rate(self.evidence, server, senders, now)
         first, second = (max(ready_at, now + max(0.0, n - server.tokens) / rate) for n in (1.0, 2.0))
-        return Figures(power, first, second if most >= 2.0 else math.inf, min(warm_at, now + WINDOW))
+        return Figures(power, first, second if most >= 2.0 else math.inf, min(warm_at, soon, now + WINDOW))
 
     def pick(
         self, job: Job, first: Backend | None, among: list[Backend], now: float, limit: float
