Spread a large fleet's first trials at boxes that are gone, and rehearse fleets of forty

Change: in fleets of 12 and more a box whose dial waited in vain is next tried by each proxy 0.2 s for each proxy of the fleet later, drawn by a quarter to either side.

--- a/benchmarks/situations.py
+++ b/benchmarks/situations.py
@@ -354,7 +354,45 @@
     ]
 
 
+def many(result: Result, sight: Sight) -> Checks:
+    """A fleet grown many times over: what all of it does to a box, and whether the boxes bear that."""
+    boxes, proxies = result.scenario.boxes, len(sight.zones)
+    # A new connection costs a box work, and it holds fewer of them than there are proxies.
+    return [
+        Check("proxies", proxies, 40, 40),
+        Check("boxes", boxes.count, 60, 60),
+        Check("proxies beyond the connections of a box", proxies - boxes.connections, 1, ANY),
+        Check("service", result.service, 0.93, 1.0, True),
+        Check("service of the worst 10 s", result.worst_10_s, 0.85, 1.0, True),
+        Check("attempts a request", result.attempts.per_request, 1.0, 1.4, True),
+        Check("boxes fallen over", len(sight.states("fell")), 0, 0, True),
+    ]
+
+
+def many_join(result: Result, sight: Sight) -> Checks:
+    cold = {one.box for one in sight.states("cold")}
+    return [*many(result, sight), Check("cold boxes with new names", len(cold), 36, 36)]
+
+
+def many_zone(result: Result, sight: Sight) -> Checks:
+    trouble = troubles(result, "silent")[0]
+    cold = {one.box for one in sight.states("cold") if sight.box_zone[one.box] == trouble.zone}
+    return [*many(result, sight), Check("boxes back cold", len(cold), 20, 20)]
+
+
+def many_killed(result: Result, sight: Sight) -> Checks:
+    states = Counter(one.state for one in sight.proxies)
+    return [
+        *many(result, sight),
+        Check("proxies killed at once", states["killed"], 28, 28),
+        Check("starts", states["started"], 40 + 28, ANY),
+    ]
+
+
 SITUATIONS: dict[str, Situation] = {
+    "many-join": many_join,
+    "many-zone": many_zone,
+    "many-killed": many_killed,
     "quiet-sunday": quiet,
     "silent-zone": silence,
     "flooded-community": flood,
--- a/firvane/fleet/draw.py
+++ b/firvane/fleet/draw.py
@@ -14,7 +14,7 @@
 
 KINDS: tuple[TroubleKind, ...] = get_args(TroubleKind)
 LATEST = 50.0  # s from the start by which all of them have begun
-AT_ONCE = ("kill", "restart", "reset")
+AT_ONCE = ("kill", "herd", "restart", "reset")
 RATE_PER_BOX = 710.0 / 14.0  # requests a second on the operators' ordinary days
 
 
@@ -126,5 +126,7 @@
             )  # fmt: skip
         case "reset":
             return Trouble(kind=kind, at_s=at, part=between(0.1, 1.0))
+        case "herd":
+            return Trouble(kind=kind, at_s=at, part=between(0.4, 0.8))
         case "kill" | "restart":
             return Trouble(kind=kind, at_s=at)
--- a/firvane/fleet/scenario.py
+++ b/firvane/fleet/scenario.py
@@ -141,6 +141,7 @@
     "drain",  # boxes drain and leave
     "crash",  # boxes' processes end, and start again cold after `for_s`
     "kill",  # a proxy is killed, and started again
+    "herd",  # part of the proxies are killed at once, and started again
     "restart",  # a proxy is told to end, and started again
     "churn",  # every `every_s` one box is replaced by a cold one with a new name
     "lockstep",  # clients retry at once, all on one beat
--- a/firvane/fleet/timeline.py
+++ b/firvane/fleet/timeline.py
@@ -122,7 +122,7 @@
             "silent": self._silent, "crash": self._crash, "pause": self._pause, "slow": self._slow,
             "reset": self._reset, "drain": self._drain, "deploy": self._deploy, "churn": self._churn,
             "burst": self._burst, "cut": self._cut, "lockstep": self._lockstep,
-            "kill": self._kill, "restart": self._end,
+            "kill": self._kill, "herd": self._herd, "restart": self._end,
         }  # fmt: skip
         for number, trouble in enumerate(scenario.troubles):
             draw = Random(f"trouble/{seed}/{number}")
@@ -273,7 +273,16 @@
         self._steps.append(Step(at, Action.LOCKSTEP, until=at + trouble.for_s))
 
     def _kill(self, trouble: Trouble, draw: Random, at: float) -> None:
-        name = self._proxy(trouble, draw, at)
+        self._kill_one(self._proxy(trouble, draw, at), at)
+
+    def _herd(self, trouble: Trouble, draw: Random, at: float) -> None:
+        names = [seat.name for seat in seats(self._scenario.network, self._scenario.proxies)]
+        until = at + self._scenario.proxies.back_s
+        self._shade(at, until, trouble.kind, f"{trouble.part:.0%} of the proxies")
+        for name in draw.sample(names, max(1, round(trouble.part * len(names)))):
+            self._kill_one(name, at)
+
+    def _kill_one(self, name: str, at: float) -> None:
         self._steps.append(Step(at, Action.KILL, proxy=name))
         back = at + self._scenario.proxies.back_s
         self._plan(back, lambda then: self._steps.append(Step(then, Action.LAUNCH, proxy=name)))
--- a/firvane/rooms/evidence.py
+++ b/firvane/rooms/evidence.py
@@ -49,6 +49,7 @@
 SLOW, LIGHT = 0.8, 0.2  # of the aim: an answer's time that is too long, for work of less than that
 CROWDING, CROWD = 0.05, 0.25  # how far one end moves the part that find no room; from which copies only crowd
 PLACE = 1.0  # s for which a box without a place for a first connection is left alone; doubled to eight times
+TRIAL = 0.2  # s of all trials of a large fleet at a box that is gone that each proxy is given
 THIN = 12  # proxies from which on none sees enough of a kind alone to tell its rate
 RARE = 0.03  # part lost below which a single attempt is enough to doubt its box
 
@@ -274,7 +275,11 @@
         waited = unmade and took > 0.9 * self.settings.limits.connect_timeout
         if waited or server.fails > 1 or now == server.crowded_at:  # one alone says nothing of the server
             base = 0.25 if waited else 0.05  # s; what fails at once costs little to try
-            server.retry_at = now + base * 2 ** min(6, server.fails) * self.random.uniform(0.75, 1.25)
+            pause = base * 2 ** min(6, server.fails)
+            if waited and self.pooled:
+                # A machine that is gone comes back cold: the first trials of all must not push it over.
+                pause = max(pause, TRIAL * self.settings.proxies)
+            server.retry_at = now + pause * self.random.uniform(0.75, 1.25)
         return close
 
     def doubted(self, server: Backend, now: float) -> None:
--- a/tests/fleet/test_timeline.py
+++ b/tests/fleet/test_timeline.py
@@ -96,6 +96,14 @@
     assert timeline.shaded() == [(5.0, 6.0, "kill proxy-1"), (7.0, 8.0, "restart proxy-2")]
 
 
+def test_a_herd_is_part_of_the_proxies_killed_at_once_and_launched_together() -> None:
+    timeline = plan(Trouble(kind="herd", at_s=5.0, part=0.67))
+    killed, launched = of(timeline, Action.KILL), of(timeline, Action.LAUNCH)
+    assert [step.at for step in killed] == [5.0, 5.0] and [step.at for step in launched] == [6.0, 6.0]
+    assert {step.proxy for step in killed} == {step.proxy for step in launched} and len(killed) == 2
+    assert timeline.shaded() == [(5.0, 6.0, "herd 67% of the proxies")]
+
+
 def test_drawn_scenarios_overlap_reach_every_kind_and_can_be_served() -> None:
     drawn = [draw(seed) for seed in range(100)]
     assert {one.kind for scenario in drawn for one in scenario.troubles} == set(get_args(TroubleKind))
--- a/tests/rooms/test_evidence.py
+++ b/tests/rooms/test_evidence.py
@@ -180,6 +180,20 @@
     assert box.unplaced == 0
 
 
+def test_the_trials_of_a_large_fleet_at_a_box_that_is_gone_are_spread() -> None:
+    # Boxes that came back fell over within a second, before any answer and before the list said that they had
+    # started: forty proxies had each sent a trial.
+    back, waited = list[float](), 0.25
+    for me in range(40):
+        made = Evidence(settings(proxies=40), random.Random(me), 90.0)
+        box = Backend(server("a"), 1, 1.0, None)
+        made.sent(box, 0, None, (1, 0), 100.0)
+        made.ended(box, None, api.Outcome(1, 0, "a", api.Result.CONNECT_FAILED, waited, False), 100.25)
+        back.append(box.retry_at - 100.25)
+    firsts = max(sum(at <= other < at + 1.0 for other in back) for at in back)
+    assert firsts <= 18 and min(back) > 5.0 and max(back) < 12.0
+
+
 @pytest.mark.parametrize(("proxies", "failures", "cold"), [(40, 1, True), (3, 1, False), (3, 4, True)])
 def test_a_box_that_was_down_is_cold_to_each_of_many_proxies(proxies: int, failures: int, cold: bool) -> None:
     # 26 boxes came back cold before the list said so. Of forty proxies hardly one had met four failures of a
