--- a/firvane/rooms/evidence.py
+++ b/firvane/rooms/evidence.py
@@ -188,7 +188,7 @@
                 if other.at >= mark.at:
                     break
                 other.passed += 1
-        if result in (api.Result.OK, api.Result.FULL):
+        if self.pooled and result in (api.Result.OK, api.Result.FULL):
             self.crowded += CROWDING * ((result is api.Result.FULL) - self.crowded)
         if result is api.Result.OK:
             if not self.is_cold(server, now):
