Open the operators' door, count what they ask for, and adopt the inherited listening socket

Ruled out: the peers' UDP address alone (it is shared with SO_REUSEPORT now, but the TCP address failed first). Change: firvane/ops (calls, states, figures, desk), firvane/tally.py counted by engine, listener and forward; NODE_OPS or ops, NODE_SOCKET_FD; drain and resume; SIGTERM with an inherited socket hands over.

--- a/firvane/__main__.py
+++ b/firvane/__main__.py
@@ -27,7 +27,7 @@
 async def run(config: Config, read_again: Callable[[], Config]) -> None:
     """One proxy from its start to its end, by signals."""
     loop = asyncio.get_running_loop()
-    proxy = Proxy(loop, config)
+    proxy = Proxy(loop, config)  # `OSError` where what it is to inherit is not there
     logging.getLogger().addHandler(Bridge(proxy.log))
     proxy.log.info("native", **native.state()._asdict())
     told = asyncio.Event()
--- a/firvane/config/checks.py
+++ b/firvane/config/checks.py
@@ -66,6 +66,8 @@
     if (shares := sum(tenant.share for tenant in file.tenants)) > 1.0 + 1e-6:
         yield "tenants", f"have shares that add up to {shares:g}, above 1"
     targets = file.target_group.targets
+    if file.ops == file.listen and not file.listen.endswith(":0"):
+        yield "ops", "is where clients connect: operators need an address of their own"
     if file.zones and file.zone not in file.zones:
         yield "zone", f"is {file.zone!r}, not one of zones" if file.zone else "is missing, and zones is there"
     for index, target in enumerate(targets):
--- a/firvane/config/file.py
+++ b/firvane/config/file.py
@@ -40,6 +40,7 @@
         zones=zones,
         kinds=kinds,
         settings=_settings(file, zones),
+        ops=parse_address(file.ops) if file.ops else None,
         cores=limits.cores,
         memory_mb=limits.memory_mb,
         log_level=file.log.level,
--- a/firvane/config/model.py
+++ b/firvane/config/model.py
@@ -136,6 +136,7 @@
     listen: Annotated[Address, says("where clients connect; port 0 takes any that is free")]
     target_group: TargetGroup
     classes: Annotated[tuple[RequestClass, ...], says("of requests; others get 404", min_length=1)]
+    ops: Annotated[Address | None, says("where operators call: ready, show-stat, drain, resume")] = None
     name: Annotated[Name, says("of this proxy, in the log")] = "firvane"
     seed: Annotated[Count | None, says("for random choices; the system's where missing")] = None
     zone: Annotated[str, says("where this proxy stands; one of zones")] = ""
--- a/firvane/config/node.py
+++ b/firvane/config/node.py
@@ -27,5 +27,7 @@
     zones: tuple[str, ...]  # as numbered in the settings and between the proxies
     kinds: tuple[str, ...]
     settings: api.Settings
+    ops: Address | None = None  # where operators call; None: nowhere
+    inherited: int | None = None  # the descriptor of a listening socket that the platform holds for clients
     log_level: str = "info"
     log_format: str = "logfmt"
--- a/firvane/config/platform.py
+++ b/firvane/config/platform.py
@@ -69,6 +69,9 @@
         tier = tuple(map(parse_address, peers))
     except ValueError as error:
         raise ValueError(f"seed or peers: {error}") from None
+    inherited = environment.get("NODE_SOCKET_FD") or None
+    if inherited is not None and not (inherited.isdecimal() and len(inherited) < 8):
+        raise ValueError(f"NODE_SOCKET_FD is {inherited!r}, not the number of a descriptor")
     return Config(
         name=environment.get("NODE_NAME") or str(data.get("name", "")),
         listen=address("listen", "NODE_LISTEN"),
@@ -84,6 +87,8 @@
         zones=names("dcs"),
         kinds=names("machine-types"),
         settings=settings,
+        ops=address("ops", "NODE_OPS") if data.get("ops") or environment.get("NODE_OPS") else None,
+        inherited=None if inherited is None else int(inherited),
         log_level=log["level"],
         log_format=log["format"],
     )
--- a/firvane/engine.py
+++ b/firvane/engine.py
@@ -17,6 +17,8 @@
 from firvane.choice import Balancer
 from firvane.endings import RESULTS, Ending
 from firvane.logs import LEVELS, QUIET, Log
+from firvane.rooms.skipped import skipped
+from firvane.tally import Counts, Tally
 
 Q = TypeVar("Q")  # a request as the front holds it
 A = TypeVar("A")  # a target's answer as the front holds it
@@ -58,6 +60,9 @@
 
     deadline: float
 
+    def written(self) -> None:
+        """The last byte of the request is with the kernel."""
+
     def ended(self, ending: Ending, answer: A_contra | None = None) -> None: ...
 
 
@@ -95,6 +100,7 @@
 
     __slots__ = (
         "client",
+        "counts",
         "deadline",
         "forwards",
         "id",
@@ -112,6 +118,7 @@
         self.name = name  # what its client calls it, for the log
         self.id = -1
         self.open = True  # its final answer is owed
+        self.counts = Counts()  # of its class, once it is taken
         self.forwards: list[Forward[Q, A] | None] = []
         self.live = 0
         self.timer: TimerHandle | None = None
@@ -133,6 +140,9 @@
         self.timer: TimerHandle | None = None
         self.over = False
 
+    def written(self) -> None:
+        self.flow.counts.upstream_tries += 1
+
     def ended(self, ending: Ending, answer: A | None = None) -> None:
         self.engine.forward_ended(self, ending, answer)
 
@@ -152,6 +162,8 @@
         self.handle: Handle | None = None
         self.over = False
 
+    def written(self) -> None: ...
+
     def ended(self, ending: Ending, answer: A | None = None) -> None:
         self.engine.probe_ended(self, ending)
 
@@ -189,6 +201,7 @@
         self.owed = 0  # flows that have no final answer yet
         self.known: set[str] = set()  # the targets that the list names
         self.endings: Counter[str] = Counter()  # for the log
+        self.tally = Tally()
         self.faults = 0
         self._next_id = 0
         self._events: deque[api.Event] = deque()
@@ -216,12 +229,18 @@
         self._act(self.balancer.start(self.now()))
         self._drain()
 
+    def skipped(self) -> int:
+        """How many listed targets the decisions avoid now."""
+        return skipped(self.balancer.servers.values(), self.now())
+
     # News from the front
 
     def take(self, flow: Flow[Q, A], request: api.Request) -> None:
         """A new flow; the engine numbers it and sets what is left of its time."""
+        flow.counts = self.tally.of(self.settings.classes[request.cls].name)
         if self.owed >= self.settings.limits.max_open:
             self.endings["over the cap on open flows"] += 1
+            flow.counts.dropped += 1
             flow.open = False
             flow.client.refused(0.0)
             return
@@ -304,6 +323,7 @@
         flow = self.flows.get(action.id)
         if flow and flow.open:
             self.endings["refused"] += 1
+            flow.counts.dropped += 1
             self._close(flow)
             flow.client.refused(action.retry_after if self.settings.limits.retry_after else 0.0)
             self._forget(flow)
@@ -312,6 +332,7 @@
         flow = self.flows.get(action.id)
         if flow and flow.open:
             self.endings["failed"] += 1
+            flow.counts.bad_gateway += 1
             self._close(flow)
             flow.client.failed()
             self._forget(flow)
@@ -353,9 +374,11 @@
         flow.live -= 1
         self.endings[ending.value] += 1
         if ending is Ending.SERVED and flow.open and answer is not None:
+            flow.counts.passed += 1
             self._close(flow)
             flow.client.served(answer)
         elif ending is Ending.AT_FAULT and flow.open:
+            flow.counts.bad_gateway += 1
             self._close(flow)  # another target would say the same
             flow.client.at_fault()
         took = self.clock.time() - forward.since
@@ -384,6 +407,7 @@
                 forward.stop(Ending.OVERDUE)
         if flow.open:
             self.endings["unanswered at the deadline"] += 1
+            flow.counts.bad_gateway += 1
             self._close(flow)
             flow.client.failed()
             self.give(api.ClientGone(flow.id))
--- a/firvane/net/door.py
+++ b/firvane/net/door.py
@@ -12,7 +12,6 @@
 from firvane.logs import QUIET, Log
 from firvane.net.dial import Quiet, always, is_quiet
 from firvane.net.hands import Hands
-from firvane.net.http import Buffered
 
 BACKLOG = 1024  # connections that the kernel holds until they are accepted
 ACCEPTS = 32  # accepted in one turn of the loop at the most
@@ -20,7 +19,8 @@
 SPENT = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
-Accept = Callable[[Quiet], Buffered]  # makes a connection's protocol, which may ask what the kernel holds
+# Makes a connection's protocol, which may ask what the kernel holds.
+Accept = Callable[[Quiet], asyncio.BaseProtocol]
 
 
 class Door(Protocol):
@@ -45,10 +45,10 @@
     def __init__(self, sock: socket.socket, accept: Accept) -> None:
         self.sock, self.accept = sock, accept
 
-    def wanted(self) -> Buffered:
+    def wanted(self) -> asyncio.BaseProtocol:
         return self.accept(partial(is_quiet, self.sock))
 
-    def made(self, protocol: Buffered) -> None: ...
+    def made(self, protocol: asyncio.BaseProtocol) -> None: ...
 
     def unmade(self) -> None: ...
 
@@ -60,16 +60,25 @@
     leave before anybody had looked at them.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, hands: Hands, log: Log = QUIET) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        hands: Hands,
+        log: Log = QUIET,
+        inherited: socket.socket | None = None,
+    ) -> None:
+        """`inherited` listens already, and others may accept from it, too: it is never bound or shut down."""
         self.loop, self.hands, self.log = loop, hands, log
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        self.inherited = inherited is not None
+        self.sock = inherited or socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         self.wanted = self.reading = False
 
     async def open(self, address: tuple[str, int], accept: Accept) -> None:
         self.accept = accept
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.sock.bind(address)
-        self.sock.listen(BACKLOG)
+        if not self.inherited:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self.sock.bind(address)
+            self.sock.listen(BACKLOG)
         self.let(True)
 
     def address(self) -> tuple[str, int]:
@@ -115,6 +124,22 @@
         self.sock.close()
 
 
+def adopt(number: int) -> socket.socket:
+    """The listening socket inherited as this descriptor; `OSError` with a plain message where there is none.
+
+    It is one open file for all processes that hold it: not to block is the mode that suits them all.
+    """
+    try:
+        sock = socket.socket(fileno=number)
+    except OSError as error:
+        raise OSError(f"NODE_SOCKET_FD: descriptor {number} is no socket: {error.strerror}") from None
+    if sock.type != socket.SOCK_STREAM or not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+        sock.detach()
+        raise OSError(f"NODE_SOCKET_FD: descriptor {number} is no listening socket")
+    sock.setblocking(False)
+    return sock
+
+
 class LoopDoor:
     """The loop's own server, for a loop that has no sockets."""
 
--- a/firvane/net/forward.py
+++ b/firvane/net/forward.py
@@ -100,6 +100,7 @@
         self.transport.writelines([*request_head(run.request, left, host), *run.request.body])
         if not self.transport.is_closing() and not self.transport.get_write_buffer_size():
             self.written = True
+            run.exchange.written()
 
     def usable(self) -> bool:
         """Whether nothing has come on it while idle.
@@ -109,7 +110,10 @@
         return not self.transport.is_closing() and self.quiet()
 
     def resume_writing(self) -> None:
-        self.written = True
+        if not self.written:
+            self.written = True
+            if self.run:
+                self.run.exchange.written()
 
     def data_received(self, data: bytes) -> None:
         run = self.run
--- a/firvane/net/front.py
+++ b/firvane/net/front.py
@@ -27,6 +27,7 @@
 SINGLE = frozenset((b"host", b"x-call-id", b"x-caller", b"x-budget-ms", b"x-route-hash", b"x-call-cost"))
 # Of the places, the part that is made free at once where all are taken; s from one time to the next.
 ROOM, ROOM_EVERY = 1 / 32, 0.02
+FIRST = 0.5  # s after connecting in which a first request is waited for also where clients are to leave
 GREEDY = 4.0  # times as often as others, and four times more, is far more than they ask
 
 
@@ -43,6 +44,7 @@
         self.loop, self.engine, self.settings, self.guard = loop, engine, settings, guard
         engine.gate = self
         self.classes = {cls.name.encode(): (i, cls) for i, cls in enumerate(settings.classes)}
+        self.counts = {name: engine.tally.of(cls.name) for name, (_, cls) in self.classes.items()}
         self.tenants = {tenant.name.encode(): i for i, tenant in enumerate(settings.tenants)}
         self.connections: dict[Listener, None] = {}  # in order: a set's would differ from run to run
         self.turns, self.account = guard.turns, guard.account
@@ -173,6 +175,9 @@
             self._make_room()
 
     def close_idle(self) -> None:
+        """Close what nobody uses; who has just come to ask its first is left to do so."""
+        young = self.loop.time() - FIRST
         for connection in list(self.connections):
-            if connection.is_idle() and connection.quiet():
+            new = not connection.asked and connection.since > young
+            if connection.is_idle() and not new and connection.quiet():
                 connection.transport.close()
--- a/firvane/net/http.py
+++ b/firvane/net/http.py
@@ -287,6 +287,12 @@
     return data[at : data.find(b"\r", at)].strip()
 
 
+def bare_class(data: bytes) -> bytes:
+    """The class that the path of such a request names."""
+    end = data.find(b" ", 5)
+    return data[5:end].split(b"?", 1)[0].split(b"/", 1)[0]
+
+
 def is_again(data: bytes) -> bool:
     """Whether a request says that it is a retry."""
     return AGAIN in data.lower()
--- a/firvane/net/listener.py
+++ b/firvane/net/listener.py
@@ -14,7 +14,18 @@
 from firvane.limits.overload import Measure
 from firvane.limits.turns import CHUNKED, DECIDE, READ_ONE
 from firvane.net.dial import Quiet, always
-from firvane.net.http import Buffered, Fault, Message, Piece, Reader, answer, bare_tenant, is_again
+from firvane.net.http import (
+    Buffered,
+    Fault,
+    Message,
+    Piece,
+    Reader,
+    answer,
+    bare_class,
+    bare_tenant,
+    is_again,
+)
+from firvane.tally import Counts
 
 if TYPE_CHECKING:
     from firvane.net.front import Front
@@ -56,6 +67,7 @@
         self.second, self.recent = 0, 0  # the last second in which it asked, and how often
         self.busy = False  # at work in this very call
         self.asked = 0  # requests of its that have been taken on
+        self.counts: Counts | None = None  # of the class of what is to be refused unseen
         self.since = 0.0  # when it was made or last fell idle
         self.expires = 0.0
         self.transport: asyncio.Transport
@@ -157,9 +169,11 @@
             if gate.shut or gate.crowded(greedy) or front.account.pressed:
                 tenant = bare_tenant(data)
                 again = gate.again and is_again(data)
-                if tenant is not None and (
+                counts = None if tenant is None else front.counts.get(bare_class(data))
+                if (tenant is not None and counts) and (
                     gate.turns_away(tenant, greedy, again) or front.account.pressed
                 ):
+                    self.counts = counts
                     front.turns.refuse(self)
                     return
         self.rest, self.at = (self.rest[self.at :] + data if self.rest else data), 0
@@ -169,6 +183,9 @@
         """Refuse outright what was sent: no decision is asked, nothing has been parsed."""
         if self.ending:
             return
+        if self.counts:
+            self.counts.dropped += 1
+            self.counts = None
         self.asked += 1
         self.since = self.front.loop.time()
         self.expires = self.since + 2 * IDLE
@@ -260,10 +277,9 @@
         except Fault as fault:
             self._turn_down(fault)
             return
-        if not self.front.ready:
-            self._reply(503)
-            return
-        if self.front.account.pressed:  # nothing new is taken on until what is here has gone
+        # Nothing new is taken on until the list is here, nor, in need, until what is here has gone.
+        if not self.front.ready or self.front.account.pressed:
+            self.front.engine.tally.of(self.front.settings.classes[request.cls].name).dropped += 1
             self._reply(503)
             return
         deadline = min(self.front.loop.time() + left, self.front.last)
--- a/firvane/proxy.py
+++ b/firvane/proxy.py
@@ -17,7 +17,7 @@
 from firvane.limits.descriptors import Use
 from firvane.limits.pauses import Pauses
 from firvane.net.dial import Dialer, SocketDialer
-from firvane.net.door import Door, LoopDoor, SocketDoor
+from firvane.net.door import Door, LoopDoor, SocketDoor, adopt
 from firvane.net.forward import Forwards
 from firvane.net.front import Front
 from firvane.net.guard import Guard, OwnUsage, Usage
@@ -25,6 +25,11 @@
 from firvane.net.http import Message
 from firvane.net.peers import Peers
 from firvane.net.targets import ListReader, TargetGroup
+from firvane.ops import calls
+from firvane.ops.calls import Call
+from firvane.ops.desk import DESCRIPTORS, Desk
+from firvane.ops.figures import Figures, Loads
+from firvane.ops.states import Event, Life, State
 
 LAME = 0.7  # s after SIGTERM for which clients may still come; SIGKILL is the longest deadline away from then
 COUNTED, MARGIN = 3.0, 0.2  # s: the longest that a deadline counts there; kept for the last answers
@@ -62,7 +67,7 @@
             settings,
             cores=config.cores,
             memory_mb=config.memory_mb,
-            sockets=config.sockets,
+            sockets=config.sockets - (DESCRIPTORS if config.ops else 0),
             usage=usage or OwnUsage(),
             log=self.log,
         )
@@ -72,6 +77,7 @@
         self.group = TargetGroup(
             loop, config.discovery, reader, self.forwards.listed, self._listed, self.log, pauses
         )
+        self.drained_at = 0.0  # when operators last asked for it
         self.unseen = 0, 0  # turned away unseen, and for want of a turn, up to the last line of figures
         self.tables = 0  # bytes charged for the list and what is kept of each target
         self.peers = Peers(settings.me, config.peers, config.peers_all, self._heard, loop.time)
@@ -81,7 +87,12 @@
         self.guard.tell = self.engine.give
         self.front = Front(loop, self.engine, settings, self.guard)
         self.door: Door = LoopDoor(loop) if dialer else SocketDoor(loop, self.hands, self.log)
+        if config.inherited is not None:
+            self.door = SocketDoor(loop, self.hands, self.log, adopt(config.inherited))
         self.front.door = self.door.let
+        self.life, self.loads = Life(), Loads()
+        self.desk, self.desk_hands = Desk(loop, self._answer), Hands(loop)
+        self.ops: Door = LoopDoor(loop) if dialer else SocketDoor(loop, self.desk_hands, self.log)
 
     def _listed(self, news: api.ServerList) -> None:
         tables = BOX * len(self.group.servers)
@@ -95,8 +106,16 @@
     async def start(self) -> None:
         """Everything up to answering that the proxy is ready."""
         config = self.config
+        if config.ops:
+            self.desk_hands.start()
+            await self.ops.open(config.ops, lambda quiet: self.desk.caller())
+            self.log.info("ops", listen="{}:{}".format(*self.ops.address()))
         if config.peer_listen:
-            await self.loop.create_datagram_endpoint(lambda: self.peers, local_addr=config.peer_listen)
+            # The process that this one replaces has the same address, and so has the one that comes after it.
+            shared = True if config.inherited is not None else None
+            await self.loop.create_datagram_endpoint(
+                lambda: self.peers, local_addr=config.peer_listen, reuse_port=shared
+            )
         self.hands.start()
         await self.door.open(config.listen, self.front.accept)
         self.engine.start()
@@ -115,6 +134,7 @@
         except TimeoutError:
             self.log.warning("discovery_silent", targets=len(self.group.servers))
         self.front.ready = True
+        self._hear(Event.STARTED)
         self.guard.start()
         self._sweep(self.loop.time() + SWEEP)
         due = self.loop.time() + REPORT
@@ -134,6 +154,54 @@
         )
         self.log.info("ready", listen=f"{host}:{port}", targets=len(self.group.servers))
 
+    # What operators ask
+
+    def figures(self) -> Figures:
+        """As of now: the door and the log tell the same."""
+        engine, turns = self.engine, self.guard.turns
+        waiting = len(turns.line) + len(turns.behind) + len(turns.refused)
+        return Figures(
+            self.life.state.value,
+            engine.tally.by,
+            engine.owed + waiting,
+            len(engine.known),
+            engine.skipped(),
+            self.loads,
+        )
+
+    def _answer(self, call: Call) -> bytes:
+        if call is Call.SHOW_STAT:
+            return calls.lines(self.figures().text())
+        if call is Call.READY:
+            state = self.life.state.value
+            return calls.yes(state) if self.life.meaning().takes else calls.no(f"{state}: no clients yet")
+        event = Event.DRAIN if call is Call.DRAIN else Event.RESUME
+        if not self._hear(event):
+            return calls.no(f"{self.life.state.value}: too late, or too early, to {call.value}")
+        return calls.yes(self.life.state.value)
+
+    def _hear(self, event: Event) -> bool:
+        """Whether the event is for the state that holds; what follows from it is done."""
+        before = self.life.state
+        if not self.life.hear(event):
+            return False
+        state = self.life.state
+        if state is not before:
+            if event is not Event.STARTED:  # which has a line of its own
+                self.log.info("state", now=state.value, was=before.value)
+            front = self.front
+            front.draining = self.life.meaning().leaving
+            front.closing = False
+            if state is State.DRAINING:
+                self.drained_at = self.loop.time()
+                self.loop.call_at(self.drained_at + LAME, self._send_away, self.drained_at)
+        return True
+
+    def _send_away(self, since: float) -> None:
+        """Nobody sends new clients here any more since that drain: the others go as they fall idle."""
+        if self.life.state is State.DRAINING and self.drained_at == since:
+            self.front.closing = True
+
     def reload(self, read: Callable[[], Config]) -> None:
         """Read the configuration anew and follow discovery to where it is now; one of no use changes nothing.
 
@@ -163,6 +231,9 @@
         self.guard.late_by(self.loop.time() - due)
         self.forwards.sweep()
         self.front.sweep()
+        self.desk.sweep()
+        if self.front.closing:
+            self.front.close_idle()
         self.loop.call_at(due + SWEEP, self._sweep, due + SWEEP)
 
     def _report(self, due: float) -> None:
@@ -179,6 +250,7 @@
             open=self.engine.owed,
             held_mb=round(guard.account.held / MB, 1),
             lag_ms=round(1000 * guard.worst_lag()),
+            **self.figures().fields(),
             **{name.replace(" ", "_"): n for name, n in sorted(endings.items()) if n},
         )
         self.engine.endings.clear()
@@ -193,7 +265,12 @@
         """
         front, told = self.front, self.loop.time()
         longest = min(COUNTED, max(cls.deadline for cls in self.config.settings.classes))
-        front.draining, front.last = True, told + LAME + longest - MARGIN
+        successor = self.config.inherited is not None
+        self._hear(Event.SUCCEEDED if successor else Event.TERMINATE)
+        front.last = told + LAME + longest - MARGIN
+        if successor:
+            await self._hand_over(front.last)
+            return
         await asyncio.sleep(LAME)
         self.door.close()
         while front.connections and self.loop.time() < told + LAME + longest / 2:
@@ -202,5 +279,24 @@
         while front.connections and self.loop.time() < front.last + MARGIN / 2:
             front.close_idle()
             await asyncio.sleep(0.02)
+        self._stop()
+
+    async def _hand_over(self, last: float) -> None:
+        """Leave the clients' queue to the process that comes after this one, and finish what is here."""
+        front = self.front
+        self.door.close()
+        if self.peers.transport:
+            self.peers.transport.close()  # what peers tell is for the successor from now on
+            self.peers.transport = None
+        front.closing = True
+        while (front.connections or self.hands.line.qsize()) and self.loop.time() < last + MARGIN / 2:
+            front.close_idle()
+            await asyncio.sleep(0.02)
+        self._stop()
+
+    def _stop(self) -> None:
         self.group.stop()
         self.hands.close()
+        self.desk.close()
+        self.ops.close()
+        self.desk_hands.close()
--- /dev/null
+++ b/firvane/rooms/skipped.py
@@ -0,0 +1,13 @@
+"""Which listed servers the decisions leave out now: what operators are told of them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from firvane import interface as api
+from firvane.state import Backend
+
+
+def skipped(servers: Iterable[Backend], now: float) -> int:
+    """How many get nothing: they are leaving, or have failed and wait for their next trial."""
+    return sum(s.entry.state is not api.ServerState.UP or s.retry_at > now for s in servers)
--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -142,6 +142,8 @@
         self.answer: Any = None
         self.over = asyncio.Event()
 
+    def written(self) -> None: ...
+
     def ended(self, ending: Ending, answer: Any = None) -> None:
         self.endings.append(ending)
         self.answer = answer
--- /dev/null
+++ b/tests/ops/test_desk.py
@@ -0,0 +1,107 @@
+"""The operators' door on real sockets, and the proxy behind it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from firvane.config.platform import read_config
+from firvane.logs import QUIET
+from firvane.ops.desk import CALLERS
+from firvane.proxy import Proxy
+from tests.net_helpers import endpoint, run
+from tests.test_program import config
+
+
+async def ask(address: tuple[str, int], *pieces: bytes) -> bytes:
+    reader, writer = await asyncio.open_connection(*address)
+    for piece in pieces:
+        writer.write(piece)
+        await asyncio.sleep(0)
+    answer = await reader.read()
+    writer.close()
+    return answer
+
+
+def told(folder: Path, **more: Any) -> Any:
+    known = {"index": 1, "snapshot": True, "endpoints": [endpoint("s-1", 9)]}
+    given = read_config(config(folder, ops="127.0.0.1:0", known=known, **more))
+    return replace(given, discovery=None)
+
+
+def test_each_call_has_its_answer(tmp_path: Path) -> None:
+    # Guards the words that staff and platform go by, before the start, at work and on leave.
+    async def work() -> None:
+        proxy = Proxy(asyncio.get_running_loop(), told(tmp_path), log=QUIET)
+        await proxy.start()
+        at = proxy.ops.address()
+        assert (await ask(at, b"rea", b"dy\r", b"\n")).startswith(b"+OK")
+        assert (await ask(at, b"nonsense\n")).startswith(b"-ERR")
+        assert (await ask(at, b"x" * 5000)).startswith(b"-ERR")
+        first, figures, end, rest = (await ask(at, b"show-stat\n")).split(b"\n")
+        assert (first, end, rest) == (b"+OK", b".", b"")
+        assert json.loads(figures)["known_backends"] == 1
+        assert (await ask(at, b"drain\n")).startswith(b"+OK")
+        assert proxy.front.draining
+        assert (await ask(at, b"resume\n")).startswith(b"+OK")
+        assert not proxy.front.draining and not proxy.front.closing
+        proxy._stop()
+
+    run(work())
+
+
+def test_silent_callers_keep_nobody_out(tmp_path: Path) -> None:
+    # Guards against hundreds that call and say nothing, or half a call, while one asks.
+    async def work() -> None:
+        proxy = Proxy(asyncio.get_running_loop(), told(tmp_path), log=QUIET)
+        await proxy.start()
+        at = proxy.ops.address()
+        stalled = [await asyncio.open_connection(*at) for _ in range(5 * CALLERS)]
+        for _, writer in stalled[::2]:
+            writer.write(b"dra")
+        async with asyncio.timeout(1):
+            assert (await ask(at, b"ready\n")).startswith(b"+OK")
+        assert len(proxy.desk.callers) <= CALLERS
+        assert not proxy.front.draining
+        for _, writer in stalled:
+            writer.close()
+        proxy._stop()
+
+    run(work())
+
+
+def test_an_inherited_socket_is_adopted_and_outlives_its_user(tmp_path: Path) -> None:
+    # Guards the replacement: the queue of clients belongs to whoever comes next.
+    async def work() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as held:
+            given = replace(told(tmp_path), inherited=socket.fromfd(held.fileno(), 2, 1).detach())
+            proxy = Proxy(asyncio.get_running_loop(), given, log=QUIET)
+            await proxy.start()
+            assert proxy.door.address() == held.getsockname()
+            reader, writer = await asyncio.open_connection(*held.getsockname())
+            writer.write(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n")
+            assert (await reader.readline()).split()[1] == b"200"
+            writer.close()
+            await proxy.drain()
+            with socket.create_connection(held.getsockname(), timeout=1):  # the next one's client
+                held.settimeout(1)
+                held.accept()[0].close()
+
+    run(work())
+
+
+def test_a_descriptor_that_is_no_listening_socket_is_one_plain_line(tmp_path: Path) -> None:
+    async def work() -> None:
+        with socket.socket() as plain, open(tmp_path / "config.json") as file:
+            for number in (plain.fileno(), file.fileno(), 9999):
+                with pytest.raises(OSError, match="NODE_SOCKET_FD"):
+                    Proxy(asyncio.get_running_loop(), replace(given, inherited=number), log=QUIET)
+
+    given = told(tmp_path)
+    run(work())
--- a/tests/rehearsal/mutants.py
+++ b/tests/rehearsal/mutants.py
@@ -147,6 +147,8 @@
     def __init__(self, deadline: float) -> None:
         self.deadline = deadline
 
+    def written(self) -> None: ...
+
     def ended(self, ending: Any, answer: Any = None) -> None: ...
 
 
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -16,6 +16,7 @@
 from firvane.net import http
 from firvane.net.front import Front
 from firvane.net.listener import Listener
+from firvane.tally import Tally
 from tests.helpers import settings
 from tests.net_helpers import PAY, READ, Clock, Wire, cut, garbage, guard, make_places, places, seeded
 
@@ -35,6 +36,7 @@
     def __init__(self) -> None:
         self.flows: list[tuple[Flow[Any, Any], api.Request]] = []
         self.left: list[Flow[Any, Any]] = []
+        self.tally = Tally()
 
     def take(self, flow: Flow[Any, Any], request: api.Request) -> None:
         self.flows.append((flow, request))
