Swap settings whole at SIGHUP, leave boxes alone that mostly fail, and tell figures alone

Ruled out: the retune itself (errors begin before it, and stay with one box), late answers at the door (0 of 32). Change: firvane/retune.py numbers classes and tenants, a file is parsed and checked against the first one's keys before one swap; evidence rule 8; rooms/quotas.py and Backend.renew taken out of choice.py.

--- a/firvane/choice.py
+++ b/firvane/choice.py
@@ -16,7 +16,8 @@
 
 from firvane import interface as api
 from firvane.rooms import cold
-from firvane.rooms.evidence import CROWD, FADE, LONG, SILENCES, Evidence
+from firvane.rooms import quotas as quotas_
+from firvane.rooms.evidence import CROWD, FADE, FAULTY, LONG, SILENCES, Evidence
 from firvane.routing.large import Figures, Large
 from firvane.routing.listing import Listing
 from firvane.routing.pairs import forecast, pair
@@ -92,6 +93,12 @@
             self.close(job)
         return self.actions
 
+    def retune(self, settings: api.Settings) -> None:
+        """Go on by other settings, in which the numbers that are in use mean the same."""
+        self.settings, self.copies = settings, settings.limits.second_copies
+        self.tenants = {i: self.tenants.get(i, 0.0) for i in range(len(settings.tenants))}
+        self.evidence.retune(settings)
+
     def on_request(self, request: api.Request, now: float) -> None:
         spread = self.random.getrandbits(32) if request.key is None else crc32(request.key.encode())
         cls = self.settings.classes[request.cls]
@@ -173,12 +180,7 @@
             self.tenants[tenant] += unseen
         span, asked = SHARE_SPAN * self.part(), list(self.tenants.values())
         quotas = [tenant.quota * span for tenant in self.settings.tenants]
-        over = [max(0.0, n - (quota or n)) for n, quota in zip(asked, quotas, strict=True)]
-        within = total(asked) - total(over)
-        wanted = max(pressure.part * total(asked), total(over) if pressure.over_share else 0.0)
-        first = min(1.0, wanted / (total(over) or 1.0))  # of what exceeds a share
-        rest = max(0.0, wanted - total(over)) / (within or 1.0)  # and then of the others
-        parts = [(x * first + (n - x) * rest) / (n or 1.0) for x, n in zip(over, asked, strict=True)]
+        parts = quotas_.parts(asked, quotas, pressure.part, pressure.over_share)
         # While that lasts whoever returns soon is turned away again, at a cost to those who could be served.
         most = self.settings.limits.max_retry_after
         aim = max(cls.aim for cls in self.settings.classes)
@@ -208,7 +210,7 @@
         request, attempt = job.request, (job.request.id, job.sent)
         mark = self.evidence.sent(server, request.cls, request.work, attempt, now)
         job.sent, job.maybe = job.sent + 1, job.maybe + 1
-        if server.fails > 1:
+        if server.fails > 1 or server.faulty > FAULTY:
             server.retry_at = now + 1.0  # one trial at a time
         if self.evidence.is_cold(server, now):
             server.tokens -= 1
@@ -526,16 +528,11 @@
                 server = self.servers[entry.id] = Backend(entry, salt, entry.weight, entry.up_since)
                 touched[server] = None
             else:
-                if (entry.up_since or 0.0) > (server.entry.up_since or 0.0):  # restarted
-                    server.since, server.fails, server.retry_at, server.timed = entry.up_since, 0, 0.0, 0.0
-                # Live weights fall with what a server holds: its largest is nearest to its size.
-                live, old, weight = self.settings.live_weights, server.entry, server.weight
-                server.weight = max(weight, entry.weight) if live else entry.weight
-                if entry.state is not old.state or entry.zone != old.zone:
+                moved, resized = server.renew(entry, self.settings.live_weights)
+                if moved:
                     touched[server] = None
-                elif server.weight != weight or entry.kind != old.kind:
+                elif resized:
                     self.resized[server] = None
-                server.entry = entry
                 self.large.mark(server)
         if news.kind is not api.ListKind.CHANGES:
             listed = {entry.id: self.servers[entry.id] for entry in news.servers if entry.id in self.servers}
--- a/firvane/config/node.py
+++ b/firvane/config/node.py
@@ -29,5 +29,6 @@
     settings: api.Settings
     ops: Address | None = None  # where operators call; None: nowhere
     inherited: int | None = None  # the descriptor of a listening socket that the platform holds for clients
+    shape: frozenset[str] = frozenset()  # the settings' keys, all of which a later file must have
     log_level: str = "info"
     log_format: str = "logfmt"
--- a/firvane/config/platform.py
+++ b/firvane/config/platform.py
@@ -10,7 +10,7 @@
 from firvane.config.node import Config
 from firvane.limits.costs import derive
 from firvane.logs import FORMATS, LEVELS
-from firvane.settings import is_number, parse_settings
+from firvane.settings import is_number, parse_settings, shape
 
 LIMITS = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}  # where the configuration says nothing
 
@@ -87,6 +87,7 @@
         zones=names("dcs"),
         kinds=names("machine-types"),
         settings=settings,
+        shape=shape(raw),
         ops=address("ops", "NODE_OPS") if data.get("ops") or environment.get("NODE_OPS") else None,
         inherited=None if inherited is None else int(inherited),
         log_level=log["level"],
--- a/firvane/engine.py
+++ b/firvane/engine.py
@@ -229,6 +229,11 @@
         self._act(self.balancer.start(self.now()))
         self._drain()
 
+    def retune(self, settings: api.Settings) -> None:
+        """Go on by other settings, in which numbers that are in use mean the same as before."""
+        self.settings = settings
+        self.balancer.retune(settings)
+
     def skipped(self) -> int:
         """How many listed targets the decisions avoid now."""
         return skipped(self.balancer.servers.values(), self.now())
--- a/firvane/limits/gate.py
+++ b/firvane/limits/gate.py
@@ -30,6 +30,14 @@
         self.shut = False  # some part is turned away
         self.wished = self.overflowed = 0  # turned away by the parts; for want of a turn
 
+    def name(self, tenants: Sequence[bytes]) -> None:
+        """These from now on; who was there before has its number still."""
+        self.numbers = {name: i for i, name in enumerate(tenants)}
+        more = max(1, len(tenants)) - len(self.parts)
+        self.parts += [0.0] * more
+        self.owing += [0.0] * more
+        self.unseen += [0] * more
+
     def set(self, parts: Sequence[float], again: bool = False) -> None:
         """The module's word: a part for each tenant, or one for all; `again`: and all marked retries."""
         self.again = again
--- a/firvane/net/forward.py
+++ b/firvane/net/forward.py
@@ -229,6 +229,9 @@
         self.pools: dict[str, Pool] = {}
         self.dials = 0  # ever made, for the log
 
+    def retune(self, limits: Limits, rules: Rules) -> None:
+        self.limits, self.rules = limits, rules
+
     # The engine's side
 
     def forward(self, request: Message, target: str, exchange: Exchange[Message]) -> Run:
--- a/firvane/net/front.py
+++ b/firvane/net/front.py
@@ -18,6 +18,7 @@
 from firvane.net.guard import Guard
 from firvane.net.http import Fault, Message, refusals
 from firvane.net.listener import BUSY, IDLE, Listener
+from firvane.tally import Counts
 
 # The same where places run short, by the requests that a connection has brought: those
 # that ask once and stay would in the end keep out the clients that use theirs.
@@ -31,6 +32,11 @@
 GREEDY = 4.0  # times as often as others, and four times more, is far more than they ask
 
 
+def method(cls: api.RequestClass) -> bytes:
+    """That of its requests."""
+    return b"GET" if cls.repeat is api.Repeat.SAFE else b"POST"
+
+
 class Front:
     """What all client connections of the proxy share."""
 
@@ -43,12 +49,15 @@
     ) -> None:
         self.loop, self.engine, self.settings, self.guard = loop, engine, settings, guard
         engine.gate = self
-        self.classes = {cls.name.encode(): (i, cls) for i, cls in enumerate(settings.classes)}
-        self.counts = {name: engine.tally.of(cls.name) for name, (_, cls) in self.classes.items()}
-        self.tenants = {tenant.name.encode(): i for i, tenant in enumerate(settings.tenants)}
+        # Classes by the first part of a path; and, for a while, those that were there before, by their form.
+        self.classes: dict[bytes, tuple[int, api.RequestClass]] = {}
+        self.former: dict[tuple[bytes, bytes], tuple[int, api.RequestClass]] = {}
+        self.counts: dict[bytes, Counts] = {}
+        self.tenants: dict[bytes, int] = {}
         self.connections: dict[Listener, None] = {}  # in order: a set's would differ from run to run
         self.turns, self.account = guard.turns, guard.account
-        self.gate = Gate(tuple(self.tenants), guard.turns.full)
+        self.gate = Gate((), guard.turns.full)
+        self.retune(settings, tuple(range(len(settings.classes))))
         guard.counts = lambda: (self.gate.wished, self.gate.overflowed, self.gate.told())
         self.refusals = itertools.cycle(refusals(0.0, 0.0))
         self.door: Callable[[bool], None] = lambda opened: None  # opens or shuts the way for new connections
@@ -62,6 +71,19 @@
         self.closing = False  # nor for those that are here: each answer is a connection's last
         self.last = float("inf")  # no flow may still be open then
 
+    def retune(self, settings: api.Settings, current: Sequence[int]) -> None:
+        """Requests come by these settings from now on; clients may name the current classes."""
+        self.former = {(name, method(cls)): (number, cls) for name, (number, cls) in self.classes.items()}
+        self.settings = settings
+        self.classes = {settings.classes[i].name.encode(): (i, settings.classes[i]) for i in current}
+        self.counts = {name: self.engine.tally.of(cls.name) for name, (_, cls) in self.classes.items()}
+        self.tenants = {tenant.name.encode(): i for i, tenant in enumerate(settings.tenants)}
+        self.gate.name(tuple(self.tenants))
+
+    def forget(self) -> None:
+        """Nobody comes by the settings of before any more."""
+        self.former.clear()
+
     def accept(self, quiet: Quiet = always) -> Listener:
         return Listener(self, quiet)
 
@@ -73,11 +95,14 @@
                 path = httptools.parse_url(message.url).path or b"/"
             except httptools.HttpParserInvalidURLError:
                 raise Fault(400) from None
-        known = self.classes.get(path.split(b"/", 2)[1])
+        name = path.split(b"/", 2)[1]
+        known = self.classes.get(name)
+        if known is None or message.method != method(known[1]):
+            known = self.former.get((name, message.method), known)
         if known is None:
             raise Fault(404)
         number, cls = known
-        if message.method != (b"GET" if cls.repeat is api.Repeat.SAFE else b"POST"):
+        if message.method != method(cls):
             raise Fault(405)
         fields = message.fields
         if not SINGLE.isdisjoint(message.repeated) or (message.size and message.method == b"GET"):
--- a/firvane/net/guard.py
+++ b/firvane/net/guard.py
@@ -27,6 +27,11 @@
 STATM, PAGE = "/proc/self/statm", resource.getpagesize()
 
 
+def least_aim(settings: api.Settings) -> float:
+    """Of the classes that anything is worth still."""
+    return min((cls.aim for cls in settings.classes if cls.worth), default=settings.classes[0].aim)
+
+
 class Usage(NamedTuple):
     """What this process has used: CPU seconds since its start, and bytes that are its own now."""
 
@@ -70,7 +75,7 @@
         self.loop, self.usage, self.cores = loop, usage, cores
         self.bounds: Bounds = derive(memory_mb, sockets, cores)
         self.limit = memory_mb * MB
-        aim = min(cls.aim for cls in settings.classes)
+        aim = least_aim(settings)
         self.late = LATE * aim
         self.account = Account(self.bounds.memory)
         self.leases = Leases(self.bounds.bodies, MAX_BODY + MAX_HEAD)
@@ -88,6 +93,10 @@
         self._last = (0, 0, 0)  # taken, wished, overflowed, as of the last look
         self._told = api.Pressure(0.0, False, True)
 
+    def retune(self, settings: api.Settings) -> None:
+        aim = least_aim(settings)
+        self.late, self.turns.most_wait = LATE * aim, WAIT * aim
+
     def start(self) -> None:
         self.loop.call_at(self.loop.time() + PERIOD, self._look, self.loop.time() + PERIOD)
 
--- a/firvane/ops/calls.py
+++ b/firvane/ops/calls.py
@@ -59,5 +59,5 @@
 
 
 def lines(text: str) -> bytes:
-    """A longer answer, and the line that ends it."""
-    return yes() + text.encode() + b"\n.\n"
+    """A longer answer: it stands alone, and a line ends it."""
+    return text.encode() + b"\n.\n"
--- a/firvane/ops/figures.py
+++ b/firvane/ops/figures.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from firvane.tally import Counts
+from firvane.tally import ANSWERS, Counts
 
 
 @dataclass
@@ -42,7 +42,6 @@
                 "upstream_tries": self.tries(),
                 "loads": self.loads.taken,
                 "load_errors": self.loads.errors,
-                "state": self.state,
             },
             separators=(",", ":"),
         )
@@ -50,10 +49,11 @@
     def fields(self) -> dict[str, int | str]:
         """As the log's event `figures` has them."""
         told = [counts.told() for counts in self.handled.values()]
-        totals = {name: sum(counts[name] for counts in told) for name in Counts().told()}
+        totals = {name: sum(counts[name] for counts in told) for name in ANSWERS}
         return {
             "state": self.state,
             **totals,
+            "upstream_tries": self.tries(),
             "in_progress": self.in_progress,
             "known_backends": self.known_backends,
             "skipped_backends": self.skipped_backends,
--- a/firvane/proxy.py
+++ b/firvane/proxy.py
@@ -30,11 +30,13 @@
 from firvane.ops.desk import DESCRIPTORS, Desk
 from firvane.ops.figures import Figures, Loads
 from firvane.ops.states import Event, Life, State
+from firvane.retune import merged, retired, waits
 
 LAME = 0.7  # s after SIGTERM for which clients may still come; SIGKILL is the longest deadline away from then
 COUNTED, MARGIN = 3.0, 0.2  # s: the longest that a deadline counts there; kept for the last answers
 PATIENCE = 0.5  # s at the start for which discovery's own word is preferred to the list as last known
 SWEEP = 0.1  # s from one look for what has stood for too long to the next
+GRACE = 5.0  # s after SIGHUP in which requests may still come by the settings of before
 REPORT = 5.0  # s from one line of figures in the log to the next
 
 
@@ -77,6 +79,8 @@
         self.group = TargetGroup(
             loop, config.discovery, reader, self.forwards.listed, self._listed, self.log, pauses
         )
+        self.retuned_at = 0.0
+        self.classes = tuple(range(len(settings.classes)))  # the numbers of those that clients may name
         self.drained_at = 0.0  # when operators last asked for it
         self.unseen = 0, 0  # turned away unseen, and for want of a turn, up to the last line of figures
         self.tables = 0  # bytes charged for the list and what is kept of each target
@@ -209,10 +213,14 @@
         """
         try:
             config = read()
+            if short := sorted(self.config.shape - config.shape):
+                raise ValueError(f"settings: {short[0]} is missing, and was there before")
         except (ValueError, OSError) as error:
+            self.loads.errors += 1
             for line in str(error).splitlines():
                 self.log.error("config_useless", why=line)
             return
+        self.loads.taken += 1
         old, static = self.config, config.discovery is None
         if static is (old.discovery is None):
             if config.discovery:
@@ -221,11 +229,34 @@
                 self.group.learn(config.known)  # as a whole: a target that it no longer names is gone
         at = "{}:{}".format(*config.discovery) if config.discovery else None
         self.log.info("config_reread", discovery=at, targets=len(self.group.servers))
-        same = (config.settings, config.listen, config.peers) == (old.settings, old.listen, old.peers)
-        if not same or static is not (old.discovery is None):
-            self.log.warning(
-                "config_waits", text="settings, listen, peers or kind of list wait for the next start"
-            )
+        waiting = waits(old.settings, config.settings)
+        fixed = ("listen", "peers", "ops")
+        waiting += [name for name in fixed if getattr(config, name) != getattr(old, name)]
+        if static is not (old.discovery is None):
+            waiting.append("kind of list")
+        if waiting:
+            self.log.warning("config_waits", text="the next start is needed for " + ", ".join(waiting))
+        if config.settings != old.settings:
+            self._retune(config.settings)
+        self.config = replace(old, settings=config.settings, shape=config.shape, discovery=config.discovery)
+
+    def _retune(self, settings: api.Settings) -> None:
+        """Other settings, checked already, for all that comes from now on."""
+        engine = self.engine
+        engine_settings, self.classes = merged(engine.settings, self.classes, settings)
+        engine.retune(engine_settings)
+        self.front.retune(engine_settings, self.classes)
+        self.forwards.retune(settings.limits, settings.rules)
+        self.guard.retune(settings)
+        self.retuned_at = self.loop.time()
+        self.loop.call_at(self.retuned_at + GRACE, self._settle, self.retuned_at)
+        self.log.info("retuned", classes=",".join(cls.name for cls in settings.classes))
+
+    def _settle(self, since: float) -> None:
+        """Clients know of the settings of then: what there was before is over."""
+        if self.retuned_at == since:
+            self.front.forget()
+            self.engine.retune(retired(self.engine.settings, self.classes))
 
     def _sweep(self, due: float) -> None:
         self.guard.late_by(self.loop.time() - due)
@@ -264,7 +295,7 @@
         leaves time to finish before the platform kills.
         """
         front, told = self.front, self.loop.time()
-        longest = min(COUNTED, max(cls.deadline for cls in self.config.settings.classes))
+        longest = min(COUNTED, max(cls.deadline for cls in self.engine.settings.classes))
         successor = self.config.inherited is not None
         self._hear(Event.SUCCEEDED if successor else Event.TERMINATE)
         front.last = told + LAME + longest - MARGIN
--- a/firvane/rooms/evidence.py
+++ b/firvane/rooms/evidence.py
@@ -19,6 +19,8 @@
 6. One failure of a connection says nothing of the box; the next answer disproves all of them.
 7. A box whose table of connections is full takes from a proxy what that has connections for. Without one it
    is left to the proxies that have: each new connection that it turns away costs it a handshake.
+8. A box that says of most answers that it failed does so quickly, and its small count of attempts out would
+   draw ever more. It is left alone, and tried one attempt at a time until most trials go well.
 """
 
 from __future__ import annotations
@@ -49,6 +51,8 @@
 SLOW, LIGHT = 0.8, 0.2  # of the aim: an answer's time that is too long, for work of less than that
 CROWDING, CROWD = 0.05, 0.25  # how far one end moves the part that find no room; from which copies only crowd
 PLACE = 1.0  # s for which a box without a place for a first connection is left alone; doubled to eight times
+FAULT, FAULTY = 0.2, 0.5  # how far one answer moves the part that say they failed; left alone from which
+AFTER = 1.0  # s from a trial that failed to the next
 TRIAL = 0.2  # s of all trials of a large fleet at a box that is gone that each proxy is given
 THIN = 12  # proxies from which on none sees enough of a kind alone to tell its rate
 RARE = 0.03  # part lost below which a single attempt is enough to doubt its box
@@ -103,6 +107,13 @@
         self.crowded = 0.0  # part of attempts that find no room
         self.lossy = 0.0  # part of attempts that are never answered though their box answers others
 
+    def retune(self, settings: api.Settings) -> None:
+        """Other settings, in which a class that is known has its number still; what was learnt is kept."""
+        known = {cls.name: took for cls, took in zip(self.settings.classes, self.typical, strict=True)}
+        new = settings.classes[len(self.typical) :]
+        self.typical += [min(cls.aim, known.get(cls.name, cls.aim / 2)) for cls in new]
+        self.settings = settings
+
     # What is asked
 
     def power(self, server: Backend, now: float) -> float:
@@ -190,6 +201,8 @@
                 other.passed += 1
         if self.pooled and result in (api.Result.OK, api.Result.FULL):
             self.crowded += CROWDING * ((result is api.Result.FULL) - self.crowded)
+        if result is api.Result.OK or (result is api.Result.ERROR and not outcome.finished):
+            self._judged(server, result is api.Result.ERROR, now)
         if result is api.Result.OK:
             if not self.is_cold(server, now):
                 self._did(server.entry.kind, 1)
@@ -228,6 +241,14 @@
             guess = not server.cut_at and now < self.started + GUESS
             server.room += 0.5 if guess else 0.1 / server.room
 
+    def _judged(self, server: Backend, failed: bool, now: float) -> None:
+        """It has served, or said that it failed (a request that is at fault itself is no sign of that)."""
+        before, server.faulty = server.faulty, server.faulty + FAULT * (failed - server.faulty)
+        if failed and server.faulty > FAULTY:
+            server.retry_at = max(server.retry_at, now + AFTER * self.random.uniform(0.75, 1.25))
+        elif before > FAULTY:  # a trial has gone well: the next one may follow
+            server.retry_at = now + AFTER / 8
+
     def _unplaced(self, server: Backend, now: float) -> None:
         """Its connections have run out: ours are enough for what is out there, or there is none."""
         if server.own:
--- /dev/null
+++ b/firvane/rooms/quotas.py
@@ -0,0 +1,17 @@
+"""Which part of each tenant's requests to turn away: what exceeds a share first, then everyone's alike."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from firvane.state import total
+
+
+def parts(asked: Sequence[float], quotas: Sequence[float], part: float, over_share: bool) -> list[float]:
+    """By tenant; `asked` and `quotas` (0: any) are requests. `part` of all goes, or what is over a share."""
+    over = [max(0.0, n - (quota or n)) for n, quota in zip(asked, quotas, strict=True)]
+    within = total(asked) - total(over)
+    wanted = max(part * total(asked), total(over) if over_share else 0.0)
+    first = min(1.0, wanted / (total(over) or 1.0))  # of what exceeds a share
+    rest = max(0.0, wanted - total(over)) / (within or 1.0)  # and then of the others
+    return [(x * first + (n - x) * rest) / (n or 1.0) for x, n in zip(over, asked, strict=True)]
--- a/firvane/rooms/skipped.py
+++ b/firvane/rooms/skipped.py
@@ -7,7 +7,9 @@
 from firvane import interface as api
 from firvane.state import Backend
 
+MOMENT = 0.05  # s: a box that had no room just now is left alone for less
+
 
 def skipped(servers: Iterable[Backend], now: float) -> int:
     """How many get nothing: they are leaving, or have failed and wait for their next trial."""
-    return sum(s.entry.state is not api.ServerState.UP or s.retry_at > now for s in servers)
+    return sum(s.entry.state is not api.ServerState.UP or s.retry_at > now + MOMENT for s in servers)
--- a/firvane/settings.py
+++ b/firvane/settings.py
@@ -86,7 +86,22 @@
         return _Section(self.values.get(key) or {}, self._name(key))
 
 
+def shape(params: dict[str, Any]) -> frozenset[str]:
+    """The keys that are there, of classes and tenants those that each of them has."""
+    found = set(params)
+    for key in ("limits", "obligations"):
+        if isinstance(part := params.get(key), dict):
+            found.update(f"{key}.{name}" for name in part)
+    for key in ("classes", "tenants"):
+        items = params.get(key)
+        if isinstance(items, list) and items and all(isinstance(item, dict) for item in items):
+            found.update(f"{key}[].{name}" for name in set.intersection(*map(set, items)))
+    return frozenset(found)
+
+
 def _request_class(section: _Section) -> RequestClass:
+    if section.number("give-up-ns") <= 0:
+        raise ValueError(f"settings: {section.path}.give-up-ns is 0, not above it")
     return RequestClass(
         name=str(section.values.get("name", "")),
         aim=section.span("slo-ns"),
--- a/firvane/state.py
+++ b/firvane/state.py
@@ -63,6 +63,7 @@
     peers: int = 0  # and from the peers, by their rows
     slow: float = 1.0  # how its answers' times compare with those of their classes, as of `slow_at`
     slow_at: float = 0.0
+    faulty: float = 0.0  # part of its answers of late that said it failed
     fails: int = 0  # failures since its last answer
     downs: int = 0  # of those, connections that ended or were not made
     failing_since: float = 0.0  # when the first of them was
@@ -83,6 +84,19 @@
     out: list[Mark] = field(default_factory=list)  # the attempts that `own` counts, as sent
 
 
+    def renew(self, entry: api.Server, live: bool) -> tuple[bool, bool]:
+        """The list says this of it now; whether it has moved, and whether its part of the ring changes."""
+        old, weight = self.entry, self.weight
+        if (entry.up_since or 0.0) > (old.up_since or 0.0):  # restarted
+            self.since, self.fails, self.retry_at, self.timed = entry.up_since, 0, 0.0, 0.0
+            self.faulty = 0.0
+        # Live weights fall with what a server holds: its largest is nearest to its size.
+        self.weight = max(weight, entry.weight) if live else entry.weight
+        self.entry = entry
+        moved = entry.state is not old.state or entry.zone != old.zone
+        return moved, self.weight != weight or entry.kind != old.kind
+
+
 @dataclass(slots=True, eq=False)
 class Job:
     """An open request: its attempts, and what they commit it to."""
--- a/firvane/tally.py
+++ b/firvane/tally.py
@@ -9,6 +9,8 @@
 
 from __future__ import annotations
 
+ANSWERS = ("passed", "dropped", "bad_gateway")
+
 
 class Counts:
     """Of one class."""
@@ -22,7 +24,7 @@
         self.upstream_tries = 0  # attempts that were written whole
 
     def told(self) -> dict[str, int]:
-        return {name: getattr(self, name) for name in ("passed", "dropped", "bad_gateway", "upstream_tries")}
+        return {name: getattr(self, name) for name in ANSWERS}
 
 
 class Tally:
--- a/tests/rooms/test_evidence.py
+++ b/tests/rooms/test_evidence.py
@@ -13,6 +13,7 @@
 from firvane import interface as api
 from firvane.rooms import kinds
 from firvane.rooms.evidence import LATE, LIGHT, LONG, RARE, SHOWN, SLOW, Evidence
+from firvane.rooms.skipped import skipped
 from firvane.state import Backend, Job
 from tests.helpers import RULES, SAFE, server, settings, started
 from tests.net_helpers import seeded
@@ -52,6 +53,37 @@
         assert len(made.marks) == len(out) and box.room >= 1.0 and 0.0 <= made.lossy <= 1.0
 
 
+def answer(
+    made: Evidence, box: Backend, n: int, result: api.Result, now: float, finished: bool = False
+) -> None:
+    made.sent(box, 0, None, (n, 0), now)
+    made.ended(box, api.Request(n, 0, 1.0), api.Outcome(n, 0, "a", result, 0.01, finished), now)
+
+
+def test_a_box_that_mostly_fails_is_left_alone_and_tried_until_it_serves() -> None:
+    # Guards against a box that draws all requests since it says so quickly that it has failed.
+    made, box = evidence()
+    for n in range(3):
+        answer(made, box, n, api.Result.ERROR, 100.0 + n / 10)
+    assert box.retry_at <= 100.3  # some errors say nothing yet
+    for n in range(3, 8):
+        answer(made, box, n, api.Result.ERROR, 100.0 + n / 10)
+    assert box.retry_at > 101.0 and skipped([box], 100.8) == 1
+    now = 102.0
+    for n in range(8, 14):
+        answer(made, box, n, api.Result.OK, now)
+        now = max(now + 0.01, box.retry_at)
+    assert box.retry_at < now and box.faulty < 0.5 and not skipped([box], now)
+
+
+def test_requests_that_are_at_fault_themselves_keep_no_box_out() -> None:
+    # Guards against one hostile client that sends what every box turns down.
+    made, box = evidence()
+    for n in range(30):
+        answer(made, box, n, api.Result.ERROR, 100.0 + n / 10, finished=True)
+    assert not box.faulty and not skipped([box], 103.0)
+
+
 def test_only_what_is_late_and_overtaken_or_late_among_losses_is_lost() -> None:
     made, box = evidence()
     made.typical[0] = 0.1
