Pass on bodies and answers over 64 KiB through a window, with one attempt from then on

Ruled out: memory, descriptors. Change: Stream in net/http.py between Connection and Listener, spent and begun as the engine's events, up to 32 MB; a slow body that comes at a fair pace is waited for, a late first head too.

--- a/firvane/choice.py
+++ b/firvane/choice.py
@@ -91,6 +91,8 @@
             if isinstance(event, api.StreamStarted):  # it is the client's now: its other attempts are waste
                 job.out.pop(event.attempt, None)
             self.close(job)
+        elif isinstance(event, api.Spent) and (job := self.jobs.get(event.id)):
+            job.spent = True
         return self.actions
 
     def retune(self, settings: api.Settings) -> None:
@@ -115,7 +117,8 @@
         self.actions.append(api.SetTimer(span, job.request.id + 1, job.request.id))
 
     def place(self, job: Job, now: float) -> None:
-        over, limit = job.sent >= self.settings.limits.max_attempts, 1.0 if job.maybe else self.limit(job)
+        over = job.spent or job.sent >= self.settings.limits.max_attempts
+        limit = 1.0 if job.maybe else self.limit(job)
         if not over and (server := self.choose(job, now, limit)):
             self.send(job, server, now)
         elif over or now >= job.patience or (
@@ -140,7 +143,7 @@
         attempt, name = next(iter(job.out.items()))
         server, mark = self.servers.get(name), self.evidence.marks.get((job.request.id, attempt))
         wait, copies = DOUBT * job.cls.aim, self.copies and self.evidence.crowded < CROWD
-        if len(job.out) > 1 or not server or not mark:
+        if len(job.out) > 1 or job.spent or not server or not mark:
             return
         if mark.lost or self.evidence.is_lost(mark, now):
             if not mark.lost:
--- a/firvane/engine.py
+++ b/firvane/engine.py
@@ -36,10 +36,19 @@
 
 
 class Client(Protocol[A_contra]):
-    """Who asked; hears exactly one of these, once."""
+    """Who asked; hears exactly one of these, once (but for a long answer, which begins and ends)."""
 
     def served(self, answer: A_contra) -> None: ...
 
+    def begins(self, answer: A_contra) -> None:
+        """The answer has begun, and the rest comes on its own; one of the next two follows."""
+
+    def ends(self) -> None:
+        """It is whole."""
+
+    def cut(self) -> None:
+        """There will be no more of it."""
+
     def refused(self, retry_after: float) -> None: ...
 
     def failed(self) -> None: ...
@@ -63,6 +72,12 @@
     def written(self) -> None:
         """The last byte of the request is with the kernel."""
 
+    def spent(self) -> None:
+        """Part of the request is gone from here: it cannot be sent again."""
+
+    def begun(self, answer: A_contra) -> None:
+        """A long answer has begun to come; the exchange ends when all of it has."""
+
     def ended(self, ending: Ending, answer: A_contra | None = None) -> None: ...
 
 
@@ -99,16 +114,19 @@
     """A request on its way through: what it asks, who asked, by when, and its forwards."""
 
     __slots__ = (
+        "begun",
         "client",
         "counts",
         "deadline",
         "forwards",
         "id",
+        "left",
         "live",
         "log",
         "name",
         "open",
         "request",
+        "spent",
         "timer",
         "timers",
     )
@@ -119,6 +137,9 @@
         self.id = -1
         self.open = True  # its final answer is owed
         self.counts = Counts()  # of its class, once it is taken
+        self.begun: Forward[Q, A] | None = None  # whose long answer the client is being given
+        self.spent = False  # its body is not all here any more
+        self.left = 0.0  # s that it has from its last byte on, where that is yet to come
         self.forwards: list[Forward[Q, A] | None] = []
         self.live = 0
         self.timer: TimerHandle | None = None
@@ -129,7 +150,18 @@
 class Forward(Generic[Q, A]):
     """One attempt of a flow."""
 
-    __slots__ = ("deadline", "engine", "flow", "handle", "number", "over", "since", "target", "timer")
+    __slots__ = (
+        "deadline",
+        "engine",
+        "flow",
+        "handle",
+        "number",
+        "over",
+        "since",
+        "target",
+        "timer",
+        "took",
+    )
 
     def __init__(
         self, engine: Engine[Q, A], flow: Flow[Q, A], target: str, since: float, deadline: float
@@ -139,9 +171,16 @@
         self.handle: Handle | None = None
         self.timer: TimerHandle | None = None
         self.over = False
+        self.took = 0.0  # s until a long answer began
 
     def written(self) -> None:
-        self.flow.counts.upstream_tries += 1
+        self.engine.forward_written(self)
+
+    def spent(self) -> None:
+        self.engine.spend(self.flow)
+
+    def begun(self, answer: A) -> None:
+        self.engine.forward_begun(self, answer)
 
     def ended(self, ending: Ending, answer: A | None = None) -> None:
         self.engine.forward_ended(self, ending, answer)
@@ -164,6 +203,11 @@
 
     def written(self) -> None: ...
 
+    def spent(self) -> None: ...
+
+    def begun(self, answer: A) -> None:
+        self.expire()  # no answer to a probe is that long
+
     def ended(self, ending: Ending, answer: A | None = None) -> None:
         self.engine.probe_ended(self, ending)
 
@@ -264,6 +308,8 @@
         if flow.open:
             self.endings["client left"] += 1
             self._close(flow)
+            if flow.begun:
+                flow.begun.stop(Ending.CANCELLED)
             self.give(api.ClientGone(flow.id))
             self._forget(flow)
 
@@ -315,6 +361,7 @@
         flow.forwards.append(forward)
         flow.live += 1
         allowed = flow.open and forward.number < limits.max_attempts and action.server in self.known
+        allowed = allowed and not flow.spent and not flow.begun
         if not allowed or (flow.live > 1 and not limits.second_copies):
             forward.ended(Ending.NOT_ALLOWED)
             return
@@ -326,7 +373,7 @@
 
     def _refuse(self, action: api.Refuse) -> None:
         flow = self.flows.get(action.id)
-        if flow and flow.open:
+        if flow and flow.open and not flow.begun:
             self.endings["refused"] += 1
             flow.counts.dropped += 1
             self._close(flow)
@@ -335,7 +382,7 @@
 
     def _fail(self, action: api.Fail) -> None:
         flow = self.flows.get(action.id)
-        if flow and flow.open:
+        if flow and flow.open and not flow.begun:
             self.endings["failed"] += 1
             flow.counts.bad_gateway += 1
             self._close(flow)
@@ -365,6 +412,39 @@
         self.clock.call_at(probing.deadline, probing.expire)
         probing.handle = self.targets.probe(action.server, probing)
 
+    # Long messages
+
+    def spend(self, flow: Flow[Q, A]) -> None:
+        """Part of its body is on its way: no other attempt can be made."""
+        if not flow.spent:
+            flow.spent = True
+            self.give(api.Spent(flow.id))
+
+    def forward_written(self, forward: Forward[Q, A]) -> None:
+        flow, now = forward.flow, self.clock.time()
+        flow.counts.upstream_tries += 1
+        if flow.left and flow.open and not flow.begun:
+            # A long request has its time from its last byte on, and so has the target.
+            forward.since, flow.deadline = now, now + flow.left
+            flow.left = 0.0
+            if flow.timer:
+                flow.timer.cancel()
+            flow.timer = self.clock.call_at(flow.deadline, self._deadline, flow)
+
+    def forward_begun(self, forward: Forward[Q, A], answer: A) -> None:
+        """From here on the answer is the client's, and it is the lack of progress that ends it."""
+        flow = forward.flow
+        if forward.over or not flow.open or flow.begun:
+            forward.stop(Ending.CANCELLED)
+            return
+        flow.begun, forward.took = forward, self.clock.time() - forward.since
+        for timer in (flow.timer, forward.timer):
+            if timer:
+                timer.cancel()
+        self.endings["begun"] += 1
+        flow.client.begins(answer)
+        self.give(api.StreamStarted(flow.id, forward.number, forward.target, forward.took))
+
     # Ends
 
     def forward_ended(self, forward: Forward[Q, A], ending: Ending, answer: A | None) -> None:
@@ -378,7 +458,16 @@
         flow.forwards[forward.number] = None
         flow.live -= 1
         self.endings[ending.value] += 1
-        if ending is Ending.SERVED and flow.open and answer is not None:
+        if flow.begun is forward and flow.open:
+            self._close(flow)
+            if ending is Ending.SERVED:
+                flow.counts.passed += 1
+                flow.client.ends()
+            else:
+                flow.counts.bad_gateway += 1
+                self.endings["cut"] += 1
+                flow.client.cut()
+        elif ending is Ending.SERVED and flow.open and answer is not None:
             flow.counts.passed += 1
             self._close(flow)
             flow.client.served(answer)
@@ -386,7 +475,7 @@
             flow.counts.bad_gateway += 1
             self._close(flow)  # another target would say the same
             flow.client.at_fault()
-        took = self.clock.time() - forward.since
+        took = forward.took or self.clock.time() - forward.since
         if self.tracing:
             flow.log.debug(
                 "attempt_ended",
--- a/firvane/interface.py
+++ b/firvane/interface.py
@@ -212,6 +212,13 @@
     took: float
 
 
+@dataclass(slots=True)
+class Spent:
+    """Part of a request's body has gone on and is held no more: it cannot be sent again."""
+
+    id: int
+
+
 @dataclass(slots=True)
 class ClientGone:
     """The client has left; nothing is owed any more."""
@@ -259,6 +266,7 @@
     | Request
     | Outcome
     | StreamStarted
+    | Spent
     | ClientGone
     | TimerFired
     | PeerMessage
--- a/firvane/limits/costs.py
+++ b/firvane/limits/costs.py
@@ -15,6 +15,7 @@
 IDLE_CLIENT = 2_800  # a client connection: transport, parser, listener
 IDLE_TARGET = 2_200  # a connection to a target, parked
 FLOW = 7_000  # an open flow: its request, its forward, timers, the decisions' job
+WINDOW = 48 * 1024  # a long message on its way: what one read has brought, and its copy in the transport
 BOX = 10_000  # a box: its entry, its pool, the decisions' record, its points on the ring
 
 PROGRAM = 17 * MB  # the program with nothing to do: its own pages, and what it alone holds of files
--- a/firvane/net/forward.py
+++ b/firvane/net/forward.py
@@ -12,13 +12,25 @@
 from firvane.engine import Exchange
 from firvane.interface import Limits, Rules
 from firvane.limits.account import SMALL, Held
-from firvane.limits.costs import IDLE_TARGET
+from firvane.limits.costs import IDLE_TARGET, WINDOW
 from firvane.limits.descriptors import Use
 from firvane.net.dial import Dialer, Dialing, Quiet
 from firvane.net.guard import Guard
-from firvane.net.http import Buffered, Fault, Message, Reader, request_head
+from firvane.net.http import (
+    LAST_CHUNK,
+    Buffered,
+    Fault,
+    Message,
+    Piece,
+    Reader,
+    Stream,
+    framed,
+    request_head,
+)
 
 IDLE_PART = 0.5  # of the idle time in the settings: a target may close sooner than that, never later
+STALL = 10.0  # s without a byte of a long answer from a target that is not held
+UNSURE = 0.2  # s after its head for which an answer of unknown length is held whole
 MAX_INTERIM = 8  # 1xx answers in front of the real one
 SETTLE = 0.02  # s after an answer in which more of it, or the connection's end, may still be on its way
 
@@ -83,6 +95,12 @@
         self.written = True  # the last byte of the request has gone to the kernel
         self.kept = 0  # bytes charged for an answer that is half here
         self.paused = False  # it has grown large, and waits for a lease
+        self.headed = 0.0  # when the answer's head was here
+        self.stream: Stream | None = None  # a long answer, on its way to its client
+        self.held = False  # which takes no more of it now
+        self.moved = 0.0  # when some of it last came
+        self.pouring: Stream | None = None  # a long request, on its way from its client
+        self.chunked = False  # in chunks
         self.transport: asyncio.Transport
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -95,9 +113,19 @@
     def send(self, run: Run) -> None:
         now = self.forwards.loop.time()
         left = max(1, int((run.exchange.deadline - now) * 1000))
+        if run.request.stream:  # its time is counted from its last byte
+            left = min(left, int(run.request.fields.get(b"x-budget-ms", b"1")))
         self.run, run.connection, self.written, self.interim = run, self, False, 0
         host = b"%s:%d" % (self.pool.address[0].encode(), self.pool.address[1]) if self.pool.address else b""
         self.transport.writelines([*request_head(run.request, left, host), *run.request.body])
+        if run.request.stream:
+            run.exchange.spent()
+            self.pouring, self.chunked = run.request.stream, run.request.length() is None
+            self.pouring.pour(self)
+            return
+        self._is_written(run)
+
+    def _is_written(self, run: Run) -> None:
         if not self.transport.is_closing() and not self.transport.get_write_buffer_size():
             self.written = True
             run.exchange.written()
@@ -109,8 +137,30 @@
         """
         return not self.transport.is_closing() and self.quiet()
 
+    def more(self, pieces: list[Piece]) -> None:
+        """More of a long request; once the answer is here nobody wants it any more."""
+        if self.pouring and not self.transport.is_closing():
+            self.transport.writelines(framed(pieces, self.chunked))
+            if self.transport.get_write_buffer_size():
+                self.pouring.choke(True)
+
+    def last(self) -> None:
+        if self.pouring and self.run and not self.transport.is_closing():
+            self.pouring = None
+            if self.chunked:
+                self.transport.write(LAST_CHUNK)
+            self._is_written(self.run)
+
+    def hold(self, held: bool) -> None:
+        """The client takes no more of a long answer, or more again."""
+        if held is not self.held and not self.transport.is_closing():
+            self.held, self.moved = held, self.forwards.loop.time()
+            (self.transport.pause_reading if held else self.transport.resume_reading)()
+
     def resume_writing(self) -> None:
-        if not self.written:
+        if self.pouring:
+            self.pouring.choke(False)
+        elif not self.written:
             self.written = True
             if self.run:
                 self.run.exchange.written()
@@ -126,6 +176,8 @@
                 at = self.reader.step(data, at)
             except Fault:
                 self.spoilt = True  # an answer that was whole before it is still one
+            if self._begin() and not self.run:
+                return  # nobody wants it
             if self.reader.done:
                 message = self.reader.done.pop(0)
                 if message.status >= 200:  # an interim answer is followed by the real one
@@ -136,9 +188,45 @@
                 self.spoilt = message.status == 101 or self.interim > MAX_INTERIM
         if self.spoilt:
             self._end(Ending.BAD_ANSWER)
-        else:
+        elif self.stream is None:
             self._settle()
 
+    def _begin(self) -> bool:
+        """Pass on what is here of an answer that is too long to be held, or may be; whether it is one."""
+        message, now = self.reader.message, self.forwards.loop.time()
+        if self.stream is None:
+            if message is None or self.reader.in_head or message.status < 200:
+                return False
+            self.headed = self.headed or now
+            unsure = message.size > SMALL and message.length() is None and now > self.headed + UNSURE
+            if not message.long and not unsure:
+                return False
+            if message.status != 200 or self.run is None:
+                self._end(self._meaning(message))
+                return True
+            message.long = True
+            message.stream = self.stream = Stream(self)
+            self._release()
+            self.forwards.streams[self] = None
+            self.forwards.guard.account.charge(Held.ANSWERS, WINDOW)
+            self.run.exchange.begun(message)
+        self.moved = now
+        if message and self.stream:
+            self.stream.feed(message.taken())
+        return True
+
+    def _cease(self) -> None:
+        """No long answer is on its way any more."""
+        self.headed, self.held = 0.0, False
+        if self.stream:
+            self.stream = None
+            del self.forwards.streams[self]
+            self.forwards.guard.account.charge(Held.ANSWERS, -WINDOW)
+
+    def stalled(self, now: float) -> None:
+        if not self.held and now > self.moved + STALL:
+            self._end(Ending.OVERDUE)
+
     def _settle(self) -> None:
         """Charge what is half here; an answer that grows large is read on only with a lease."""
         guard, message = self.forwards.guard, self.reader.message
@@ -166,17 +254,15 @@
 
     def _answered(self, message: Message, followed: bool) -> None:
         self._release()
-        ending = Ending.SERVER_ERROR
-        if message.status == 200:
-            ending = Ending.SERVED
-        elif message.status in (400, 404):
-            ending = Ending.AT_FAULT
-        elif message.status in (503, 504) and message.fields.get(b"x-rejected") == b"1":
-            # What is said on a connection that was never used, and ends it, is said of the connection.
-            new = not message.keep and not self.idle_since
-            ending = Ending.NO_PLACE if new else Ending.TURNED_AWAY
+        ending = self._meaning(message)
+        if self.stream:
+            self.stream.feed(message.taken())
+            self.stream.end()
         more = followed or self.spoilt or self.reader.done or self.reader.message or not self.written
-        if message.keep and message.framed and not more:
+        self.pouring = None
+        if message.keep and message.framed and not more and not self.transport.is_closing():
+            self.hold(False)
+            self._cease()
             run, self.run = self.run, None
             self.forwards.park(self)
             if run:
@@ -184,8 +270,21 @@
         else:
             self._end(ending, message)
 
+    def _meaning(self, message: Message) -> Ending:
+        """What an answer means by its head."""
+        if message.status == 200:
+            return Ending.SERVED
+        if message.status in (400, 404):
+            return Ending.AT_FAULT
+        if message.status in (503, 504) and message.fields.get(b"x-rejected") == b"1":
+            # What is said on a connection that was never used, and ends it, is said of the connection.
+            new = not message.keep and not self.idle_since
+            return Ending.NO_PLACE if new else Ending.TURNED_AWAY
+        return Ending.SERVER_ERROR
+
     def _end(self, ending: Ending, message: Message | None = None) -> None:
         run, self.run = self.run, None
+        self.pouring = None
         self.close()
         if run:
             run.end(ending, message)
@@ -195,6 +294,8 @@
         if self.run and message and message.status == 200 and not self.reader.in_head and not message.framed:
             # A body that lasts until the connection ends; unless the head says so, it may be cut short.
             told = message.fields.get(b"connection", b"").lower() == b"close"
+            if told and self.stream:
+                self.stream.end()
             self._end(Ending.SERVED if told else Ending.BROKE_SENT, message)
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -203,6 +304,8 @@
         guard.account.charge(Held.TARGETS, -IDLE_TARGET)
         self.reader.drop()
         self._release()
+        self._cease()
+        self.pouring = None
         if self in self.pool.idle:
             self.pool.idle.remove(self)
         run, self.run = self.run, None
@@ -227,6 +330,7 @@
         self.loop, self.limits, self.rules, self.guard = loop, limits, rules, guard
         self.dialer = dialer
         self.pools: dict[str, Pool] = {}
+        self.streams: dict[Connection, None] = {}  # those with a long answer on its way
         self.dials = 0  # ever made, for the log
 
     def retune(self, limits: Limits, rules: Rules) -> None:
@@ -338,3 +442,5 @@
         before = self.loop.time() - IDLE_PART * self.limits.connection_idle
         for pool in self.pools.values():
             pool.close_idle(before)
+        for connection in list(self.streams):
+            connection.stalled(self.loop.time())
--- a/firvane/net/http.py
+++ b/firvane/net/http.py
@@ -4,16 +4,19 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
+from typing import Protocol
 
 import httptools
 
 Piece = bytes | bytearray
 Parser = httptools.HttpRequestParser | httptools.HttpResponseParser
 MAX_BODY = 64 * 1024
+MOST = 32 * 1024 * 1024  # of a body that is passed on as it comes: longer than MAX_BODY, or of unknown length
 MAX_HEAD = 16 * 1024
 MAX_FIELDS = 128  # a field of two bytes costs a hundred times as many once it is read
 CHUNK_COST = 6  # bytes of framing that a byte of a body may bring: a chunk of one has five
 CHUNKS = 1024  # bytes of a body in chunks that are read in one step
+MORE_CHUNKS = 8 * CHUNKS  # the same where it is passed on
 SMALL = 1024  # body pieces below are gathered: each on its own would cost more than it holds
 END_OF_HEAD = b"\r\n\r\n"
 # What holds for one connection only, and the framing, which each side writes anew.
@@ -53,11 +56,14 @@
         "framed",
         "headers",
         "keep",
+        "long",
         "method",
         "repeated",
         "size",
         "status",
+        "stream",
         "url",
+        "version",
     )
 
     def __init__(self) -> None:
@@ -72,6 +78,19 @@
         self.framed = False
         self.keep = False
         self.complete = False
+        self.version = b"1.1"
+        self.long = False  # it is more than is held: whoever reads it passes it on
+        self.stream: Stream | None = None  # where the rest of it comes from
+
+    def length(self) -> int | None:
+        """Bytes of its body, where they are announced."""
+        given = self.fields.get(b"content-length")
+        return int(given) if given and given.strip().isdigit() else None
+
+    def taken(self) -> list[Piece]:
+        """What of its body is here, which is from now on the caller's."""
+        pieces, self.body = self.body, []
+        return pieces
 
     def passed_on(self, without: frozenset[bytes] = frozenset()) -> Iterable[bytes]:
         """The pieces of the header fields that go beyond this connection."""
@@ -84,6 +103,74 @@
                 yield from (name, b": ", value, b"\r\n")
 
 
+class Producer(Protocol):
+    """Where a body comes from."""
+
+    def hold(self, held: bool) -> None:
+        """Read no more of it for the time being, or go on."""
+
+
+class Consumer(Protocol):
+    """Where it goes."""
+
+    def more(self, pieces: list[Piece]) -> None: ...
+
+    def last(self) -> None:
+        """That was all of it."""
+
+
+class Stream:
+    """A body on its way from one connection to another, through a window that is as long as one read.
+
+    Until there is a consumer what has come is held, and no more is read; from then on it is the consumer that
+    holds the producer whenever its own kernel takes no more.
+    """
+
+    def __init__(self, producer: Producer) -> None:
+        self.producer = producer
+        self.consumer: Consumer | None = None
+        self.pieces: list[Piece] = []
+        self.over = False
+
+    def feed(self, pieces: list[Piece]) -> None:
+        if not pieces:
+            return
+        if self.consumer:
+            self.consumer.more(pieces)
+        else:
+            self.pieces += pieces
+            self.producer.hold(True)
+
+    def end(self) -> None:
+        self.over = True
+        if self.consumer:
+            self.consumer.last()
+
+    def pour(self, consumer: Consumer) -> None:
+        """All that is here, and all that comes, goes to this consumer."""
+        pieces, self.pieces = self.pieces, []
+        self.consumer = consumer
+        if pieces:
+            consumer.more(pieces)
+        if self.over:
+            consumer.last()
+        else:
+            self.producer.hold(False)
+
+    def choke(self, choked: bool) -> None:
+        """The consumer takes no more, or more again."""
+        if not self.over:
+            self.producer.hold(choked)
+
+
+def framed(pieces: list[Piece], chunked: bool) -> list[Piece]:
+    """Pieces of a body as they go out."""
+    if not chunked:
+        return pieces
+    return [b"%x\r\n" % sum(map(len, pieces)), *pieces, b"\r\n"]
+
+
+LAST_CHUNK = b"0\r\n\r\n"
 READ = 16 * 1024  # bytes taken from a connection at once; what nobody has looked at yet waits in the kernel
 BUFFER = memoryview(bytearray(READ))  # read into by all connections in turn, and emptied at once
 
@@ -124,7 +211,7 @@
         if message and not self.in_head and b"content-length" in message.fields:
             end = min(end, start + max(1, int(message.fields[b"content-length"]) - message.size))
         elif self.in_chunks():
-            end = min(end, start + CHUNKS)
+            end = min(end, start + (MORE_CHUNKS if message and message.long else CHUNKS))
         elif (found := data.find(END_OF_HEAD, start)) >= 0:
             end = found + len(END_OF_HEAD)
         self.raw += end - start
@@ -193,11 +280,14 @@
         message.framed = b"content-length" in message.fields or b"transfer-encoding" in message.fields
         length = message.fields.get(b"content-length", b"0").strip()
         if length.isdigit() and int(length) > MAX_BODY:
-            raise Fault(413)
+            if len(length) > 12 or int(length) > MOST:
+                raise Fault(413)
+            message.long = True
         if isinstance(self._parser, httptools.HttpResponseParser):
             message.status = self._parser.get_status_code()
         else:
             message.method = self._parser.get_method()
+            message.version = self._parser.get_http_version().encode()
 
     def on_body(self, body: bytes) -> None:
         message = self.message
@@ -205,7 +295,9 @@
             return
         message.size += len(body)
         if message.size > MAX_BODY:
-            raise Fault(413)
+            if message.size > MOST:
+                raise Fault(413)
+            message.long = True
         last = message.body[-1] if message.body else None
         if isinstance(last, bytearray) and len(last) < SMALL:
             last += body
@@ -238,6 +330,23 @@
 TENANT, AGAIN = b"\nx-caller:", b"\nx-again: 1\r"
 
 
+def framing(length: int | None) -> bytes:
+    """The field that says how a body that is passed on ends."""
+    return b"Transfer-Encoding: chunked\r\n" if length is None else b"Content-Length: %d\r\n" % length
+
+
+def answer_head(message: Message, chunked: bool, close: bool) -> list[Piece]:
+    """The head of an answer whose body follows as it comes; neither framed nor chunked, it ends with all."""
+    pieces: list[Piece] = [STATUS_LINES[200], *message.passed_on()]
+    length = message.length()
+    if chunked or length is not None:
+        pieces.append(framing(length))
+    if close:
+        pieces.append(CLOSE)
+    pieces.append(b"\r\n")
+    return pieces
+
+
 def request_head(request: Message, budget_ms: int, host: bytes) -> list[bytes]:
     """The head of a forward: all that is the client's own passes, the time left is written anew."""
     pieces = [request.method, b" ", request.url, b" HTTP/1.1\r\n"]
@@ -245,7 +354,9 @@
         pieces += (b"Host: ", host, b"\r\n")
     pieces += request.passed_on(frozenset((b"x-budget-ms",)))
     pieces.append(b"X-Budget-Ms: %d\r\n" % budget_ms)
-    if request.framed:
+    if request.stream:
+        pieces.append(framing(request.length()))
+    elif request.framed:
         pieces.append(b"Content-Length: %d\r\n" % request.size)
     pieces.append(b"\r\n")
     return pieces
--- a/firvane/net/listener.py
+++ b/firvane/net/listener.py
@@ -9,20 +9,24 @@
 
 from firvane.engine import Flow
 from firvane.limits.account import SMALL, Held
-from firvane.limits.costs import FLOW, IDLE_CLIENT
+from firvane.limits.costs import FLOW, IDLE_CLIENT, WINDOW
 from firvane.limits.descriptors import Use
 from firvane.limits.overload import Measure
 from firvane.limits.turns import CHUNKED, DECIDE, READ_ONE
 from firvane.net.dial import Quiet, always
 from firvane.net.http import (
+    LAST_CHUNK,
     Buffered,
     Fault,
     Message,
     Piece,
     Reader,
+    Stream,
     answer,
+    answer_head,
     bare_class,
     bare_tenant,
+    framed,
     is_again,
 )
 from firvane.tally import Counts
@@ -33,6 +37,11 @@
 READY_PATH = b"/up"
 IDLE = 60.0  # s between requests
 SLOW, LINGER = 2.4, 2.0  # s for a whole request, the first from connecting on; to read the last answer
+FIRST = 2.85  # s from connecting on for the head of the first request, however late it began
+PACE, PROGRESS = 24_000.0, 0.4  # bytes a second that a body comes with at the least; s from look to look
+STALL = 10.0  # s without a byte of a long request
+STALLED = 30.0  # s in which a client takes nothing of a long answer
+UPLOAD = 45.0  # s for which a long request may go on coming, beside the time that its answer has
 BUSY = 5  # the claim of a connection that is in use
 YOUNG = 0.2  # s after connecting in which the first request may well be on its way
 
@@ -65,6 +74,11 @@
         self.queued = False  # waits for its turn
         self.behind = False  # what is here was sent behind a request that has been taken up
         self.second, self.recent = 0, 0  # the last second in which it asked, and how often
+        self.head_at = 0.0  # when the head of what is being read was here
+        self.upload: Stream | None = None  # the rest of the flow's request, which is still coming
+        self.held = False  # its target takes no more of it now
+        self.pouring: Stream | None = None  # the rest of the flow's answer
+        self.chunked = self.closes = False  # in chunks; and the connection ends with it
         self.busy = False  # at work in this very call
         self.asked = 0  # requests of its that have been taken on
         self.counts: Counts | None = None  # of the class of what is to be refused unseen
@@ -96,6 +110,7 @@
             front.crowded = front.crowded and front.guard.descriptors.free(Use.CLIENTS) < 0
             front.account.charge(Held.CLIENTS, -IDLE_CLIENT)
         self.ending = True
+        self.upload = self.pouring = None
         self.rest, self.at = b"", 0
         self.reader.drop()
         self._settle()
@@ -129,8 +144,22 @@
             self.front.account.charge(Held.FLOWS, -self.charged)
         return flow
 
+    def _pace(self, now: float) -> bool:
+        """Whether a body is on its way, and quickly enough to be waited for."""
+        message = self.reader.message
+        if message is None or self.reader.in_head:
+            return False
+        return message.size > PACE * (now - self.head_at)
+
     def expire(self) -> None:
-        if self.ending or self.choked:
+        now = self.front.loop.time()
+        if self.upload and not self.held:
+            self.fault = Fault(408)  # no byte of it for long
+            self._give_up()
+            self.go_on()
+        elif self.started and not self.flow and self._pace(now):
+            self.expires = now + PROGRESS
+        elif self.ending or self.choked:
             self.transport.abort()
         elif self.flow or self.queued:
             self.expires = self.front.loop.time() + SLOW
@@ -152,6 +181,10 @@
     def resume_writing(self) -> None:
         self.choked = False
         self._read_out()
+        if self.pouring:
+            self.expires = self.front.loop.time() + STALLED
+            self.pouring.choke(False)
+            return
         if not self.ending:
             self.since = self.front.loop.time()
             self.expires = self.since + 2 * IDLE
@@ -211,7 +244,7 @@
         self.busy = False
         self._settle()
         # Nothing is read that has no place to go; what comes behind the last answer goes nowhere.
-        pause = (bool(self.rest) or self.unleased) and not self.ending
+        pause = (bool(self.rest) or self.unleased or self.held) and not self.ending
         if pause is not self.paused and not self.transport.is_closing():
             self.paused = pause
             (self.transport.pause_reading if pause else self.transport.resume_reading)()
@@ -219,7 +252,7 @@
     def _settle(self) -> None:
         """Bring the account up to what is here."""
         kept = len(self.rest) - self.at
-        if message := self.reader.message:
+        if (message := self.reader.message) and not self.upload:
             kept += self.reader.raw
             leases = self.front.guard.leases
             self.unleased = message.size > SMALL and not leases.ask(self, self._leased)
@@ -236,6 +269,8 @@
         return DECIDE if self.reader.done else CHUNKED if self.reader.in_chunks() else READ_ONE
 
     def _has_work(self) -> bool:
+        if self.upload and not self.ending:
+            return bool(self.rest) and not self.held
         if self.flow or self.ending or self.choked:
             return False
         return bool(self.rest or self.reader.done or self.fault)
@@ -254,17 +289,63 @@
             self.at = self.reader.step(self.rest, self.at)
         except Fault as fault:
             self.fault, self.at = fault, len(self.rest)
+            if self.upload:
+                self._give_up()
         if self.at >= len(self.rest):
             self.rest, self.at = b"", 0
+        if self.upload:
+            self._upload(self.upload)
+            return
         message = self.reader.message
-        started = message is not None
-        if started and not self.started and self.asked:
-            self.expires = self.front.loop.time() + SLOW
+        started, now = message is not None, self.front.loop.time()
+        if started and not self.started:
+            self.head_at = 0.0
+            first = max(self.expires, min(now + SLOW, self.since + FIRST))
+            self.expires = now + SLOW if self.asked else first
         self.started = started
-        if message and not self.reader.in_head and b"expect" in message.fields and not message.continued:
-            message.continued = True
-            if not message.body:
-                self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        if message and not self.reader.in_head:
+            self.head_at = self.head_at or now
+            if b"expect" in message.fields and not message.continued:
+                message.continued = True
+                if not message.body:
+                    self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            if message.long and not self.fault:
+                self._take_long(message)
+
+    # Long requests
+
+    def _take_long(self, message: Message) -> None:
+        """Take up a request before all of it is here: the rest goes on as it comes."""
+        self.front.guard.leases.give_back(self)
+        self.unleased = False
+        self.upload = message.stream = Stream(self)
+        self.expires = self.front.loop.time() + STALL
+        self._take(message)
+
+    def _upload(self, upload: Stream) -> None:
+        """Pass on what has been read of it."""
+        message = self.reader.message or (self.reader.done.pop(0) if self.reader.done else None)
+        if message is None:
+            return
+        self.expires = self.front.loop.time() + STALL
+        upload.feed(message.taken())
+        if message.complete:
+            self.upload, self.held, self.started, self.keep = None, False, False, message.keep
+            upload.end()
+
+    def _give_up(self) -> None:
+        """The rest will not come, or makes no sense."""
+        flow = self._taken_off()
+        self.upload, self.held = None, False
+        if flow:
+            self.front.engine.leave(flow)
+
+    def hold(self, held: bool) -> None:
+        """The target takes no more of a long request, or more again."""
+        if held is not self.held:
+            self.held = held
+            self.expires = self.front.loop.time() + STALL
+            self.go_on()
 
     def _take(self, message: Message) -> None:
         """Take up a request that is here."""
@@ -282,9 +363,14 @@
             self.front.engine.tally.of(self.front.settings.classes[request.cls].name).dropped += 1
             self._reply(503)
             return
-        deadline = min(self.front.loop.time() + left, self.front.last)
+        if message.long and message.method == b"GET":
+            self._turn_down(Fault(400))
+            return
+        more = UPLOAD if self.upload else 0.0
+        deadline = min(self.front.loop.time() + left + more, self.front.last)
         self.flow = Flow(message, self, deadline, message.fields[b"x-call-id"])
-        self.charged = FLOW + message.size
+        self.flow.left = left if self.upload else 0.0
+        self.charged = FLOW + (WINDOW if self.upload else message.size)
         self.front.account.charge(Held.FLOWS, self.charged)
         self.asked += 1
         self.behind = bool(self.rest)
@@ -306,6 +392,43 @@
 
     # Answers
 
+    def begins(self, answer: Message) -> None:
+        """A long answer: its head now, the rest as it comes and as the client takes it."""
+        flow, stream = self.flow, answer.stream
+        if flow is None or stream is None:
+            return
+        front, length = self.front, answer.length()
+        self.chunked = length is None and flow.request.version == b"1.1"
+        # A request that is still coming is no longer read, and what is not read must not pass for another.
+        self.closes = not self.keep or front.closing or front.crowded or bool(self.upload)
+        self.closes = self.closes or (length is None and not self.chunked)
+        self.charged += WINDOW
+        front.account.charge(Held.FLOWS, WINDOW)
+        self.transport.writelines(answer_head(answer, self.chunked, self.closes))
+        self.pouring = stream
+        self.expires = front.loop.time() + STALLED
+        stream.pour(self)
+
+    def more(self, pieces: list[Piece]) -> None:
+        if self.pouring and not self.transport.is_closing():
+            self.transport.writelines(framed(pieces, self.chunked))
+            self.expires = self.front.loop.time() + STALLED
+            if self.choked:
+                self.pouring.choke(True)
+
+    def last(self) -> None:
+        if self.chunked and self.pouring and not self.transport.is_closing():
+            self.transport.write(LAST_CHUNK)
+
+    def ends(self) -> None:
+        self.pouring = None
+        self._over(self.closes, STALLED)
+
+    def cut(self) -> None:
+        """It ends short of what its head has said, or without the last chunk: so its client can tell."""
+        self.pouring = None
+        self.transport.abort()
+
     def served(self, answer: Message) -> None:
         self._finish(200, answer.body, answer.size, list(answer.passed_on()))
 
@@ -326,20 +449,30 @@
 
     def _finish(self, status: int, body: list[Piece], size: int, headers: list[bytes]) -> None:
         front = self.front
+        if self.upload:  # the rest is read and dropped
+            self.keep, self.lost = False, True
         close = not self.keep or front.closing or front.crowded
+        self.transport.writelines(answer(status, body, size, close, headers))
+        self._over(close, LINGER)
+
+    def _over(self, close: bool, patience: float) -> None:
+        """The answer is written, at the most it has yet to be read."""
+        front = self.front
+        if self.upload:
+            self.lost = True
+        self.upload, self.held = None, False
         flow = self._taken_off()
         front.guard.leases.give_back(self)
-        self.transport.writelines(answer(status, body, size, close, headers))
         self.since = front.loop.time()
         # A request that has begun to come behind this one has its own time.
         self.expires = self.since + (SLOW if self.started else 2 * IDLE)
-        self._count_unread(max(self.since, flow.deadline if flow else 0.0) + LINGER)
+        self._count_unread(max(self.since, flow.deadline if flow else 0.0) + patience)
         if close:
             self.ending = True
             self.reader.done.clear()
             self.rest, self.at = b"", 0
             # A close with bytes unread would reset the connection and may destroy the answer on its way.
-            self.expires = front.loop.time() + LINGER
+            self.expires = front.loop.time() + patience
             if self.lost:
                 self.transport.write_eof()
             else:
--- a/firvane/state.py
+++ b/firvane/state.py
@@ -110,6 +110,7 @@
     maybe: int = 0  # attempts out, or not known to have kept from running
     group: int = 0  # the servers that drop repeats of the first of these
     kept_until: float = 0.0  # and for how long
+    spent: bool = False  # its body cannot be sent again: what is out is its last attempt
     out: dict[int, str] = field(default_factory=dict)
     tried: set[int] = field(default_factory=set)
 
--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -144,6 +144,10 @@
 
     def written(self) -> None: ...
 
+    def spent(self) -> None: ...
+
+    def begun(self, answer: Any) -> None: ...
+
     def ended(self, ending: Ending, answer: Any = None) -> None:
         self.endings.append(ending)
         self.answer = answer
--- /dev/null
+++ b/tests/test_long.py
@@ -0,0 +1,266 @@
+"""Long messages through a whole proxy on real sockets: what arrives, is held, and what a break looks like."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from firvane.config.platform import read_config
+from firvane.limits.account import Held
+from firvane.logs import QUIET
+from firvane.proxy import Proxy
+from tests.net_helpers import endpoint, run
+from tests.test_benchlink import PARAMS
+from tests.test_program import config
+
+BODY = bytes(range(256)) * 4096  # 1 MiB
+Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+class Stage:
+    """A proxy with one target, which the test serves."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.heads: list[bytes] = []
+
+    async def open(self, serve: Serve) -> None:
+        async def connected(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            try:
+                self.heads.append(await reader.readuntil(b"\r\n\r\n"))
+                await serve(reader, writer)
+            except (asyncio.IncompleteReadError, ConnectionError):
+                pass
+            writer.close()
+
+        server = await asyncio.start_server(connected, "127.0.0.1", 0)
+        known = {
+            "index": 1,
+            "snapshot": True,
+            "endpoints": [endpoint("s", server.sockets[0].getsockname()[1])],
+        }
+        base = PARAMS["classes"][0]
+        classes = [
+            {**base, "name": "get", "repeat": "pure", "give-up-ns": 2e9},
+            {**base, "name": "put", "repeat": "side_effect", "give-up-ns": 2e9},
+        ]
+        alone = {"discovery": "push", "siblings": 1, "me": 0, "dcs": ["a"], "machine-types": ["big"]}
+        settings = {**PARAMS, **alone,
+                    "classes": classes, "tenants": []}  # fmt: skip
+        given = replace(read_config(config(self.folder, known=known, settings=settings)), discovery=None)
+        self.proxy = Proxy(asyncio.get_running_loop(), given, log=QUIET)
+        await self.proxy.start()
+
+    async def client(
+        self, head: bytes, body: bytes = b""
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        reader, writer = await asyncio.open_connection(*self.proxy.door.address(), limit=1 << 16)
+        writer.write(head.replace(b"\r\n", b"\r\nX-Call-Id: 1\r\nX-Budget-Ms: 1500\r\n", 1) + b"\r\n" + body)
+        return reader, writer
+
+    def counted(self) -> dict[str, dict[str, int]]:
+        return {
+            k: v for k, v in json.loads(self.proxy.figures().text())["handled"].items() if any(v.values())
+        }
+
+
+async def whole(reader: asyncio.StreamReader) -> tuple[bytes, bytes]:
+    """Head and body of an answer, by whatever framing it has."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    if b"Content-Length" in head:
+        return head, await reader.readexactly(int(head.split(b"Content-Length: ")[1].split(b"\r")[0]))
+    if b"chunked" not in head:
+        return head, await reader.read()
+    body = b""
+    while size := int(await reader.readline(), 16):
+        body += (await reader.readexactly(size + 2))[:-2]
+    await reader.readline()
+    return head, body
+
+
+def chunks(body: bytes) -> bytes:
+    pieces = (body[at : at + 5000] for at in range(0, len(body), 5000))
+    return b"".join(b"%x;x=y\r\n%s\r\n" % (len(piece), piece) for piece in pieces) + b"0\r\nX-T: 1\r\n\r\n"
+
+
+GET = b"GET /get/x HTTP/1.1\r\nHost: a\r\n"
+PUT = b"POST /put/x HTTP/1.1\r\nHost: a\r\n"
+
+
+@pytest.mark.parametrize("client", [GET, GET.replace(b"1.1", b"1.0")])
+@pytest.mark.parametrize(
+    "reply",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(BODY) + BODY,
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks(BODY),
+        b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + BODY,
+    ],
+)
+def test_a_long_answer_arrives_as_it_was_sent(reply: bytes, client: bytes, tmp_path: Path) -> None:
+    # Guards every framing that a target may use, for clients that know chunks and that do not.
+    async def work() -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(reply)
+            await writer.drain()
+
+        stage = Stage(tmp_path)
+        await stage.open(serve)
+        reader, writer = await stage.client(client)
+        head, body = await whole(reader)
+        assert head.startswith(b"HTTP/1.1 200 ") and body == BODY
+        await asyncio.sleep(0)
+        assert stage.counted() == {"get": {"passed": 1, "dropped": 0, "bad_gateway": 0}}
+        writer.close()
+        stage.proxy._stop()
+
+    run(work())
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+def test_a_long_request_goes_on_as_it_comes(chunked: bool, tmp_path: Path) -> None:
+    # Guards the body, its framing, the time that counts from its last byte, and the next request behind it.
+    async def work() -> None:
+        got: list[bytes] = []
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while True:
+                got.append((await whole(reader_with(stage.heads[-1], reader)))[1])
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")
+                stage.heads.append(await reader.readuntil(b"\r\n\r\n"))
+
+        stage = Stage(tmp_path)
+        await stage.open(serve)
+        framing = b"Transfer-Encoding: chunked\r\n" if chunked else b"Content-Length: %d\r\n" % len(BODY)
+        data = chunks(BODY) if chunked else BODY
+        reader, writer = await stage.client(PUT + framing, data[: len(data) // 2])
+        await asyncio.sleep(0.05)
+        assert stage.proxy.figures().in_progress == 1 and stage.proxy.figures().tries() == 0
+        writer.write(data[len(data) // 2 :])
+        assert (await whole(reader))[1] == b"hi"
+        small = PUT.replace(b"\r\n", b"\r\nX-Call-Id: 2\r\nX-Budget-Ms: 1500\r\nContent-Length: 3\r\n", 1)
+        writer.write(small + b"\r\nabc")
+        assert (await whole(reader))[1] == b"hi"
+        assert got == [BODY, b"abc"]
+        assert 1000 < int(stage.heads[0].split(b"X-Budget-Ms: ")[1].split(b"\r")[0]) <= 1500
+        assert stage.proxy.figures().tries() == 2
+        writer.close()
+        stage.proxy._stop()
+
+    run(work())
+
+
+def reader_with(head: bytes, reader: asyncio.StreamReader) -> Any:
+    """A reader that gives the head once more."""
+
+    class Again:
+        async def readuntil(self, end: bytes) -> bytes:
+            return head
+
+        def __getattr__(self, name: str) -> Any:
+            return getattr(reader, name)
+
+    return Again()
+
+
+def test_a_long_answer_that_breaks_is_cut_and_has_failed(tmp_path: Path) -> None:
+    # Guards against a cut answer that passes for a whole one, and against a second attempt behind its back.
+    async def work() -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks(BODY)[: len(BODY) // 2]
+            )
+            await writer.drain()
+
+        stage = Stage(tmp_path)
+        await stage.open(serve)
+        reader, writer = await stage.client(GET)
+        with pytest.raises((asyncio.IncompleteReadError, ConnectionError, ValueError)):
+            await whole(reader)
+        assert stage.counted() == {"get": {"passed": 0, "dropped": 0, "bad_gateway": 1}}
+        assert len(stage.heads) == 1
+        writer.close()
+        stage.proxy._stop()
+
+    run(work())
+
+
+def test_a_body_that_is_gone_is_not_sent_again(tmp_path: Path) -> None:
+    # Guards the one attempt: half of a body must never go out as another request's.
+    async def work() -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readexactly(200_000)
+
+        stage = Stage(tmp_path)
+        await stage.open(serve)
+        reader, writer = await stage.client(PUT + b"Content-Length: %d\r\n" % len(BODY), BODY)
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert head.split()[1] in (b"502", b"503")
+        assert len(stage.heads) == 1
+        writer.close()
+        stage.proxy._stop()
+
+    run(work())
+
+
+def test_a_client_that_does_not_read_holds_its_target(tmp_path: Path) -> None:
+    # Guards the memory: it must not depend on how long an answer is, nor on how slowly it is read.
+    async def work() -> None:
+        sent = 0
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            nonlocal sent
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (32 * len(BODY)))
+            for _ in range(32):
+                writer.write(BODY)
+                await writer.drain()
+                sent += 1
+
+        stage = Stage(tmp_path)
+        await stage.open(serve)
+        reader, writer = await stage.client(GET)
+        await reader.readuntil(b"\r\n\r\n")
+        seen, same = -1, 0
+        while same < 5:
+            same, seen = (same + 1 if sent == seen else 0), sent
+            await asyncio.sleep(0.02)
+        assert sent < 32
+        [connection] = stage.proxy.front.connections
+        assert connection.transport.get_write_buffer_size() <= 64 * 1024
+        assert sum(stage.proxy.guard.account.by) < 1 << 20
+        _, body = b"", await reader.readexactly(32 * len(BODY))
+        assert body == 32 * BODY
+        await asyncio.sleep(0.02)
+        assert not stage.proxy.guard.account.by[Held.FLOWS] and not stage.proxy.guard.account.by[Held.ANSWERS]
+        writer.close()
+        stage.proxy._stop()
+
+    run(work())
+
+
+@pytest.mark.parametrize(
+    "framing",
+    [
+        b"Content-Length: 33554433\r\n",
+        b"Content-Length: 3000000000\r\n",
+        b"Content-Length: 9%s\r\n" % (b"9" * 40),
+    ],
+)
+def test_what_is_announced_too_long_is_refused_at_once(framing: bytes, tmp_path: Path) -> None:
+    async def work() -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None: ...
+
+        stage = Stage(tmp_path)
+        await stage.open(serve)
+        reader, writer = await stage.client(PUT + framing, b"x" * 100_000)
+        assert (await reader.readuntil(b"\r\n\r\n")).split()[1] in (b"413", b"400")
+        assert not stage.heads
+        writer.close()
+        stage.proxy._stop()
+
+    run(work())
