--- a/firvane/net/hands.py
+++ b/firvane/net/hands.py
@@ -37,6 +37,10 @@
         self.loop = loop
         self.line: asyncio.Queue[Standing] = asyncio.Queue()
         self.tasks: list[asyncio.Task[None]] = []
+        self.busy = 0  # sockets whose transport is being made
+
+    def has_work(self) -> bool:
+        return self.busy > 0 or not self.line.empty()
 
     def start(self) -> None:
         self.tasks = [self.loop.create_task(self._work()) for _ in range(HANDS)]
@@ -51,6 +55,7 @@
     async def _work(self) -> None:
         while True:
             standing = await self.line.get()
+            self.busy += 1
             try:
                 protocol = standing.wanted()
                 if protocol is None:
@@ -61,6 +66,8 @@
                 standing.unmade()
             else:
                 standing.made(protocol)
+            finally:
+                self.busy -= 1
 
 
 def _itself(protocol: asyncio.BaseProtocol) -> asyncio.BaseProtocol:
--- a/firvane/proxy.py
+++ b/firvane/proxy.py
@@ -121,7 +121,8 @@
                 lambda: self.peers, local_addr=config.peer_listen, reuse_port=shared
             )
         self.hands.start()
-        await self.door.open(config.listen, self.front.accept)
+        if config.inherited is None:
+            await self.door.open(config.listen, self.front.accept)
         self.engine.start()
         if config.known:
             try:
@@ -138,6 +139,8 @@
         except TimeoutError:
             self.log.warning("discovery_silent", targets=len(self.group.servers))
         self.front.ready = True
+        if config.inherited is not None:  # until now whoever waits there is another process's client
+            await self.door.open(config.listen, self.front.accept)
         self._hear(Event.STARTED)
         self.guard.start()
         self._sweep(self.loop.time() + SWEEP)
@@ -320,7 +323,7 @@
             self.peers.transport.close()  # what peers tell is for the successor from now on
             self.peers.transport = None
         front.closing = True
-        while (front.connections or self.hands.line.qsize()) and self.loop.time() < last + MARGIN / 2:
+        while (front.connections or self.hands.has_work()) and self.loop.time() < last + MARGIN / 2:
             front.close_idle()
             await asyncio.sleep(0.02)
         self._stop()
--- a/tests/ops/test_desk.py
+++ b/tests/ops/test_desk.py
@@ -96,6 +96,30 @@
     run(work())
 
 
+def test_clients_are_left_to_the_process_before_until_the_list_is_here(tmp_path: Path) -> None:
+    # Guards against a successor that takes clients from the queue that it has nothing to offer.
+    async def work() -> None:
+        silent = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+        with socket.create_server(("127.0.0.1", 0)) as held:
+            inherited = socket.fromfd(held.fileno(), 2, 1).detach()
+            given = replace(told(tmp_path), inherited=inherited, discovery=silent.sockets[0].getsockname())
+            proxy = Proxy(asyncio.get_running_loop(), given, log=QUIET)
+            start = asyncio.get_running_loop().create_task(proxy.start())
+            while not proxy.group.servers:
+                await asyncio.sleep(0)
+            reader, writer = await asyncio.open_connection(*held.getsockname())
+            writer.write(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n")
+            assert not proxy.front.connections and not proxy.front.ready
+            assert (await ask(proxy.ops.address(), b"ready\n")).startswith(b"-ERR")
+            await start
+            assert (await reader.readline()).split()[1] == b"200"
+            writer.close()
+            proxy._stop()
+        silent.close()
+
+    run(work())
+
+
 def test_a_descriptor_that_is_no_listening_socket_is_one_plain_line(tmp_path: Path) -> None:
     async def work() -> None:
         with socket.socket() as plain, open(tmp_path / "config.json") as file:
