--- a/firvane/rooms/evidence.py
+++ b/firvane/rooms/evidence.py
@@ -20,7 +20,8 @@
 7. A box whose table of connections is full takes from a proxy what that has connections for. Without one it
    is left to the proxies that have: each new connection that it turns away costs it a handshake.
 8. A box that says of most answers that it failed does so quickly, and its small count of attempts out would
-   draw ever more. It is left alone, and tried one attempt at a time until most trials go well.
+   draw ever more. It is left alone, and tried one attempt at a time until most trials go well. In a large
+   fleet a proxy sees too little of a box to tell, and what all leave alone at once is missed: there it stays.
 """
 
 from __future__ import annotations
@@ -201,8 +202,9 @@
                 other.passed += 1
         if self.pooled and result in (api.Result.OK, api.Result.FULL):
             self.crowded += CROWDING * ((result is api.Result.FULL) - self.crowded)
-        if result is api.Result.OK or (result is api.Result.ERROR and not outcome.finished):
-            self._judged(server, result is api.Result.ERROR, now)
+        failed = result is api.Result.ERROR and not outcome.finished
+        if not self.pooled and (failed or result is api.Result.OK):
+            self._judged(server, failed, now)
         if result is api.Result.OK:
             if not self.is_cold(server, now):
                 self._did(server.entry.kind, 1)
