--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -99,7 +99,7 @@
     for piece in cut(data + b"\r\n\r\n\r\n", where):
         made.data_received(piece)
     assert not taken.flows
-    # Among what is drawn are words of the sources: one may be asked after by its right path, which is answered.
+    # Among what is drawn are words of the sources, and the path that asks whether it is ready has an answer.
     up = {200, 503} if b"/up" in data else set[int]()
     assert set(statuses(wire)) <= {400, 404, 405, 413, 431} | up
 
