--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -14,6 +14,7 @@
 from firvane.config.platform import read_config
 from firvane.limits.account import Held
 from firvane.logs import QUIET
+from firvane.ops.states import Event
 from firvane.proxy import Proxy
 from tests.net_helpers import endpoint, run
 from tests.test_benchlink import PARAMS
@@ -264,3 +265,31 @@
         stage.proxy._stop()
 
     run(work())
+
+
+def test_a_drain_lets_a_long_answer_end_and_then_the_connection(tmp_path: Path) -> None:
+    # Guards against a drain that cuts what is under way, and against a connection that is then held idle.
+    async def work() -> None:
+        go_on = asyncio.Event()
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(BODY) + BODY[:100_000])
+            await go_on.wait()
+            writer.write(BODY[100_000:])
+            await writer.drain()
+
+        stage = Stage(tmp_path)
+        await stage.open(serve)
+        reader, writer = await stage.client(GET)
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 200 ")
+        assert stage.proxy._hear(Event.DRAIN)
+        stage.proxy._send_away(stage.proxy.drained_at)
+        go_on.set()
+        assert await reader.readexactly(len(BODY)) == BODY
+        assert await reader.read() == b""  # the sweep ends what is idle
+        assert stage.counted() == {"get": {"passed": 1, "dropped": 0, "bad_gateway": 0}}
+        writer.close()
+        stage.proxy._stop()
+
+    run(work())
