Keep the kind of list over a reload, and take the doubled pieces out of the operators' parts

A reload that changed the kind of list was remembered, so that the next one moved a watch that a static list does not have: the kind, like the place in the tier, is now held against what the proxy started with (a line of test_retune.py fails without it). An adopted socket no longer has a second one made beside it. One end in order serves SIGTERM with and without a successor; one check says which answer is a connection's last; one place counts a written attempt. Gone from each request: a Counts that is thrown away and two looks at the clock. What leaving meant follows from up.

--- a/firvane/choice.py
+++ b/firvane/choice.py
@@ -15,8 +15,7 @@
 from zlib import crc32
 
 from firvane import interface as api
-from firvane.rooms import cold
-from firvane.rooms import quotas as quotas_
+from firvane.rooms import cold, quotas
 from firvane.rooms.evidence import CROWD, FADE, FAULTY, LONG, SILENCES, Evidence
 from firvane.routing.large import Figures, Large
 from firvane.routing.listing import Listing
@@ -182,8 +181,8 @@
         for tenant, unseen in enumerate(pressure.unseen[: len(self.tenants)]):
             self.tenants[tenant] += unseen
         span, asked = SHARE_SPAN * self.part(), list(self.tenants.values())
-        quotas = [tenant.quota * span for tenant in self.settings.tenants]
-        parts = quotas_.parts(asked, quotas, pressure.part, pressure.over_share)
+        allowed = [tenant.quota * span for tenant in self.settings.tenants]
+        parts = quotas.parts(asked, allowed, pressure.part, pressure.over_share)
         # While that lasts whoever returns soon is turned away again, at a cost to those who could be served.
         most = self.settings.limits.max_retry_after
         aim = max(cls.aim for cls in self.settings.classes)
--- a/firvane/engine.py
+++ b/firvane/engine.py
@@ -110,6 +110,9 @@
         """These parts of what comes from now on, by tenant, or one for all; `again`: and marked retries."""
 
 
+UNTAKEN = Counts()  # of no class: nothing is counted there
+
+
 class Flow(Generic[Q, A]):
     """A request on its way through: what it asks, who asked, by when, and its forwards."""
 
@@ -136,7 +139,7 @@
         self.name = name  # what its client calls it, for the log
         self.id = -1
         self.open = True  # its final answer is owed
-        self.counts = Counts()  # of its class, once it is taken
+        self.counts = UNTAKEN  # of its class, once it is taken
         self.begun: Forward[Q, A] | None = None  # whose long answer the client is being given
         self.spent = False  # its body is not all here any more
         self.left = 0.0  # s that it has from its last byte on, where that is yet to come
--- a/firvane/net/forward.py
+++ b/firvane/net/forward.py
@@ -160,10 +160,8 @@
     def resume_writing(self) -> None:
         if self.pouring:
             self.pouring.choke(False)
-        elif not self.written:
-            self.written = True
-            if self.run:
-                self.run.exchange.written()
+        elif self.run and not self.written:
+            self._is_written(self.run)
 
     def data_received(self, data: bytes) -> None:
         run = self.run
@@ -193,10 +191,11 @@
 
     def _begin(self) -> bool:
         """Pass on what is here of an answer that is too long to be held, or may be; whether it is one."""
-        message, now = self.reader.message, self.forwards.loop.time()
-        if self.stream is None:
-            if message is None or self.reader.in_head or message.status < 200:
-                return False
+        message = self.reader.message
+        if self.stream is None and (message is None or self.reader.in_head or message.status < 200):
+            return False  # most answers are whole at once
+        now = self.forwards.loop.time()
+        if self.stream is None and message:
             self.headed = self.headed or now
             unsure = message.size > SMALL and message.length() is None and now > self.headed + UNSURE
             if not message.long and not unsure:
--- a/firvane/net/guard.py
+++ b/firvane/net/guard.py
@@ -27,11 +27,6 @@
 STATM, PAGE = "/proc/self/statm", resource.getpagesize()
 
 
-def least_aim(settings: api.Settings) -> float:
-    """Of the classes that anything is worth still."""
-    return min((cls.aim for cls in settings.classes if cls.worth), default=settings.classes[0].aim)
-
-
 class Usage(NamedTuple):
     """What this process has used: CPU seconds since its start, and bytes that are its own now."""
 
@@ -75,12 +70,11 @@
         self.loop, self.usage, self.cores = loop, usage, cores
         self.bounds: Bounds = derive(memory_mb, sockets, cores)
         self.limit = memory_mb * MB
-        aim = least_aim(settings)
-        self.late = LATE * aim
         self.account = Account(self.bounds.memory)
         self.leases = Leases(self.bounds.bodies, MAX_BODY + MAX_HEAD)
         self.descriptors = Descriptors(self.bounds.sockets)
-        self.turns = Turns(loop.call_soon, WAIT * aim)
+        self.turns = Turns(loop.call_soon, 0.0)
+        self.retune(settings)
         self.turns.rate = CORE * cores
         self.overload = Overload()
         self.admission = Admission()
@@ -94,7 +88,8 @@
         self._told = api.Pressure(0.0, False, True)
 
     def retune(self, settings: api.Settings) -> None:
-        aim = least_aim(settings)
+        """How late a turn, and how long a wait, is too long: by the shortest aim."""
+        aim = min(cls.aim for cls in settings.classes)
         self.late, self.turns.most_wait = LATE * aim, WAIT * aim
 
     def start(self) -> None:
--- a/firvane/net/listener.py
+++ b/firvane/net/listener.py
@@ -297,14 +297,14 @@
             self._upload(self.upload)
             return
         message = self.reader.message
-        started, now = message is not None, self.front.loop.time()
+        started = message is not None
         if started and not self.started:
-            self.head_at = 0.0
+            self.head_at, now = 0.0, self.front.loop.time()
             first = max(self.expires, min(now + SLOW, self.since + FIRST))
             self.expires = now + SLOW if self.asked else first
         self.started = started
         if message and not self.reader.in_head:
-            self.head_at = self.head_at or now
+            self.head_at = self.head_at or self.front.loop.time()
             if b"expect" in message.fields and not message.continued:
                 message.continued = True
                 if not message.body:
@@ -400,9 +400,7 @@
             return
         front, length = self.front, answer.length()
         self.chunked = length is None and flow.request.version == b"1.1"
-        # A request that is still coming is no longer read, and what is not read must not pass for another.
-        self.closes = not self.keep or front.closing or front.crowded or bool(self.upload)
-        self.closes = self.closes or (length is None and not self.chunked)
+        self.closes = self._is_last() or (length is None and not self.chunked)
         self.charged += WINDOW
         front.account.charge(Held.FLOWS, WINDOW)
         self.transport.writelines(answer_head(answer, self.chunked, self.closes))
@@ -449,13 +447,15 @@
         self._finish(status, [b"%d\n" % status], 4, headers)
 
     def _finish(self, status: int, body: list[Piece], size: int, headers: list[bytes]) -> None:
-        front = self.front
-        if self.upload:  # the rest is read and dropped
-            self.keep, self.lost = False, True
-        close = not self.keep or front.closing or front.crowded
+        close = self._is_last()
         self.transport.writelines(answer(status, body, size, close, headers))
         self._over(close, LINGER)
 
+    def _is_last(self) -> bool:
+        """Whether the connection ends with this answer."""
+        # Of a request that is still coming the rest is read and dropped: it must not pass for another.
+        return not self.keep or self.front.closing or self.front.crowded or self.upload is not None
+
     def _over(self, close: bool, patience: float) -> None:
         """The answer is written, at the most it has yet to be read."""
         front = self.front
--- a/firvane/net/peers.py
+++ b/firvane/net/peers.py
@@ -42,6 +42,12 @@
     def error_received(self, exc: Exception) -> None:
         """A peer that is down answers with an error; a lost message is nothing new to the sender."""
 
+    def close(self) -> None:
+        """Nothing more is told or heard here."""
+        if self.transport:
+            self.transport.close()
+            self.transport = None
+
     def tell(self, peer: int | None, payload: bytes) -> None:
         if self.transport is None or len(payload) > MAX_DATAGRAM:
             return  # a longer one is against the rules of the tier
--- a/firvane/ops/states.py
+++ b/firvane/ops/states.py
@@ -33,15 +33,14 @@
 
     up: bool  # GET /up says yes
     takes: bool  # requests are taken, which is what the operators' `ready` asks
-    leaving: bool  # clients are to go elsewhere
 
 
 MEANING = {
-    State.STARTING: Meaning(up=False, takes=False, leaving=False),
-    State.READY: Meaning(up=True, takes=True, leaving=False),
-    State.DRAINING: Meaning(up=False, takes=True, leaving=True),
-    State.HANDING_OVER: Meaning(up=False, takes=True, leaving=True),
-    State.ENDING: Meaning(up=False, takes=True, leaving=True),
+    State.STARTING: Meaning(up=False, takes=False),
+    State.READY: Meaning(up=True, takes=True),
+    State.DRAINING: Meaning(up=False, takes=True),
+    State.HANDING_OVER: Meaning(up=False, takes=True),
+    State.ENDING: Meaning(up=False, takes=True),
 }
 _END = {Event.TERMINATE: State.ENDING, Event.SUCCEEDED: State.HANDING_OVER}
 TABLE: dict[State, dict[Event, State]] = {
--- a/firvane/proxy.py
+++ b/firvane/proxy.py
@@ -90,9 +90,8 @@
         )
         self.guard.tell = self.engine.give
         self.front = Front(loop, self.engine, settings, self.guard)
-        self.door: Door = LoopDoor(loop) if dialer else SocketDoor(loop, self.hands, self.log)
-        if config.inherited is not None:
-            self.door = SocketDoor(loop, self.hands, self.log, adopt(config.inherited))
+        inherited = None if config.inherited is None else adopt(config.inherited)
+        self.door: Door = LoopDoor(loop) if dialer else SocketDoor(loop, self.hands, self.log, inherited)
         self.front.door = self.door.let
         self.life, self.loads = Life(), Loads()
         self.desk, self.desk_hands = Desk(loop, self._answer), Hands(loop)
@@ -197,7 +196,7 @@
             if event is not Event.STARTED:  # which has a line of its own
                 self.log.info("state", now=state.value, was=before.value)
             front = self.front
-            front.draining = self.life.meaning().leaving
+            front.draining = not self.life.meaning().up
             front.closing = False
             if state is State.DRAINING:
                 self.drained_at = self.loop.time()
@@ -232,7 +231,7 @@
                 self.group.learn(config.known)  # as a whole: a target that it no longer names is gone
         at = "{}:{}".format(*config.discovery) if config.discovery else None
         self.log.info("config_reread", discovery=at, targets=len(self.group.servers))
-        waiting = waits(old.settings, config.settings)
+        waiting = waits(self.engine.settings, config.settings)
         fixed = ("listen", "peers", "ops")
         waiting += [name for name in fixed if getattr(config, name) != getattr(old, name)]
         if static is not (old.discovery is None):
@@ -241,7 +240,7 @@
             self.log.warning("config_waits", text="the next start is needed for " + ", ".join(waiting))
         if config.settings != old.settings:
             self._retune(config.settings)
-        self.config = replace(old, settings=config.settings, shape=config.shape, discovery=config.discovery)
+        self.config = replace(old, settings=config.settings, shape=config.shape)
 
     def _retune(self, settings: api.Settings) -> None:
         """Other settings, checked already, for all that comes from now on."""
@@ -302,28 +301,16 @@
         successor = self.config.inherited is not None
         self._hear(Event.SUCCEEDED if successor else Event.TERMINATE)
         front.last = told + LAME + longest - MARGIN
-        if successor:
-            await self._hand_over(front.last)
-            return
-        await asyncio.sleep(LAME)
-        self.door.close()
-        while front.connections and self.loop.time() < told + LAME + longest / 2:
-            await asyncio.sleep(0.02)
-        front.closing = True
-        while front.connections and self.loop.time() < front.last + MARGIN / 2:
-            front.close_idle()
-            await asyncio.sleep(0.02)
-        self._stop()
-
-    async def _hand_over(self, last: float) -> None:
-        """Leave the clients' queue to the process that comes after this one, and finish what is here."""
-        front = self.front
-        self.door.close()
-        if self.peers.transport:
-            self.peers.transport.close()  # what peers tell is for the successor from now on
-            self.peers.transport = None
+        if successor:  # the clients' queue, and what peers tell, are its from now on
+            self.door.close()
+            self.peers.close()
+        else:
+            await asyncio.sleep(LAME)
+            self.door.close()
+            while front.connections and self.loop.time() < told + LAME + longest / 2:
+                await asyncio.sleep(0.02)
         front.closing = True
-        while (front.connections or self.hands.has_work()) and self.loop.time() < last + MARGIN / 2:
+        while (front.connections or self.hands.has_work()) and self.loop.time() < front.last + MARGIN / 2:
             front.close_idle()
             await asyncio.sleep(0.02)
         self._stop()
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -79,6 +79,7 @@
         safe = b"GET" if files.start.classes[0].repeat is api.Repeat.SAFE else b"POST"
         files.write(files.settings(classes=[{**old[0], "name": "fresh"}, *old[1:]]))
         assert files.proxy.loads.taken == 1
+        assert files.proxy.config.discovery is None  # where the list comes from waits for the next start
         number = front.read(request(b"/fresh/1", safe))[0].cls
         assert files.proxy.engine.settings.classes[number].name == "fresh"
         assert front.read(request(b"/" + first, safe))[0].cls == 0
