--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -30,6 +30,7 @@
     def __init__(self, folder: Path) -> None:
         self.folder = folder
         self.heads: list[bytes] = []
+        self.writers: list[asyncio.StreamWriter] = []
 
     async def open(self, serve: Serve) -> None:
         async def connected(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -62,8 +63,14 @@
         self, head: bytes, body: bytes = b""
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         reader, writer = await asyncio.open_connection(*self.proxy.door.address(), limit=1 << 16)
+        self.writers.append(writer)
         writer.write(head.replace(b"\r\n", b"\r\nX-Call-Id: 1\r\nX-Budget-Ms: 1500\r\n", 1) + b"\r\n" + body)
-        return reader, writer
+        return reader
+
+    def close(self) -> None:
+        for writer in self.writers:
+            writer.close()
+        self.proxy._stop()
 
     def counted(self) -> dict[str, dict[str, int]]:
         return {
@@ -71,6 +78,12 @@
         }
 
 
+async def opened(folder: Path, serve: Serve) -> Stage:
+    stage = Stage(folder)
+    await stage.open(serve)
+    return stage
+
+
 async def whole(reader: asyncio.StreamReader) -> tuple[bytes, bytes]:
     """Head and body of an answer, by whatever framing it has."""
     head = await reader.readuntil(b"\r\n\r\n")
@@ -110,15 +123,13 @@
             writer.write(reply)
             await writer.drain()
 
-        stage = Stage(tmp_path)
-        await stage.open(serve)
-        reader, writer = await stage.client(client)
+        stage = await opened(tmp_path, serve)
+        reader = await stage.client(client)
         head, body = await whole(reader)
         assert head.startswith(b"HTTP/1.1 200 ") and body == BODY
         await asyncio.sleep(0)
         assert stage.counted() == {"get": {"passed": 1, "dropped": 0, "bad_gateway": 0}}
-        writer.close()
-        stage.proxy._stop()
+        stage.close()
 
     run(work())
 
@@ -135,11 +146,11 @@
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")
                 stage.heads.append(await reader.readuntil(b"\r\n\r\n"))
 
-        stage = Stage(tmp_path)
-        await stage.open(serve)
+        stage = await opened(tmp_path, serve)
         framing = b"Transfer-Encoding: chunked\r\n" if chunked else b"Content-Length: %d\r\n" % len(BODY)
         data = chunks(BODY) if chunked else BODY
-        reader, writer = await stage.client(PUT + framing, data[: len(data) // 2])
+        reader = await stage.client(PUT + framing, data[: len(data) // 2])
+        writer = stage.writers[0]
         await asyncio.sleep(0.05)
         assert stage.proxy.figures().in_progress == 1 and stage.proxy.figures().tries() == 0
         writer.write(data[len(data) // 2 :])
@@ -150,8 +161,7 @@
         assert got == [BODY, b"abc"]
         assert 1000 < int(stage.heads[0].split(b"X-Budget-Ms: ")[1].split(b"\r")[0]) <= 1500
         assert stage.proxy.figures().tries() == 2
-        writer.close()
-        stage.proxy._stop()
+        stage.close()
 
     run(work())
 
@@ -178,15 +188,13 @@
             )
             await writer.drain()
 
-        stage = Stage(tmp_path)
-        await stage.open(serve)
-        reader, writer = await stage.client(GET)
+        stage = await opened(tmp_path, serve)
+        reader = await stage.client(GET)
         with pytest.raises((asyncio.IncompleteReadError, ConnectionError, ValueError)):
             await whole(reader)
         assert stage.counted() == {"get": {"passed": 0, "dropped": 0, "bad_gateway": 1}}
         assert len(stage.heads) == 1
-        writer.close()
-        stage.proxy._stop()
+        stage.close()
 
     run(work())
 
@@ -197,14 +205,12 @@
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await reader.readexactly(200_000)
 
-        stage = Stage(tmp_path)
-        await stage.open(serve)
-        reader, writer = await stage.client(PUT + b"Content-Length: %d\r\n" % len(BODY), BODY)
+        stage = await opened(tmp_path, serve)
+        reader = await stage.client(PUT + b"Content-Length: %d\r\n" % len(BODY), BODY)
         head = await reader.readuntil(b"\r\n\r\n")
         assert head.split()[1] in (b"502", b"503")
         assert len(stage.heads) == 1
-        writer.close()
-        stage.proxy._stop()
+        stage.close()
 
     run(work())
 
@@ -222,9 +228,8 @@
                 await writer.drain()
                 sent += 1
 
-        stage = Stage(tmp_path)
-        await stage.open(serve)
-        reader, writer = await stage.client(GET)
+        stage = await opened(tmp_path, serve)
+        reader = await stage.client(GET)
         await reader.readuntil(b"\r\n\r\n")
         seen, same = -1, 0
         while same < 5:
@@ -238,8 +243,7 @@
         assert body == 32 * BODY
         await asyncio.sleep(0.02)
         assert not stage.proxy.guard.account.by[Held.FLOWS] and not stage.proxy.guard.account.by[Held.ANSWERS]
-        writer.close()
-        stage.proxy._stop()
+        stage.close()
 
     run(work())
 
@@ -256,13 +260,11 @@
     async def work() -> None:
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None: ...
 
-        stage = Stage(tmp_path)
-        await stage.open(serve)
-        reader, writer = await stage.client(PUT + framing, b"x" * 100_000)
+        stage = await opened(tmp_path, serve)
+        reader = await stage.client(PUT + framing, b"x" * 100_000)
         assert (await reader.readuntil(b"\r\n\r\n")).split()[1] in (b"413", b"400")
         assert not stage.heads
-        writer.close()
-        stage.proxy._stop()
+        stage.close()
 
     run(work())
 
@@ -278,9 +280,8 @@
             writer.write(BODY[100_000:])
             await writer.drain()
 
-        stage = Stage(tmp_path)
-        await stage.open(serve)
-        reader, writer = await stage.client(GET)
+        stage = await opened(tmp_path, serve)
+        reader = await stage.client(GET)
         head = await reader.readuntil(b"\r\n\r\n")
         assert head.startswith(b"HTTP/1.1 200 ")
         assert stage.proxy._hear(Event.DRAIN)
@@ -289,7 +290,6 @@
         assert await reader.readexactly(len(BODY)) == BODY
         assert await reader.read() == b""  # the sweep ends what is idle
         assert stage.counted() == {"get": {"passed": 1, "dropped": 0, "bad_gateway": 0}}
-        writer.close()
-        stage.proxy._stop()
+        stage.close()
 
     run(work())
