--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,139 @@
+"""What the platform's page for days at full size asks of `run`: one process in the end, dynamically linked against
+the C library, that starts no other and opens no socket but TCP and UDP over IPv4.
+
+What Python does is seen by an audit hook that the interpreter loads at its start; what is done below Python (uvloop
+opens its own sockets) by a look at the process from outside. The loop's library also asks for an io_uring, to hand
+over changes of epoll in batches; the page refuses that, and the library does without.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import sys
+import tomllib
+from pathlib import Path
+
+import pytest
+
+from tests.net_helpers import run
+from tests.test_program import address, agent, config, said, where
+
+ROOT = Path(__file__).resolve().parents[1]
+WATCH = """
+import os, sys
+PROGRAMS = ("subprocess.Popen", "os.exec", "os.fork", "os.forkpty", "os.posix_spawn", "os.spawn", "os.system")
+KNOWN = {(2, 1), (2, 2)}  # IPv4, as a stream or datagrams
+def note(what, out=os.open(os.environ["WATCHED"], os.O_WRONLY | os.O_CREAT | os.O_APPEND)):
+    os.write(out, f"{what}\\n".encode())
+def hook(event, args):
+    if event in PROGRAMS:
+        note(event)
+    elif event == "socket.__new__" and args[1] != 1 and (args[1], args[2] & 15) not in KNOWN:
+        note(f"socket {args[1]} {args[2]}")
+    elif event in ("socket.bind", "socket.connect") and isinstance(args[1], (str, bytes)):
+        note(f"{event} at a Unix socket")
+def refused(name):
+    return lambda *args, **more: note(f"os.{name}")
+for name in ("sendfile", "splice"):  # these have no event of their own
+    setattr(os, name, refused(name))
+sys.addaudithook(hook)
+"""
+
+
+def table(pid: int, name: str, column: int) -> dict[str, list[str]]:
+    """The sockets of a kind by their inodes, as the process's network has them."""
+    file = Path(f"/proc/{pid}/net/{name}")
+    rows = (line.split() for line in (file.read_text() if file.exists() else "").splitlines()[1:])
+    return {row[column]: row for row in rows}
+
+
+def seen(pid: int) -> list[str]:
+    """What a process has open, and has started, that the platform's page does not know."""
+    links = []
+    for fd in Path(f"/proc/{pid}/fd").iterdir():
+        with contextlib.suppress(OSError):  # closed meanwhile
+            links.append(os.readlink(fd))
+    pairs = {inode for inode, row in table(pid, "unix", 6).items() if len(row) < 8}  # they have no name
+    found = [f"child {child}" for task in Path(f"/proc/{pid}/task").iterdir()
+             for child in (task / "children").read_text().split()]  # fmt: skip
+    other = {"tcp6": 9, "udp6": 9, "raw": 9, "packet": 8, "netlink": 9, "unix": 6}
+    strange = {
+        inode: name for name, column in other.items()
+        for inode in table(pid, name, column) if inode not in pairs
+    }  # fmt: skip
+    # A connection that has ended meanwhile is in no table any more: what counts is being in one of these.
+    return found + [strange[n] for link in links if (n := link[8:-1]) in strange]
+
+
+def watched(folder: Path) -> dict[str, str]:
+    """The environment in which an interpreter tells what it does, in the file `told` of the folder."""
+    (folder / "sitecustomize.py").write_text(WATCH)
+    return {"PYTHONPATH": f"{folder}:{ROOT}", "WATCHED": str(folder / "told")}
+
+
+def test_run_is_one_process_that_opens_what_the_platform_knows(tmp_path: Path) -> None:
+    async def work() -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while await reader.read(4096):
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")
+            writer.close()
+
+        targets = await asyncio.start_server(serve, "127.0.0.1", 0)
+        discovery = await agent(41, targets.sockets[0].getsockname()[1], [])
+        line = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
+        line = line.replace(".venv/bin/python", sys.executable)  # which is that one in CI
+        env = {**os.environ, **config(tmp_path, discovery=address(discovery)), **watched(tmp_path)}
+        proxy = await asyncio.create_subprocess_exec(
+            "/bin/sh", "-c", line, cwd=ROOT, env=env, stderr=asyncio.subprocess.PIPE
+        )
+        assert proxy.stderr
+        try:
+            host, port = where(await said(proxy.stderr, "event=ready"))
+            found = seen(proxy.pid)
+            for _ in range(20):
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write(b"GET /read/x HTTP/1.1\r\nX-Call-Id: 1\r\nX-Budget-Ms: 1900\r\n\r\n")
+                await reader.readuntil(b"\r\n\r\nhi")
+                found += seen(proxy.pid)
+                writer.close()
+            # The shell is gone: what it started has its number, and is the interpreter.
+            assert os.readlink(f"/proc/{proxy.pid}/exe") == os.path.realpath(sys.executable)
+            assert "libc.so" in Path(f"/proc/{proxy.pid}/maps").read_text()
+            assert found == [] and (tmp_path / "told").read_text() == ""
+        finally:
+            proxy.terminate()
+            await proxy.wait()
+            targets.close()
+            discovery.close()
+
+    run(work())
+
+
+@pytest.mark.parametrize(
+    ("code", "told", "outside"),
+    [
+        ("import subprocess; held = subprocess.Popen(['cat'], stdin=-1)", "subprocess.Popen", "child"),
+        ("import os; os.fork() or sys.stdin.read()", "os.fork", "child"),
+        ("import socket; held = socket.socket(socket.AF_INET6)", "socket 10", ""),
+        ("import socket; held = socket.socket(socket.AF_UNIX); held.bind(NAME)", "Unix socket", "unix"),
+        ("import os; os.sendfile(1, 0, 0, 1)", "os.sendfile", ""),
+    ],
+)
+def test_the_watch_sees_what_it_is_there_for(code: str, told: str, outside: str, tmp_path: Path) -> None:
+    async def work() -> None:
+        name = f"import sys; NAME = {str(tmp_path / 'name')!r}\n"
+        child = await asyncio.create_subprocess_exec(
+            sys.executable, "-c", f"{name}{code}\nprint('done', flush=True)\nsys.stdin.read()",
+            env={**os.environ, **watched(tmp_path)}, stdin=-1, stdout=-1,
+        )  # fmt: skip
+        assert child.stdout and child.stdin
+        await child.stdout.readline()
+        found = seen(child.pid)
+        child.stdin.close()
+        await child.wait()
+        assert told in (tmp_path / "told").read_text()
+        assert (not outside and not found) or any(what.startswith(outside) for what in found)
+
+    run(work())
