--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,9 +1,9 @@
-"""What the platform's page for days at full size asks of `run`: one process in the end, dynamically linked against
-the C library, that starts no other and opens no socket but TCP and UDP over IPv4.
+"""What the platform's page for days at full size asks of `run`: one process in the end, dynamically linked
+against the C library, that starts no other and opens no socket but TCP and UDP over IPv4.
 
-What Python does is seen by an audit hook that the interpreter loads at its start; what is done below Python (uvloop
-opens its own sockets) by a look at the process from outside. The loop's library also asks for an io_uring, to hand
-over changes of epoll in batches; the page refuses that, and the library does without.
+What Python does is seen by an audit hook that the interpreter loads at its start; what is done below Python
+(uvloop opens its own sockets) by a look at the process from outside. The loop's library also asks for an
+io_uring, to hand over changes of epoll in batches; the page refuses that, and the library does without.
 """
 
 from __future__ import annotations
