Begin the control service: resources, weights, streams of xDS and a stand-in receiver

Need: other proxies are to follow the module's judgment through xDS; nothing of it existed.

Change: firvane/control, all of it pure so far: words; what the module believes read out of it; demand divided by power and budgets over all receivers, zones by the greedy pairing of the design; routes from the classes; the codec of resources with versions by content; the stream's rules for both forms of the protocol (newest state only, one answer out, what takes away overtakes, refused answers told apart, clusters before routes); the ledger of receivers; when and whether a list is believed. rooms/reports.py takes sums into the module's evidence. rehearsal/receiver.py is a receiver that speaks bytes, in both forms, as a proxy and as a client. run imports none of it, and the floors say so.

Measured: a state machine over lists, drains, refusals, late answers and reconnects (100 histories of 30 steps): at rest receivers hold just what the state says, nothing drained returns.

--- /dev/null
+++ b/firvane/rooms/reports.py
@@ -0,0 +1,85 @@
+"""What is believed of a box from sums: of what others did there, told now and then, no attempt by itself.
+
+Rules that hold here and nowhere else:
+
+1. Sums say what single ends say, in the same words of `Evidence`: a box that serves is not down, one that
+   mostly fails is left alone, one that takes long has little room. What only single ends can show (which
+   attempt was lost, which were overtaken) is not guessed at.
+2. The time that answers take is what was out, divided by what was served a second: it holds in the mean.
+3. Nothing said here makes a cold box warm.
+4. Sums move a belief no further than so many single ends would, and no more than `MOST` of them at once.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from firvane.rooms.evidence import AFTER, FAULT, FAULTY, GUESS, SLOW, Evidence, slowness
+from firvane.state import Backend
+
+MOST = 20  # answers that one sum counts for, where it moves a belief
+CLEAR = 5.0  # answers from which a sum says something of the time they take
+
+
+class Sum(NamedTuple):
+    """What all have done at one box within a span, as far as it is believed."""
+
+    served: int = 0
+    failed: int = 0
+    issued: int = 0
+    out: float = 0.0  # in progress now
+    rate: float = 0.0  # served a second, over a longer span than this one
+    bad: float = 0.0  # part of the answers that failed, as most of those who told agree on
+    silent: bool = False  # work was issued, and nothing has ended for too long
+
+
+def take(evidence: Evidence, server: Backend, told: Sum, aim: float, now: float) -> None:
+    """Believe a sum; `aim` is the seconds that an answer may usually take."""
+    server.own = round(told.out)
+    ended = told.served + told.failed
+    if ended:
+        server.gap += 0.2 * (min(1.0, now - server.heard_at) - server.gap)
+        server.heard_at = now
+    if told.silent:
+        evidence.doubted(server, now)
+        return
+    if told.served and not evidence.is_cold(server, now):
+        kind = server.entry.kind
+        evidence.counts[kind] = evidence.counts.get(kind, 0) + told.served
+        if flow := evidence.flows.get(kind):
+            flow.answers += told.served
+    if ended:
+        _judge(server, told, ended, now)
+    if told.served:
+        _time(evidence, server, told, aim, now)
+
+
+def _judge(server: Backend, told: Sum, ended: int, now: float) -> None:
+    """Whether it mostly fails."""
+    before, weight = server.faulty, 1.0 - (1.0 - FAULT) ** min(ended, MOST)
+    server.faulty += weight * (told.bad - server.faulty)
+    if server.faulty > FAULTY:
+        server.fails = max(2, server.fails)  # one trial at a time
+        server.retry_at = max(server.retry_at, now + AFTER)
+    elif told.served:
+        if before > FAULTY or server.fails:
+            server.retry_at = min(server.retry_at, now)
+        server.fails = server.downs = 0
+
+
+def _time(evidence: Evidence, server: Backend, told: Sum, aim: float, now: float) -> None:
+    """Its pace and its room."""
+    took = told.out / told.rate if told.rate > 0.0 and told.rate * aim >= 1.0 else 0.0
+    answers = min(told.served, MOST)
+    if took and told.rate * aim * 2.0 >= CLEAR:
+        typical = evidence.typical[0]
+        evidence.typical[0] += min(0.1, 0.01 * answers) * (min(took, aim) - typical)
+        kept = 0.8**answers
+        ratio = min(8.0, took / max(typical, 1e-3))
+        server.slow, server.slow_at = kept * slowness(server, now) + (1.0 - kept) * ratio, now
+    if took > SLOW * aim:
+        if now > server.cut_at + aim:
+            server.room, server.cut_at = max(1.0, 0.9 * server.room), now
+    elif server.own + 1 > 0.7 * server.room:
+        guess = not server.cut_at and now < evidence.started + GUESS
+        server.room += 0.5 * min(answers, 4) if guess else 0.1 * answers / server.room
--- /dev/null
+++ b/tests/control/helpers.py
@@ -0,0 +1,93 @@
+"""States made by hand, and a receiver at the end of a stream without a socket between them."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Any
+
+from envoy.service.discovery.v3 import discovery_pb2
+
+from firvane.control import resources, wire
+from firvane.control.plan import Route
+from firvane.control.stream import Push, Stream
+from firvane.control.weights import divide
+from firvane.control.words import Box, Kind, Resource, State
+from firvane.rehearsal.receiver import Receiver
+
+ZONES = ("a", "b")
+
+
+def box(number: int, **more: Any) -> Box:
+    given = {"zone": number % 2, "power": 4.0, "room": 4.0, **more}
+    return Box(f"b{number}", ("127.0.0.1", 9000 + number), **given)
+
+
+def state(
+    clusters: dict[str, Sequence[Box]], number: int = 1, urgent: int = 0, open_at_once: int = 64
+) -> State:
+    """One cluster for each name, with routes and a listener of the same name."""
+    made: dict[Kind, list[Resource]] = {kind: [] for kind in Kind}
+    endpoints = resources.Endpoints(ZONES)
+    for name, boxes in clusters.items():
+        made[Kind.CLUSTER].append(resources.cluster(name, True, open_at_once, 0.25, 3))
+        made[Kind.ENDPOINTS].append(endpoints.make(name, divide(boxes, {0: 10.0})[0]))
+        routes = [Route("read", 2.0, 2, True)]
+        made[Kind.ROUTES].append(resources.route_configuration(name, name, routes, True))
+        made[Kind.LISTENER].append(resources.listener(name, name))
+    found = resources.by_kind(made)
+    return State(found, {kind: resources.set_version(found[kind]) for kind in Kind}, number, urgent)
+
+
+class Pair:
+    """A receiver and its stream; bytes go between them when told to."""
+
+    def __init__(self, receiver: Receiver) -> None:
+        self.receiver, self.writer = receiver, wire.Writer("test")
+        self.stream = Stream(receiver.delta)
+        self.on_way: list[bytes] = []  # to the receiver
+        self.said: list[Push] = []
+
+    def reconnect(self) -> None:
+        self.receiver.connect()
+        self.stream, self.on_way = Stream(self.receiver.delta), []
+
+    def up(self) -> None:
+        """What the receiver has written arrives."""
+        form: Any = discovery_pb2.DeltaDiscoveryRequest
+        if not self.receiver.delta:
+            form = discovery_pb2.DiscoveryRequest
+        for data in self.receiver.requests():
+            wire.read(self.stream, form.FromString(data))
+
+    def push(self, now: State) -> bool:
+        """One answer, if one is due."""
+        push = self.stream.next(now)
+        if push is not None:
+            self.said.append(push)
+            self.on_way.append(self.writer.write(push, self.stream.delta))
+        return push is not None
+
+    def down(self) -> bool:
+        """The next answer arrives, if there is one."""
+        if self.on_way:
+            self.receiver.hear(self.on_way.pop(0))
+            return True
+        return False
+
+    def settle(self, now: State) -> int:
+        """Until nothing moves; the number of answers that took."""
+        before = len(self.said)
+        for _ in range(200):
+            self.up()
+            if not (self.push(now) or self.down()):
+                return len(self.said) - before
+        raise AssertionError("it never comes to rest")
+
+    def boxes(self, cluster: str) -> set[int]:
+        """The numbers of the boxes that the receiver may send to."""
+        table = self.receiver.tables.get(cluster)
+        return {port - 9000 for _, port in table.all()} if table else set()
+
+
+def receiver(delta: bool = False, proxy: bool = True, **more: Any) -> Receiver:
+    return Receiver("r1", "a", target="" if proxy else "web", delta=delta, **more)
