Serve decisions over ADS: gRPC streams, load reports, keys, and what operators ask

Need: the pure parts of the control service had no way to a receiver.

Change: firvane control FILE runs a service: discovery's watch into the module through the engine, ADS in both forms on grpc.aio, LRS into the module's evidence, mutual TLS with files read anew at each handshake, a list that leaves nothing held back until it stands, panic told in the log; answers are worked out when they can be written, the urgent first, a bounded number at once; firvane control status, diff and keys.

--- a/firvane/cli/__init__.py
+++ b/firvane/cli/__init__.py
@@ -18,6 +18,7 @@
 # What --help shows of each, so that it need load none of them.
 COMMANDS = {
     "serve": "Run one proxy.",
+    "control": "Hand decisions out to other proxies through xDS.",
     "check": "Name every fault of a configuration or a scenario.",
     "rehearse": "Play a scenario against emulated boxes and clients, and judge it.",
     "boxes": "Stand up emulated boxes with discovery, for a client of your own.",
--- a/firvane/config/checks.py
+++ b/firvane/config/checks.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Iterator
 from typing import Any
 
-from firvane.config.model import File, Limits, Peers, RequestClass, TargetGroup
+from firvane.config.model import Control, File, Limits, Peers, RequestClass, TargetGroup
 from firvane.limits.costs import derive
 
 Found = Iterator[tuple[str, str]]
@@ -58,6 +58,13 @@
     yield from _twice("addresses[{}]", tier.addresses, "address")
 
 
+def control(given: Control) -> Found:
+    if given.most_ms < given.settle_ms:
+        yield "most_ms", f"is below settle_ms, {given.settle_ms:g}"
+    if given.keep_s < 2 * given.report_s:
+        yield "keep_s", f"is below two reports, {2 * given.report_s:g}: a receiver would be gone between them"
+
+
 def whole(file: File) -> Found:
     yield from _twice("classes[{}].name", (cls.name for cls in file.classes), "class")
     yield from _twice("tenants[{}].name", (tenant.name for tenant in file.tenants), "tenant")
@@ -86,5 +93,6 @@
     RequestClass: request_class,
     Limits: limits,
     Peers: peers,
+    Control: control,
     File: whole,
 }
--- a/firvane/config/model.py
+++ b/firvane/config/model.py
@@ -123,6 +123,34 @@
     everyone: Annotated[Address | None, says("where a datagram for all of them goes")] = None
 
 
+class Tls(Part, frozen=True, kw_only=True):
+    """Certificates and keys in PEM; read anew when a file changes, for connections that come after that."""
+
+    certificate: Annotated[Name, says("a file: the service's own certificate, and those between")]
+    key: Annotated[Name, says("a file: its key")]
+    authority: Annotated[Name, says("a file: who signs receivers' certificates; several at a rotation")]
+    allow: Annotated[
+        tuple[Name, ...], says("names in certificates that may see the service; empty: any that is signed")
+    ] = ()
+
+
+class Control(Part, frozen=True, kw_only=True):
+    """The control service (`firvane control FILE`): listen is then where receivers ask by xDS."""
+
+    service: Annotated[Name, says("the name under which receivers ask for it")]
+    settle_ms: Annotated[float, says("a change that is not urgent waits for others for so long", ge=0)] = 50.0
+    most_ms: Annotated[float, says("and no longer than that", ge=0, le=60_000)] = 500.0
+    panic: Annotated[
+        float, says("a whole list that leaves less than that part of the boxes is doubted", ge=0, le=0.9)
+    ] = 0.2
+    confirm_s: Annotated[float, says("until it has stood for so long", ge=0, le=600)] = 5.0
+    report_s: Annotated[float, says("between load reports of a receiver", ge=0.1, le=60)] = 1.0
+    keep_s: Annotated[float, says("a receiver that has left is left its part for so long", ge=0)] = 15.0
+    assumed_rps: Annotated[float, says("of a receiver that has not reported yet", gt=0, le=1e6)] = 10.0
+    most_rps: Annotated[float, says("that one receiver may report", gt=0, le=1e9)] = 100_000.0
+    tls: Annotated[Tls | None, says("receivers must show a certificate; without it nothing is hidden")] = None
+
+
 class Log(Part, frozen=True, kw_only=True):
     """What is told on standard error."""
 
@@ -150,4 +178,5 @@
     rules: Rules = Rules()
     limits: Limits = Limits()
     peers: Peers | None = None
+    control: Control | None = None
     log: Log = Log()
--- a/firvane/control/catalog.py
+++ b/firvane/control/catalog.py
@@ -16,7 +16,7 @@
 from firvane import interface as api
 from firvane.control import plan, resources
 from firvane.control.weights import divide, is_news
-from firvane.control.words import NOWHERE, Assignment, Box, Kind, Resource, State
+from firvane.control.words import NOWHERE, Assignment, Box, Kind, Locality, Resource, State
 
 HISTORY = 64
 
@@ -46,6 +46,7 @@
         self._boxes: tuple[Box, ...] = ()
         self._bounds: dict[int, int] = {}
         self._fixed: dict[Kind, list[Resource]] = {}
+        self._stale = True
         self.retune(settings)
 
     def retune(self, settings: api.Settings) -> None:
@@ -56,12 +57,17 @@
             Kind.LISTENER: [resources.listener(name, name)],
             Kind.ROUTES: [resources.route_configuration(name, name, routes, keyed)],
         }
-        self._told = {}
+        self._stale = True  # all groups are to hear of it
 
     def zone_of(self, name: str) -> int:
         """The group of a receiver that says it stands there."""
         return self.zones.index(name) if name in self.zones else NOWHERE
 
+    def told(self, zone: int) -> tuple[Locality, ...]:
+        """What a group was told last of its boxes."""
+        assignment = self._told.get(zone) or self._told.get(NOWHERE)
+        return assignment.localities if assignment else ()
+
     def state(self, zone: int) -> State | None:
         return self.states.get(zone) or self.states.get(NOWHERE)
 
@@ -80,14 +86,14 @@
         news = {
             zone: assignment for zone, assignment in divided.items()
             if zone in self._endpoints and (
-                zone not in self.states or is_news(self._told.get(zone), assignment)
+                self._stale or zone not in self.states or is_news(self._told.get(zone), assignment)
                 or self._bound(zone, boxes, largest) != self._bounds.get(zone)
             )
         }  # fmt: skip
         if not news:
             return []
         causes = reasons(self._boxes, boxes)
-        self._boxes = tuple(boxes)
+        self._boxes, self._stale = tuple(boxes), False
         self.serial += 1
         if any(old and old.boxes() - news[zone].boxes() for zone in news if (old := self._told.get(zone))):
             self.urgent += 1
--- /dev/null
+++ b/firvane/control/main.py
@@ -0,0 +1,58 @@
+"""One control service from its file to its end, by signals."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+import sys
+from collections.abc import Callable
+from functools import partial
+
+import uvloop
+
+from firvane import checked, native
+from firvane.config.checks import CHECKS
+from firvane.config.file import node
+from firvane.config.model import Control as Words
+from firvane.config.model import File
+from firvane.config.node import Config
+from firvane.control.keys import Useless
+from firvane.control.service import Control
+from firvane.logs import Bridge
+
+Told = tuple[Config, Words]
+
+
+def read(path: str) -> Told:
+    """What a file tells a control service; raises `checked.Faults`."""
+    file = checked.read(path, File, CHECKS)
+    if file.control is None:
+        raise checked.Faults([checked.Fault(path, "control", "is missing: a table that names the service")])
+    return node(file), file.control
+
+
+async def run(told: Told, read_again: Callable[[], Told]) -> None:
+    loop = asyncio.get_running_loop()
+    service = Control(loop, *told)
+    logging.getLogger().addHandler(Bridge(service.log))
+    service.log.info("native", **native.state()._asdict())
+    ended = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, ended.set)
+    loop.add_signal_handler(signal.SIGHUP, service.reload, read_again)
+    await service.start()
+    await ended.wait()
+    service.log.info("ending", streams=len(service.ads.sessions))
+    await service.stop()
+
+
+def serve(file: str, told: Told) -> int:
+    """One service until a signal ends it; the exit code."""
+    try:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(run(told, partial(read, file)))
+    except (OSError, Useless) as error:
+        print(f"firvane: cannot start: {error}", file=sys.stderr)
+        return 2
+    return 0
--- a/firvane/rehearsal/receiver.py
+++ b/firvane/rehearsal/receiver.py
@@ -233,18 +233,22 @@
                     self._drop(url, name)
         for name, (message, version) in found.items():
             self.resources[url][name], self.versions[url][name] = message, version
-            if url == ENDPOINTS or (url == CLUSTER and name in self.resources[ENDPOINTS]):
-                self._table(name)
-
-    def _table(self, name: str) -> None:
-        cluster, assignment = self.resources[CLUSTER].get(name), self.resources[ENDPOINTS].get(name)
-        if assignment is not None:
+            if url in (ENDPOINTS, CLUSTER):
+                self.tables.pop(name, None)
+
+    def table(self, name: str) -> Table | None:
+        """A cluster's boxes; made ready at the first request that needs them."""
+        if name not in self.tables:
+            cluster, assignment = self.resources[CLUSTER].get(name), self.resources[ENDPOINTS].get(name)
+            if assignment is None:
+                return None
             ring = 0
             if cluster is not None and cluster.lb_policy == cluster_pb2.Cluster.RING_HASH:
                 ring = cluster.ring_hash_lb_config.minimum_ring_size.value or RING
             self.tables[name] = Table(assignment, ring)
             for zone, boxes in zip(self.tables[name].zones, self.tables[name].boxes, strict=True):
                 self.zone_of.update(dict.fromkeys(boxes, zone))
+        return self.tables[name]
 
     def _drop(self, url: str, name: str) -> None:
         self.resources[url].pop(name, None)
@@ -306,7 +310,7 @@
         return Gone("no route")
 
     def _to(self, action: Any, key: str) -> Way | Gone:
-        table = self.tables.get(action.cluster)
+        table = self.table(action.cluster)
         if table is None:
             return Gone("no box")
         for category, part in table.drops:
--- a/tests/control/helpers.py
+++ b/tests/control/helpers.py
@@ -85,7 +85,7 @@
 
     def boxes(self, cluster: str) -> set[int]:
         """The numbers of the boxes that the receiver may send to."""
-        table = self.receiver.tables.get(cluster)
+        table = self.receiver.table(cluster)
         return {port - 9000 for _, port in table.all()} if table else set()
 
 
