--- a/firvane/control/ledger.py
+++ b/firvane/control/ledger.py
@@ -163,7 +163,7 @@
 
     def take(self, now: float) -> dict[str, Sum]:
         """What has been done since the last time, by box."""
-        span = min(self.interval, now - self._taken_at) if self._taken_at is not None else self.interval
+        span = min(self.interval, now - self._taken_at) if self._taken_at is not None else 0.0
         self._taken_at = now
         part = min(1.0, max(0.0, span / self.interval))
         by_box: dict[str, list[Seen]] = {}
--- a/firvane/rehearsal/receiver_link.py
+++ b/firvane/rehearsal/receiver_link.py
@@ -78,8 +78,9 @@
                     await self._talk()
                 except (grpc.RpcError, asyncio.InvalidStateError):  # what it was told is the call's own end
                     self.errors.append(f"{(await self.call.code()).name}: {await self.call.details()}")
-                except asyncio.CancelledError:
-                    if not self.call.cancelled() or asyncio.current_task().cancelling():  # type: ignore[union-attr]
+                except asyncio.CancelledError:  # of this task, or of the call alone
+                    task = asyncio.current_task()
+                    if not self.call.cancelled() or (task and task.cancelling()):
                         raise
             await asyncio.sleep(AGAIN)
             self.receiver.connect()
--- a/tests/control/live.py
+++ b/tests/control/live.py
@@ -65,6 +65,10 @@
         for writer in self.writers:
             self._write(writer, changed, False)
 
+    def weigh(self, name: str, weight: float) -> None:
+        self.boxes[name]["weight"] = weight
+        self.tell(**{name: self.boxes[name]["status"]})
+
     def whole(self, *names: str) -> None:
         """The whole list, with nothing in it but these."""
         self.index += 1
