Part what a control service knows and tells from its sockets

Need: to be rehearsed in virtual time, and tested on any clock, the service's core must stand without gRPC.

Change: control/core.py holds the module, the ledger, the pace and the catalog on a clock that is handed in; service.py keeps the list's watch, the streams, the keys and what operators ask.

--- a/firvane/control/ads.py
+++ b/firvane/control/ads.py
@@ -41,7 +41,7 @@
     def state(self, zone: int) -> State | None:
         """What those in a zone are told now; None while there is no list."""
 
-    def published_at(self, zone: int) -> float:
+    def settled_at(self, zone: int) -> float:
         """When that was settled on, on the loop's clock."""
 
     def come(self, name: str, zone: int) -> bool: ...
@@ -205,11 +205,6 @@
             if session.zone in zones and (state := self.service.state(session.zone)):
                 self.pump.wake(session, 0 if session.stream.is_urgent(state) else 1)
 
-    def published_first(self) -> None:
-        """There is a list at last."""
-        for session in self.sessions:
-            self.pump.wake(session, 1)
-
     def sweep(self) -> None:
         """Give up receivers that do not read."""
         now = self.loop.time()
@@ -233,7 +228,7 @@
         if push is None:
             return None
         if push.kind is Kind.ENDPOINTS:
-            session.sent_at[push.nonce] = self.service.published_at(session.zone)
+            session.sent_at[push.nonce] = self.service.settled_at(session.zone)
         return self.writer.write(push, session.stream.delta)
 
     async def _whole(self, _: Any, context: Any) -> None:
--- a/tests/control/test_service.py
+++ b/tests/control/test_service.py
@@ -23,7 +23,7 @@
 
 
 def at_rest(service: Control) -> bool:
-    return all(one.stream.converged(service.catalog.states[0]) for one in service.ads.sessions)
+    return all(one.stream.converged(service.core.catalog.states[0]) for one in service.ads.sessions)
 
 
 def other_key(folder: Path) -> None:
@@ -131,7 +131,7 @@
             link = here.receiver(loads=True)
             here.discovery.tell(**UP)
             await here.until(lambda: isinstance(link.receiver.way("/read/x"), Way))
-            assert service.ledger.demand() == {0: 3.0}
+            assert service.core.ledger.demand() == {0: 3.0}
 
             def ask() -> bool:
                 for n in range(20):
@@ -139,19 +139,19 @@
                     assert isinstance(way, Way)
                     link.receiver.sent(way.address)
                     link.receiver.ended(way.address, way.address[1] != 9003)
-                balancer = service.engine.balancer
+                balancer = service.core.engine.balancer
                 return balancer.servers["b3"].faulty > 0.5 and balancer.evidence.counts.get(0, 0) > 20
 
             await here.until(ask)
             await here.until(lambda: (ask(), ports(link) == {9001, 9002})[1])  # doubted, by the module
             assert any("b3 doubted" in line for line in here.logged("told"))
-            rate = service.ledger.demand()[0]
+            rate = service.core.ledger.demand()[0]
             assert rate > 10.0
             await link.stop()
             await here.until(lambda: not service.ads.sessions)
-            assert service.ledger.demand()[0] > 0.0  # it may come back, and goes on by what it was told
+            assert service.core.ledger.demand()[0] > 0.0  # it may come back, and goes on by what it was told
             await here.until(lambda: here.logged("receiver_gone"))
-            assert service.ledger.demand() == {}
+            assert service.core.ledger.demand() == {}
 
     run(work())
 
@@ -174,7 +174,7 @@
             status = await asyncio.to_thread(call, "status", at)
             assert "r0 (stand-in, zone a, state of the world): current" in status.output
             assert "b2 gone or draining" in status.output
-            serials = [str(entry.serial) for entry in service.catalog.history[0]]
+            serials = [str(entry.serial) for entry in service.core.catalog.history[0]]
             diff = await asyncio.to_thread(call, "diff", at, serials[0], serials[-1], "--node", "r0")
             assert "b2: taken away" in diff.output and "b2 gone or draining" in diff.output
             nobody = await asyncio.to_thread(call, "diff", at, "1", "2", "--node", "nobody")
