Hold receivers to rooms and budgets: failures of all are want of room, not a box's fault

Traced in a flood: turn-aways come as failures by LRS, all 14 boxes were left alone as failing, 98 in 100 requests were dropped, demand seemed gone, nothing was dropped, and all again.

Change: a failure that most boxes have alike cuts rooms; only what is beyond that is the box's. Receivers are held to room / time of an answer, dropped requests count as demand, a retry budget of 20% in clusters; weights alone are told no more often than telling all costs. The service may hold several places in its tier (counts_as), each with its part.

--- a/Makefile
+++ b/Makefile
@@ -1,15 +1,18 @@
 # The same commands as CI and the deploy file; see README.md.
-.PHONY: build test lint run demo wheel native
+.PHONY: build venv test lint run demo wheel native
 
-build:
+venv:
 	test -d .venv || (python3 -m venv .venv && .venv/bin/pip -q install -r requirements.txt)
+
+build: venv
 	.venv/bin/python tools/build_native.py
 
 .venv/bin/pytest: requirements.txt requirements-dev.txt | build
 	.venv/bin/pip -q install -r requirements.txt -r requirements-dev.txt
 	touch $@
 
-.venv/bin/firvane: pyproject.toml | build
+# Compiled modules take a minute to make and are not needed for it: `make build` makes them.
+.venv/bin/firvane: pyproject.toml | venv
 	.venv/bin/pip -q install -e .
 	touch $@
 
--- /dev/null
+++ b/benchmarks/control.py
@@ -0,0 +1,302 @@
+"""How soon receivers hear: a control service as it is started, discovery, receivers in their own processes.
+
+    python -m benchmarks.control --boxes 2000 --receivers 1,100,1000
+    python -m benchmarks.control --receivers 100 --drains 20 --json control.json
+
+A drain is timed from the moment that discovery writes its line to the moment that each receiver has taken the
+answer and written its ACK: idle, while weights of all boxes change as well, and while all receivers come back
+at once. Everything is on loopback; the service runs as `firvane control FILE`, receivers 125 to a process.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import os
+import resource
+import statistics
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+import uvloop
+
+from firvane.rehearsal.receiver import ENDPOINTS, Receiver
+from firvane.rehearsal.receiver_link import Link
+
+EACH = 125  # receivers in a process
+ZONES = ("ikeja", "lekki", "yaba")
+PAUSE = 1.0  # s between two drains
+PATIENCE = 60.0  # s
+
+COMMAND = "from firvane.cli import run; run()"
+FILE = """
+listen = "127.0.0.1:{port}"
+seed = 1
+zone = "ikeja"
+zones = ["ikeja", "lekki", "yaba"]
+[control]
+service = "web"
+[target_group]
+discovery = "127.0.0.1:{discovery}"
+[[classes]]
+name = "read"
+aim_ms = 500
+deadline_ms = 2500
+repeat = "safe"
+[log]
+level = "warning"
+"""
+
+
+# Receivers, in a process of their own
+
+
+async def follow(args: argparse.Namespace) -> None:
+    """Told by lines which list to wait for; says at what times its receivers had it, once all have."""
+    wanted, times = 0, dict[str, float]()
+    bytes_heard = 0
+
+    def number(receiver: Receiver) -> int:
+        text = receiver.versions[ENDPOINTS].get("web", "")
+        return int(text.partition(".")[0] or 0)
+
+    def heard(receiver: Receiver) -> None:
+        if receiver.name not in times and number(receiver) >= wanted:
+            times[receiver.name] = time.monotonic()
+            if len(times) == len(links):
+                tell()
+
+    def tell() -> None:
+        print(json.dumps({"number": wanted, "at": sorted(times.values()), "bytes": bytes_heard}), flush=True)
+
+    links = []
+    for n in range(args.count):
+        name = f"r{args.first + n}"
+        receiver = Receiver(name, ZONES[n % 3], delta=n % 2 == 1)
+        plain = receiver.hear
+
+        def hear(data: bytes, plain: Any = plain) -> bool:
+            nonlocal bytes_heard
+            bytes_heard += len(data)
+            return bool(plain(data))
+
+        receiver.hear = hear  # type: ignore[method-assign]
+        links.append(Link(receiver, [f"127.0.0.1:{args.port}"], heard))
+    for link in links:
+        link.start()
+    reader, loop = asyncio.StreamReader(), asyncio.get_running_loop()
+    await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+    while line := await reader.readline():
+        word, _, value = line.decode().partition(" ")
+        if word == "wait":
+            wanted, bytes_heard = int(value), 0
+            times.clear()
+            for link in links:
+                heard(link.receiver)
+        elif word == "hang":
+            wanted, bytes_heard = int(value), 0
+            times.clear()
+            for link in links:
+                link.receiver.versions[ENDPOINTS].clear()
+                link.hang_up()
+
+
+class Receivers:
+    """Some receivers in a process."""
+
+    def __init__(self, process: asyncio.subprocess.Process) -> None:
+        self.process = process
+
+    def say(self, words: str) -> None:
+        assert self.process.stdin
+        self.process.stdin.write(f"{words}\n".encode())
+
+    async def told(self) -> dict[str, Any]:
+        assert self.process.stdout
+        async with asyncio.timeout(PATIENCE):
+            line = await self.process.stdout.readline()
+        found: dict[str, Any] = json.loads(line)
+        return found
+
+
+# Discovery
+
+
+class Discovery:
+    def __init__(self, boxes: int) -> None:
+        self.index = 1
+        self.boxes = {f"box-{n}": self._entry(n) for n in range(boxes)}
+        self.writers: list[asyncio.StreamWriter] = []
+
+    @staticmethod
+    def _entry(n: int) -> dict[str, Any]:
+        return {
+            "name": f"box-{n}", "address": f"127.{1 + n // 60000}.0.1:{1024 + n % 60000}",
+            "zone": ZONES[n % 3], "type": "m", "group": 0, "status": "up", "weight": 1.0, "since_ms": 0,
+        }  # fmt: skip
+
+    async def start(self) -> int:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port: int = self.server.sockets[0].getsockname()[1]
+        return port
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        self._write(writer, list(self.boxes.values()), True)
+        self.writers.append(writer)
+
+    def _write(self, writer: asyncio.StreamWriter, entries: list[Any], whole: bool) -> None:
+        line = json.dumps({"index": self.index, "snapshot": whole, "endpoints": entries}) + "\n"
+        writer.write(f"{len(line):x}\r\n{line}\r\n".encode())
+
+    def tell(self, entries: list[dict[str, Any]]) -> float:
+        """Written now; the time of it."""
+        self.index += 1
+        for entry in entries:
+            self.boxes[entry["name"]] = entry
+        at = time.monotonic()
+        for writer in self.writers:
+            self._write(writer, entries, False)
+        return at
+
+    def drain(self) -> float:
+        name = next(name for name, entry in self.boxes.items() if entry["status"] == "up")
+        return self.tell([{**self.boxes[name], "status": "draining"}])
+
+    def weigh(self, weight: float) -> float:
+        return self.tell([{**entry, "weight": weight} for entry in self.boxes.values()])
+
+
+def used(pid: int) -> tuple[float, float]:
+    """CPU seconds and peak memory in MB of a process."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    ticks = os.sysconf("SC_CLK_TCK")
+    status = Path(f"/proc/{pid}/status").read_text()
+    peak = next(line for line in status.splitlines() if line.startswith("VmHWM"))
+    return (int(fields[11]) + int(fields[12])) / ticks, int(peak.split()[1]) / 1024
+
+
+def cut(times: list[float]) -> dict[str, float]:
+    times = sorted(times)
+    return {
+        "p50_ms": 1e3 * statistics.median(times),
+        "p99_ms": 1e3 * times[min(len(times) - 1, int(0.99 * len(times)))],
+        "worst_ms": 1e3 * times[-1],
+    }
+
+
+async def measure(args: argparse.Namespace, count: int) -> list[dict[str, Any]]:
+    discovery = Discovery(args.boxes)
+    folder = tempfile.mkdtemp()
+    import socket
+
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port = probe.getsockname()[1]
+    file = Path(folder) / "control.toml"
+    file.write_text(FILE.format(port=port, discovery=await discovery.start()))
+    service = await asyncio.create_subprocess_exec(sys.executable, "-c", COMMAND, "control", str(file))
+    groups = []
+    for first in range(0, count, EACH):
+        here = min(EACH, count - first)
+        words = ["--follow", "--first", str(first), "--count", str(here), "--port", str(port)]
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "benchmarks.control", *words, stdin=-1, stdout=-1
+        )
+        groups.append(Receivers(process))
+    rows = []
+
+    async def wait(since: float) -> tuple[list[float], int]:
+        told = [await group.told() for group in groups]
+        return [at - since for one in told for at in one["at"]], sum(one["bytes"] for one in told)
+
+    try:
+        for group in groups:
+            group.say("wait 1")
+        await wait(0.0)
+        print(f"{count} receivers, {args.boxes} boxes: all follow", flush=True)
+        for name in ("idle", "under a full push"):
+            ages: list[float] = []
+            sent, cpu = 0, used(service.pid)[0]
+            for n in range(args.drains):
+                await asyncio.sleep(PAUSE)
+                for group in groups:
+                    group.say(f"wait {discovery.index + (2 if name != 'idle' else 1)}")
+                await asyncio.sleep(0.05)
+                if name != "idle":
+                    discovery.weigh(1.0 + n % 2)
+                    await asyncio.sleep(0.02)
+                found, size = await wait(discovery.drain())
+                ages += found
+                sent += size
+            spent = used(service.pid)[0] - cpu
+            rows.append(
+                {
+                    "receivers": count, "what": f"drain, {name}", **cut(ages),
+                    "kb_each": sent / 1e3 / args.drains / count, "cpu_s": spent / args.drains,
+                }
+            )  # fmt: skip
+        for what in ("all come back", "drain while all come back"):
+            await asyncio.sleep(2 * PAUSE)
+            cpu, since = used(service.pid)[0], time.monotonic()
+            for group in groups:
+                group.say(f"hang {discovery.index + (what != 'all come back')}")
+            if what != "all come back":
+                await asyncio.sleep(0.3)
+                since = discovery.drain()
+            found, size = await wait(since)
+            rows.append(
+                {
+                    "receivers": count, "what": what, **cut(found), "kb_each": size / 1e3 / count,
+                    "cpu_s": used(service.pid)[0] - cpu,
+                }
+            )  # fmt: skip
+        for row in rows:
+            row["peak_mb"] = used(service.pid)[1]
+    finally:
+        for group in groups:
+            assert group.process.stdin
+            group.process.stdin.close()
+            group.process.kill()
+        service.terminate()
+        await service.wait()
+    return rows
+
+
+async def everything(args: argparse.Namespace) -> None:
+    rows = []
+    for count in map(int, args.receivers.split(",")):
+        rows += await measure(args, count)
+    names = ("p50_ms", "p99_ms", "worst_ms", "kb_each", "cpu_s", "peak_mb")
+    print(f"{'receivers':>9}  {'':28}" + "".join(f"{name:>10}" for name in names))
+    for row in rows:
+        print(f"{row['receivers']:9}  {row['what']:28}" + "".join(f"{row[name]:10.1f}" for name in names))
+    if args.json:
+        Path(args.json).write_text(json.dumps(rows, indent=1))
+
+
+def main() -> None:
+    form = argparse.RawDescriptionHelpFormatter
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=form)
+    parser.add_argument("--receivers", default="1,100,1000")
+    parser.add_argument("--boxes", type=int, default=2000)
+    parser.add_argument("--drains", type=int, default=10)
+    parser.add_argument("--json", default="")
+    for name in ("--first", "--count", "--port"):
+        parser.add_argument(name, type=int, default=0, help=argparse.SUPPRESS)
+    parser.add_argument("--follow", action="store_true", help=argparse.SUPPRESS)
+    args = parser.parse_args()
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+    what = follow(args) if args.follow else everything(args)
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(what)
+
+
+if __name__ == "__main__":
+    main()
--- a/firvane/config/checks.py
+++ b/firvane/config/checks.py
@@ -84,6 +84,12 @@
             yield f"target_group.targets[{index}].kind", f"is {target.kind!r}, not one of kinds"
         if target.address == file.listen:
             yield f"target_group.targets[{index}].address", "is where this proxy itself listens"
+    if file.control and file.control.counts_as > 1:
+        me, tier = 0, file.peers
+        if tier:
+            me = tier.me if tier.me is not None else tier.addresses.index(tier.listen)
+        if tier is None or me + file.control.counts_as > len(tier.addresses):
+            yield "control.counts_as", "needs as many addresses in peers, from the one of this service on"
     if file.peers and not file.zones and (file.zone or any(target.zone for target in targets)):
         yield "zones", "is missing: proxies of a tier number their zones alike only where all list them"
 
--- a/firvane/config/model.py
+++ b/firvane/config/model.py
@@ -148,6 +148,9 @@
     keep_s: Annotated[float, says("a receiver that has left is left its part for so long", ge=0)] = 15.0
     assumed_rps: Annotated[float, says("of a receiver that has not reported yet", gt=0, le=1e6)] = 10.0
     most_rps: Annotated[float, says("that one receiver may report", gt=0, le=1e9)] = 100_000.0
+    counts_as: Annotated[
+        int, says("proxies that receivers stand for in the tier: so many of its addresses", ge=1, le=64)
+    ] = 1
     tls: Annotated[Tls | None, says("receivers must show a certificate; without it nothing is hidden")] = None
 
 
--- a/firvane/control/catalog.py
+++ b/firvane/control/catalog.py
@@ -127,7 +127,6 @@
                         settings.warm_keys,
                         self._bounds[zone],
                         settings.limits.connect_timeout,
-                        settings.limits.max_attempts,
                     )
                 ],
                 Kind.ENDPOINTS: [self._endpoints[zone].make(name, assignment)],
@@ -155,13 +154,13 @@
     for name, box in new.items():
         was = old.get(name)
         if was is None:
-            found.append(f"{name} listed, cold" if before and box.budget is not None else f"{name} listed")
+            found.append(f"{name} listed, cold" if before and box.cold else f"{name} listed")
         elif box.address != was.address:
             found.append(f"{name} moved")
         elif box.doubted != was.doubted:
             found.append(f"{name} doubted" if box.doubted else f"{name} trusted again")
-        elif (box.budget is None) != (was.budget is None):
-            found.append(f"{name} bounded" if box.budget is not None else f"{name} warm")
+        elif box.cold != was.cold:
+            found.append(f"{name} restarted" if box.cold else f"{name} warm")
     return tuple(found) or ("weights",)
 
 
--- a/firvane/control/core.py
+++ b/firvane/control/core.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any, Protocol
 
 from firvane import interface as api
@@ -17,7 +17,7 @@
 from firvane.config.model import Control as Words
 from firvane.control import beliefs
 from firvane.control.catalog import Catalog
-from firvane.control.feedback import Feedback, Reported
+from firvane.control.feedback import Feedback, split
 from firvane.control.ledger import Ledger
 from firvane.control.pace import Pace
 from firvane.control.panic import Panic
@@ -26,6 +26,8 @@
 from firvane.engine import Clock, Directory, Engine, Exchange, Handle, Post
 from firvane.logs import QUIET, Log
 
+# Places of boxes told to receivers a second, where nothing is urgent; s between such times at the most.
+PLACES, MOST_QUIET = 400_000.0, 5.0
 LOOK, PER_BOX = 0.25, 0.0005  # s from one look at the beliefs to the next: at the least, and for each box
 
 
@@ -49,48 +51,53 @@
 
 
 class Core:
-    """It is a proxy of its tier without flows: what receivers do counts as its own."""
+    """It is a proxy of its tier without flows, or several: what receivers do counts as its own."""
 
     def __init__(
         self,
-        settings: api.Settings,
+        settings: Sequence[api.Settings],
         words: Words,
         seed: int,
         zones: tuple[str, ...],
         clock: Clock,
-        post: Post,
+        posts: Sequence[Post],
         directory: Directory,
         audience: Audience,
         wall: Callable[[], float],
         log: Log = QUIET,
     ) -> None:
-        """`wall` tells Unix time in seconds."""
+        """One of `settings` and `posts` for each place in the tier. `wall` tells Unix time in seconds."""
         self.words, self.zones, self.clock, self.audience = words, zones, clock, audience
         self.wall, self.log = wall, log
         self.number = 0  # of the list
         self.addresses: dict[str, Address] = {}
-        self.engine: Engine[Any, Any] = Engine(
-            settings, seed, clock, NoTargets(), post, directory, wall, log
-        )
-        self.feedback = Feedback(self.engine.balancer)
+        self.engines: list[Engine[Any, Any]] = [
+            Engine(own, seed + place, clock, NoTargets(), post, directory, wall, log)
+            for place, (own, post) in enumerate(zip(settings, posts, strict=True))
+        ]
+        self.engine = self.engines[0]
+        self.feedbacks = [Feedback(engine.balancer) for engine in self.engines]
+        self.looks = 0
         self.ledger = Ledger(words.report_s, words.keep_s, words.assumed_rps, words.most_rps)
         self.pace = Pace(words.settle_ms / 1e3, words.most_ms / 1e3)
         self.panic = Panic(words.panic, words.confirm_s)
-        self.catalog = Catalog(words.service, zones, settings)
+        self.catalog = Catalog(words.service, zones, settings[0])
         self.published_at: dict[int, float] = {}  # on the clock, by group
         self._kept: dict[str, Box] = {}  # as last told, for those that a doubtful list leaves out
         self._up: set[str] = set()
         self._timer: Any = None
 
     def start(self) -> None:
-        self.engine.start()
+        for engine in self.engines:
+            engine.start()
         self.look()
 
-    def retune(self, settings: api.Settings, words: Words) -> None:
+    def retune(self, settings: Sequence[api.Settings], words: Words) -> None:
         """Other settings from now on; the service's name, its keys and its intervals are those of before."""
         self.words = words
-        self.engine.retune(settings)
-        self.catalog.retune(settings)
+        for engine, own in zip(self.engines, settings, strict=True):
+            engine.retune(own)
+        self.catalog.retune(settings[0])
         self.pace = Pace(words.settle_ms / 1e3, words.most_ms / 1e3)
         self.panic.part, self.panic.confirm = words.panic, words.confirm_s
         self.pace.changed(self.clock.time(), urgent=True)
@@ -109,7 +116,8 @@
         now, before = self.clock.time(), set(self._up)
         named = {server.id for server in news.servers if server.state is not api.ServerState.UP}
         self.number = news.version
-        self.engine.listed(news)
+        for engine in self.engines:
+            engine.listed(news)
         self._up = {server.entry.id for server in self.engine.balancer.up}
         left_out = before - {server.id for server in news.servers}
         self.panic.named(named)
@@ -135,8 +143,11 @@
 
     def _boxes(self) -> list[Box]:
         """As the module has them, and those that a doubtful list leaves out as they were."""
-        found = beliefs.read(self.engine.balancer, self.addresses, self.engine.now())
-        boxes = {box.name: box for box in found}
+        places = [
+            beliefs.read(engine.balancer, self.addresses, feedback.took, engine.now())
+            for engine, feedback in zip(self.engines, self.feedbacks, strict=True)
+        ]
+        boxes = {box.name: box for box in beliefs.joined(places)}
         for name in self.panic.held(self.clock.time()):
             if name not in boxes and name in self._kept:
                 boxes[name] = self._kept[name]
@@ -182,18 +193,23 @@
         for name in self.ledger.sweep(self.engine.known, now):
             self.log.info("receiver_gone", receiver=name, text="its part of the demand is free")
         if sums := self.ledger.take(now):
-            self.engine.give(Reported(sums))  # type: ignore[arg-type]  # an event that this service adds
+            self.looks += 1
+            parts = split(sums, len(self.engines), self.looks)
+            for engine, part in zip(self.engines, parts, strict=True):
+                engine.give(part)  # type: ignore[arg-type]  # an event that this service adds
         if self.catalog.states or self._up:
+            work = len(self.ledger.receivers) * len(self.addresses)
+            self.pace.least = min(MOST_QUIET, work / PLACES)
             self.pace.changed(now)
             self.publish()
         self.clock.call_at(now + max(LOOK, PER_BOX * len(self.addresses)), self.look)
 
     # What receivers say
 
-    def reported(self, name: str, told: Mapping[str, Report], span: float) -> None:
-        """A receiver's report, of so many seconds."""
+    def reported(self, name: str, told: Mapping[str, Report], span: float, dropped: int) -> None:
+        """A receiver's report, of so many seconds; requests that it dropped as it was told to."""
         span = span or self.words.report_s
-        self.ledger.report(name, told, self.engine.known, span, self.clock.time())
+        self.ledger.report(name, told, self.engine.known, span, self.clock.time(), dropped)
 
     def zone_name(self, number: int) -> str:
         return self.zones[number] if 0 <= number < len(self.zones) else ""
--- a/firvane/control/feedback.py
+++ b/firvane/control/feedback.py
@@ -12,6 +12,8 @@
 from firvane.choice import Balancer
 from firvane.rooms.reports import Sum, take
 
+SLOWLY = 0.2  # how far one sum moves the time that answers take
+
 
 @dataclass(slots=True, frozen=True)
 class Reported:
@@ -20,11 +22,40 @@
     boxes: Mapping[str, Sum]
 
 
+def split(sums: Mapping[str, Sum], places: int, turn: int) -> list[Reported]:
+    """The same for several places in the tier, an even part each; whole numbers lose nothing.
+
+    `turn` is another number each time: it says who gets what is left over.
+    """
+    if places == 1:
+        return [Reported(sums)]
+
+    def part(count: int, place: int) -> int:
+        return count // places + ((place + turn) % places < count % places)
+
+    return [
+        Reported(
+            {
+                name: one._replace(
+                    served=part(one.served, place),
+                    failed=part(one.failed, place),
+                    issued=part(one.issued, place),
+                    out=one.out / places,
+                    rate=one.rate / places,
+                )
+                for name, one in sums.items()
+            }
+        )
+        for place in range(places)
+    ]
+
+
 class Feedback:
     """Adds the event to those that a balancer handles."""
 
     def __init__(self, balancer: Balancer) -> None:
         self.balancer = balancer
+        self.took: dict[str, float] = {}  # s that an answer takes, by box
         balancer.handlers[Reported] = self.on_reported
 
     def on_reported(self, reported: Reported, now: float) -> None:
@@ -34,5 +65,9 @@
             balancer.arrived[-1] += told.issued
             balancer.served[-1] += told.served
             if server := balancer.servers.get(name):
-                take(balancer.evidence, server, told, aim, now)
+                if took := take(balancer.evidence, server, told, aim, now):
+                    known = self.took.get(name, took)
+                    self.took[name] = known + SLOWLY * (took - known)
                 balancer.large.mark(server)
+        for name in self.took.keys() - balancer.servers.keys():
+            del self.took[name]
--- a/firvane/control/ledger.py
+++ b/firvane/control/ledger.py
@@ -32,11 +32,11 @@
 class Seen:
     """What one receiver has seen of one box, of late."""
 
-    __slots__ = ("ended_at", "failed", "issued", "out", "served", "waits_since")
+    __slots__ = ("ended_at", "failed", "held", "issued", "out", "served", "waits_since")
 
     def __init__(self, now: float) -> None:
         self.served = self.failed = self.issued = 0.0  # a second, smoothed
-        self.out = 0
+        self.out, self.held = 0, 0.0  # in progress: now, and smoothed
         self.ended_at = now
         self.waits_since = 0.0  # since when something is out and nothing has ended; 0: nothing is
 
@@ -83,9 +83,15 @@
             receiver.left_at = now
 
     def report(
-        self, name: str, told: Mapping[str, Report], listed: Collection[str], span: float, now: float
+        self,
+        name: str,
+        told: Mapping[str, Report],
+        listed: Collection[str],
+        span: float,
+        now: float,
+        dropped: int = 0,
     ) -> None:
-        """What it has done in `span` seconds."""
+        """What it has done in `span` seconds, and what it dropped as it was told to: that is demand, too."""
         receiver = self.receivers.get(name)
         if receiver is None:
             self.cut += 1
@@ -105,6 +111,7 @@
             self._see(receiver, box, counts, min(max(0, one.out), int(most)), span, now)
         for box in receiver.boxes.keys() - told.keys():
             self._see(receiver, box, [0.0, 0.0, 0.0], 0, span, now)
+        whole = min(most, whole + max(0, dropped))
         first = receiver.reports == 0
         receiver.reports += 1
         receiver.reported_at = now
@@ -121,6 +128,7 @@
         seen.failed += SMOOTH * (failed / span - seen.failed)
         seen.issued += SMOOTH * (issued / span - seen.issued)
         seen.out = out
+        seen.held += SMOOTH * (out - seen.held)
         if served or failed or not out:
             seen.ended_at, seen.waits_since = now, 0.0
         elif not seen.waits_since:
@@ -173,7 +181,9 @@
         found = {}
         for box, all_seen in by_box.items():
             found[box] = self._sum(self._let_out(box, part), all_seen, now)
-        return found
+        bad = [one.bad for one in found.values() if one.rate]
+        usual = median(bad) if len(bad) > 2 else 0.0
+        return {box: one._replace(worse=_beyond(one.bad, usual)) for box, one in found.items()}
 
     def _let_out(self, box: str, part: float) -> tuple[int, int, int]:
         pending = self._pending.get(box)
@@ -202,8 +212,13 @@
             bad = float(median(say)) if len(say) >= 3 else min(say)
         return Sum(
             *counts,
-            float(sum(seen.out for seen in all_seen)),
-            sum(seen.served for seen in all_seen),
-            bad,
-            silent > heard,
+            out=sum(seen.held for seen in all_seen),
+            rate=sum(seen.served + seen.failed for seen in all_seen),
+            bad=bad,
+            silent=silent > heard,
         )
+
+
+def _beyond(bad: float, usual: float) -> float:
+    """A part that fails, beyond what is usual."""
+    return max(0.0, (bad - usual) / (1.0 - usual)) if usual < 1.0 else 0.0
--- a/firvane/control/resources.py
+++ b/firvane/control/resources.py
@@ -26,6 +26,7 @@
 from firvane.control.words import DROP_CATEGORY, Assignment, Health, Kind, Locality, Place, Resource
 
 KEY_HEADER = "x-route-hash"
+RETRIES = 20.0  # in 100 requests that are open at a receiver: further tries beyond that are not made
 RING = 1024, 4096  # of entries on a receiver's ring of keys; gRPC's clients take no more
 # gRPC's clients know only the words without a dash of these, others all of them.
 NEVER_RAN = "connect-failure,refused-stream"
@@ -118,13 +119,16 @@
     )
 
 
-def cluster(name: str, keyed: bool, open_at_once: int, connect: float, attempts: int) -> Resource:
+def cluster(name: str, keyed: bool, open_at_once: int, connect: float) -> Resource:
     """The target group; `keyed`: a request's key leads to the same box. `connect` is seconds."""
     thresholds = circuit_breaker_pb2.CircuitBreakers.Thresholds(
         max_requests=wrappers_pb2.UInt32Value(value=open_at_once),
         max_pending_requests=wrappers_pb2.UInt32Value(value=open_at_once),
         max_connections=wrappers_pb2.UInt32Value(value=open_at_once),
-        max_retries=wrappers_pb2.UInt32Value(value=max(3, open_at_once // 4) if attempts > 1 else 1),
+        retry_budget=circuit_breaker_pb2.CircuitBreakers.Thresholds.RetryBudget(
+            budget_percent=percent_pb2.Percent(value=RETRIES),
+            min_retry_concurrency=wrappers_pb2.UInt32Value(value=3),
+        ),
     )
     message = cluster_pb2.Cluster(
         name=name,
--- a/firvane/control/service.py
+++ b/firvane/control/service.py
@@ -6,6 +6,8 @@
 import random
 import time
 from collections.abc import Callable
+from dataclasses import replace
+from functools import partial
 from statistics import quantiles
 from typing import Any
 
@@ -30,6 +32,19 @@
 GRACE = 1.0  # s for streams to end at a stop
 
 
+def places(config: Config, words: Words) -> list[api.Settings]:
+    """The settings of each place that the service has in its tier: the zones in turn, from its own on."""
+    own = config.settings
+    return [
+        replace(own, me=own.me + place, zone=(own.zone + place) % own.zones)
+        for place in range(words.counts_as)
+    ]
+
+
+def _itself(peers: Peers) -> Peers:
+    return peers
+
+
 class Control:
     """One control service."""
 
@@ -51,11 +66,14 @@
         self.group = TargetGroup(
             loop, config.discovery, reader, self._target, self._listed, self.log, pauses
         )
-        self.peers = Peers(config.settings.me, config.peers, config.peers_all, self._peer, loop.time)
+        self.peers = [
+            Peers(own.me, config.peers, config.peers_all, partial(self._peer, place), loop.time)
+            for place, own in enumerate(places(config, words))
+        ]
         self.ads = Ads(loop, self, words.report_s, self.log)
         self.core = Core(
-            config.settings, words, config.seed, config.zones, loop, self.peers, self.group, self.ads, wall,
-            self.log,
+            places(config, words), words, config.seed, config.zones, loop, self.peers, self.group, self.ads,
+            wall, self.log,
         )  # fmt: skip
         self.keys = Keys(words.tls, self.log) if words.tls else None
         self.server: Any = None
@@ -67,8 +85,8 @@
     def _listed(self, news: api.ServerList) -> None:
         self.core.listed(news)
 
-    def _peer(self, sender: int, payload: bytes) -> None:
-        self.core.engine.give(api.PeerMessage(sender, payload))
+    def _peer(self, place: int, sender: int, payload: bytes) -> None:
+        self.core.engines[place].give(api.PeerMessage(sender, payload))
 
     # What the streams need
 
@@ -122,7 +140,9 @@
         """Everything up to answering receivers; they are told nothing before there is a list."""
         config = self.config
         if config.peer_listen:
-            await self.loop.create_datagram_endpoint(lambda: self.peers, local_addr=config.peer_listen)
+            for place, peers in enumerate(self.peers):
+                own = config.peer_listen if not place else config.peers[peers.me]
+                await self.loop.create_datagram_endpoint(partial(_itself, peers), local_addr=own)
         self.core.start()
         if config.known:
             self.group.learn(config.known)
@@ -163,23 +183,27 @@
             return
         fixed = ("listen", "peers", "zones", "kinds")
         waiting = [name for name in fixed if getattr(config, name) != getattr(self.config, name)]
-        if words.service != self.name or (words.tls is None) is not (self.core.words.tls is None):
+        old = self.core.words
+        was, now = ((one.service, one.counts_as, one.tls is None) for one in (old, words))
+        if was != now:
             waiting.append("control")
         if waiting:
             self.log.warning("config_waits", text="the next start is needed for " + ", ".join(waiting))
-        old = self.core.words
-        words = msgspec.structs.replace(words, service=old.service, tls=words.tls or old.tls)
+        words = msgspec.structs.replace(
+            words, service=old.service, tls=words.tls or old.tls, counts_as=old.counts_as
+        )
         if config.discovery and self.config.discovery:
             self.group.move(config.discovery)
         elif config.known and not self.config.discovery:
             self.group.learn(config.known)
         self.log.info("config_reread", targets=len(self.group.servers))
-        self.core.retune(config.settings, words)
+        self.core.retune(places(config, words), words)
 
     async def stop(self) -> None:
         """Streams end with a word; receivers go on by what they have, and ask elsewhere."""
         self.group.stop()
-        self.peers.close()
+        for peers in self.peers:
+            peers.close()
         self.ads.stop()
         if self.server is not None:
             await self.server.stop(GRACE)
--- a/firvane/control/weights.py
+++ b/firvane/control/weights.py
@@ -20,7 +20,7 @@
 
 MARGIN = 0.15  # of a zone's target: an excess below that crosses no zone
 SUM, WHOLE = 100_000, 1000  # of the weights of a zone's places; of the weights of zones
-SAME = 0.12  # a weight that differs by less than that part is no news
+SAME = 0.2  # a weight that differs by less than that part is no news
 DROPS = 10_000  # parts that drops are told in
 
 
@@ -160,7 +160,7 @@
         for was, now in zip(before.places, after.places, strict=True):
             if (was.box, was.address, was.health) != (now.box, now.address, now.health):
                 return True
-            if _far(was.weight, now.weight, 0.02 * usual):
+            if _far(was.weight, now.weight, 0.1 * usual):
                 return True
     return False
 
--- a/firvane/control/wire.py
+++ b/firvane/control/wire.py
@@ -14,7 +14,7 @@
 from google.protobuf import any_pb2
 
 from firvane.control.stream import Push, Stream, write_version
-from firvane.control.words import KINDS, Kind, Report
+from firvane.control.words import DROP_CATEGORY, KINDS, Kind, Report
 from firvane.text import plain
 
 KEPT = 64  # encodings that are kept: far more than differ at one time
@@ -111,18 +111,19 @@
 
 def read_reports(
     request: Any, cluster: str, boxes: Mapping[tuple[str, int], str], weights: Mapping[tuple[str, str], float]
-) -> tuple[dict[str, Report], float]:
-    """What a load report says by box, and of how many seconds.
+) -> tuple[dict[str, Report], float, int]:
+    """What a load report says by box, of how many seconds, and how many requests were dropped as told.
 
     `boxes` are names by address. Receivers that count by locality alone are taken to have sent to each box
     of it as they were told: `weights` are parts of a zone's requests, by zone and box.
     """
     found: dict[str, Report] = {}
-    span = 0.0
+    span, dropped = 0.0, 0
     for stats in request.cluster_stats:
         if stats.cluster_name != cluster:
             continue
         span = max(span, stats.load_report_interval.ToNanoseconds() / 1e9)
+        dropped += sum(one.dropped_count for one in stats.dropped_requests if one.category == DROP_CATEGORY)
         for locality in stats.upstream_locality_stats:
             if locality.upstream_endpoint_stats:
                 for one in locality.upstream_endpoint_stats:
@@ -134,7 +135,7 @@
             for (where, box), part in weights.items():
                 if where == zone:
                     found[box] = _more(found.get(box), _counts(locality), part)
-    return found, span
+    return found, span, dropped
 
 
 def _counts(stats: Any) -> tuple[int, int, int, int]:
--- a/firvane/control/words.py
+++ b/firvane/control/words.py
@@ -57,7 +57,8 @@
     zone: int
     power: float  # what it can do beside the others
     room: float  # attempts of all receivers together that it takes
-    budget: float | None = None  # requests a second of all receivers together, where the rules bound them
+    budget: float | None = None  # requests a second of all receivers together that it may get at the most
+    cold: bool = False
     doubted: bool = False  # nothing is sent there now
 
 
--- a/firvane/rehearsal/receiver.py
+++ b/firvane/rehearsal/receiver.py
@@ -144,6 +144,8 @@
         self.versions: dict[str, dict[str, str]] = {url: {} for url in MESSAGES}
         self.tables: dict[str, Table] = {}
         self.counts: dict[tuple[str, int], Counts] = {}
+        self.dropped: dict[str, int] = {}  # by category
+        self.again = 0  # further tries that are out
         self.zone_of: dict[tuple[str, int], str] = {}
         self.refused: list[str] = []
         self.heard = 0
@@ -315,6 +317,7 @@
             return Gone("no box")
         for category, part in table.drops:
             if self.dice.random() < part:
+                self.dropped[category] = self.dropped.get(category, 0) + 1
                 return Gone(category)
         picked = table.pick(key if action.hash_policy else "", self.dice)
         if picked is None:
@@ -323,6 +326,16 @@
         again = action.retry_policy
         return Way(action.cluster, *picked, timeout, again.num_retries.value, again.retry_on)
 
+    def may_retry(self, cluster: str) -> bool:
+        """Whether the cluster's budget of retries allows another; whoever makes it counts it in `again`."""
+        held = self.resources[CLUSTER].get(cluster)
+        if held is None or not held.circuit_breakers.thresholds:
+            return True
+        budget = held.circuit_breakers.thresholds[0].retry_budget
+        out = sum(counts.out for counts in self.counts.values())
+        most = max(budget.min_retry_concurrency.value, budget.budget_percent.value / 100 * out)
+        return bool(self.again < most)
+
     def sent(self, address: tuple[str, int]) -> None:
         counts = self.counts.setdefault(address, Counts())
         counts.issued += 1
@@ -341,6 +354,10 @@
         request.node.locality.zone = self.zone
         stats = request.cluster_stats.add(cluster_name=cluster)
         stats.load_report_interval.FromNanoseconds(round(span * 1e9))
+        for category, count in self.dropped.items():
+            stats.dropped_requests.add(category=category, dropped_count=count)
+        stats.total_dropped_requests = sum(self.dropped.values())
+        self.dropped.clear()
         by_zone: dict[str, Any] = {}
         for at, counts in list(self.counts.items()):
             zone = self.zone_of.get(at, "")
--- a/firvane/rooms/reports.py
+++ b/firvane/rooms/reports.py
@@ -5,9 +5,11 @@
 1. Sums say what single ends say, in the same words of `Evidence`: a box that serves is not down, one that
    mostly fails is left alone, one that takes long has little room. What only single ends can show (which
    attempt was lost, which were overtaken) is not guessed at.
-2. The time that answers take is what was out, divided by what was served a second: it holds in the mean.
-3. Nothing said here makes a cold box warm.
-4. Sums move a belief no further than so many single ends would, and no more than `MOST` of them at once.
+2. A failure that most boxes have alike is not a box's: what they turn away and what they spoil is told as
+   one number, and where all are short it is the room that is cut, not the box that is left alone.
+3. The time that answers take is what was out, divided by what was served a second: it holds in the mean.
+4. Nothing said here makes a cold box warm.
+5. Sums move a belief no further than so many single ends would, and no more than `MOST` of them at once.
 """
 
 from __future__ import annotations
@@ -18,6 +20,7 @@
 from firvane.state import Backend
 
 MOST = 20  # answers that one sum counts for, where it moves a belief
+SPOILT, CUT = 0.02, 0.9  # part of the answers that fail where a box is short of room; what of it is left then
 CLEAR = 5.0  # answers from which a sum says something of the time they take
 
 
@@ -28,13 +31,17 @@
     failed: int = 0
     issued: int = 0
     out: float = 0.0  # in progress now
-    rate: float = 0.0  # served a second, over a longer span than this one
+    rate: float = 0.0  # answers a second, over a longer span than this one
     bad: float = 0.0  # part of the answers that failed, as most of those who told agree on
+    worse: float = 0.0  # the same, beyond what most boxes fail
     silent: bool = False  # work was issued, and nothing has ended for too long
 
 
-def take(evidence: Evidence, server: Backend, told: Sum, aim: float, now: float) -> None:
-    """Believe a sum; `aim` is the seconds that an answer may usually take."""
+def take(evidence: Evidence, server: Backend, told: Sum, aim: float, now: float) -> float:
+    """Believe a sum; `aim` is the seconds that an answer may usually take.
+
+    Returns the seconds that an answer takes there, 0 where too few came to tell.
+    """
     server.own = round(told.out)
     ended = told.served + told.failed
     if ended:
@@ -42,7 +49,7 @@
         server.heard_at = now
     if told.silent:
         evidence.doubted(server, now)
-        return
+        return 0.0
     if told.served and not evidence.is_cold(server, now):
         kind = server.entry.kind
         evidence.counts[kind] = evidence.counts.get(kind, 0) + told.served
@@ -50,14 +57,13 @@
             flow.answers += told.served
     if ended:
         _judge(server, told, ended, now)
-    if told.served:
-        _time(evidence, server, told, aim, now)
+    return _time(evidence, server, told, aim, now) if ended else 0.0
 
 
 def _judge(server: Backend, told: Sum, ended: int, now: float) -> None:
     """Whether it mostly fails."""
     before, weight = server.faulty, 1.0 - (1.0 - FAULT) ** min(ended, MOST)
-    server.faulty += weight * (told.bad - server.faulty)
+    server.faulty += weight * (told.worse - server.faulty)
     if server.faulty > FAULTY:
         server.fails = max(2, server.fails)  # one trial at a time
         server.retry_at = max(server.retry_at, now + AFTER)
@@ -67,19 +73,21 @@
         server.fails = server.downs = 0
 
 
-def _time(evidence: Evidence, server: Backend, told: Sum, aim: float, now: float) -> None:
+def _time(evidence: Evidence, server: Backend, told: Sum, aim: float, now: float) -> float:
     """Its pace and its room."""
-    took = told.out / told.rate if told.rate > 0.0 and told.rate * aim >= 1.0 else 0.0
+    took = told.out / told.rate if told.rate * 2.0 * aim >= CLEAR else 0.0
     answers = min(told.served, MOST)
-    if took and told.rate * aim * 2.0 >= CLEAR:
+    if took and answers:
         typical = evidence.typical[0]
         evidence.typical[0] += min(0.1, 0.01 * answers) * (min(took, aim) - typical)
         kept = 0.8**answers
         ratio = min(8.0, took / max(typical, 1e-3))
         server.slow, server.slow_at = kept * slowness(server, now) + (1.0 - kept) * ratio, now
-    if took > SLOW * aim:
-        if now > server.cut_at + aim:
-            server.room, server.cut_at = max(1.0, 0.9 * server.room), now
-    elif server.own + 1 > 0.7 * server.room:
+    short = took > SLOW * aim or told.bad > SPOILT
+    if short:
+        if now > server.cut_at + 0.5 * aim:
+            server.room, server.cut_at = max(1.0, CUT * server.room), now
+    elif answers and server.own + 1 > 0.7 * server.room:
         guess = not server.cut_at and now < evidence.started + GUESS
         server.room += 0.5 * min(answers, 4) if guess else 0.1 * answers / server.room
+    return took
--- a/tests/control/helpers.py
+++ b/tests/control/helpers.py
@@ -29,7 +29,7 @@
     made: dict[Kind, list[Resource]] = {kind: [] for kind in Kind}
     endpoints = resources.Endpoints(ZONES)
     for name, boxes in clusters.items():
-        made[Kind.CLUSTER].append(resources.cluster(name, True, open_at_once, 0.25, 3))
+        made[Kind.CLUSTER].append(resources.cluster(name, True, open_at_once, 0.25))
         made[Kind.ENDPOINTS].append(endpoints.make(name, divide(boxes, {0: 10.0})[0]))
         routes = [Route("read", 2.0, 2, True)]
         made[Kind.ROUTES].append(resources.route_configuration(name, name, routes, True))
--- a/tests/control/test_decisions.py
+++ b/tests/control/test_decisions.py
@@ -13,7 +13,7 @@
 from firvane import interface as api
 from firvane.control import beliefs, plan
 from firvane.control.catalog import Catalog, differences
-from firvane.control.feedback import Feedback, Reported
+from firvane.control.feedback import Feedback, Reported, split
 from firvane.control.ledger import Ledger
 from firvane.control.pace import Pace
 from firvane.control.panic import Panic
@@ -117,13 +117,13 @@
 def test_the_module_s_beliefs_are_read_and_its_drains_and_doubts_kept() -> None:
     balancer = started("abc")
     addresses = {name: ("127.0.0.1", port) for port, name in enumerate("abcd")}
-    assert [one.name for one in beliefs.read(balancer, addresses, 100.0)] == ["a", "b", "c"]
+    assert [one.name for one in beliefs.read(balancer, addresses, {}, 100.0)] == ["a", "b", "c"]
     balancer.handle(changes(server("a", state=api.ServerState.DRAINING), server("d", up_since=100.0)), 100.1)
-    found = {one.name: one for one in beliefs.read(balancer, addresses, 101.0)}
+    found = {one.name: one for one in beliefs.read(balancer, addresses, {}, 101.0)}
     assert set(found) == {"b", "c", "d"} and found["d"].budget is not None and found["b"].budget is None
     balancer.servers["b"].retry_at = 200.0
-    assert {one.name for one in beliefs.read(balancer, addresses, 101.0) if one.doubted} == {"b"}
-    assert not beliefs.read(balancer, {}, 101.0)  # without an address nobody can be sent there
+    assert {one.name for one in beliefs.read(balancer, addresses, {}, 101.0) if one.doubted} == {"b"}
+    assert not beliefs.read(balancer, {}, {}, 101.0)  # without an address nobody can be sent there
 
 
 def test_reports_count_in_the_module_as_its_own_forwards_do() -> None:
@@ -132,7 +132,7 @@
     usual = {"served": 20, "issued": 20, "out": 2.0, "rate": 40.0}
     for n in range(40):
         now = 100.0 + n / 4
-        told = {"a": Sum(**usual), "b": Sum(**{**usual, "served": 2, "failed": 18, "bad": 0.9})}
+        told = {"a": Sum(**usual), "b": Sum(**{**usual, "served": 2, "failed": 18, "bad": 0.9, "worse": 0.9})}
         balancer.handle(Reported({**told, "c": Sum(**{**usual, "out": 30.0})}), now)  # type: ignore[arg-type]
         balancer.handle(api.TimerFired(0), now)
     a, b, c = (balancer.servers[name] for name in "abc")
@@ -149,6 +149,27 @@
     assert b.faulty < 0.5 and b.fails == 0
 
 
+@given(strategies.integers(1, 7), strategies.lists(strategies.integers(0, 50), min_size=1, max_size=9))
+@settings(derandomize=True, deadline=None)
+def test_several_places_get_even_parts_that_add_up(places: int, counts: list[int]) -> None:
+    got = [0] * places
+    for turn, count in enumerate(counts):
+        parts = split({"a": Sum(served=count, issued=count, out=1.0, rate=5.0)}, places, turn)
+        assert sum(part.boxes["a"].served for part in parts) == count
+        assert sum(part.boxes["a"].rate for part in parts) == pytest.approx(5.0)
+        got = [sum_ + part.boxes["a"].served for sum_, part in zip(got, parts, strict=True)]
+    assert max(got) - min(got) <= len(counts)
+
+
+def test_what_several_places_believe_adds_up() -> None:
+    one = [box(1, budget=2.0, cold=True), box(2), box(3, budget=4.0, doubted=True)]
+    other = [box(1, budget=0.0, cold=True), box(2, budget=9.0), box(3, budget=1.0)]
+    found = {one.name: one for one in beliefs.joined([one, other])}
+    assert (found["b1"].budget, found["b1"].power, found["b1"].room) == (2.0, 8.0, 8.0)
+    assert found["b2"].budget is None and found["b3"].doubted and not found["b1"].doubted
+    assert beliefs.joined([one]) == one
+
+
 def listed(*names: str) -> dict[str, Report]:
     return {name: Report(served=10, issued=10, out=1) for name in names}
 
@@ -215,6 +236,11 @@
     pace.changed(2.0)
     pace.changed(2.01, urgent=True)
     assert pace.take(2.01) and not pace.take(2.2)
+    pace.least = 1.0
+    pace.changed(2.2)
+    assert pace.due == pytest.approx(3.01)
+    pace.changed(2.3, urgent=True)
+    assert pace.take(2.3)
 
 
 @pytest.mark.parametrize(
@@ -245,14 +271,15 @@
     assert catalog.make([], {}, {}, 1, 0.0) == [] and catalog.state(0) is None  # not without a box
     assert set(catalog.make(boxes, {0: 10.0}, {}, 1, 1.0)) == {NOWHERE, 0, 1}
     assert catalog.make(boxes, {0: 10.2}, {}, 1, 2.0) == []
-    assert catalog.make([*boxes[1:], box(7, budget=1.0)], {0: 10.0}, {}, 2, 3.0) and catalog.urgent == 1
+    later = [*boxes[1:], box(7, budget=1.0, cold=True)]
+    assert catalog.make(later, {0: 10.0}, {}, 2, 3.0) and catalog.urgent == 1
     first, last = catalog.entry(0, "1"), catalog.entry(0, str(catalog.serial))
     assert first and last and last.causes == ("b0 gone or draining", "b7 listed, cold")
     told = differences(first.assignment, last.assignment, catalog.zones)
     assert [line[:8] for line in told if line[:3] in ("b0:", "b7:")] == ["b0: take", "b7: adde"]
     assert catalog.entry(0, "99") is None and catalog.entry(0, first.version) == first
     catalog.retune(made_settings(warm_keys=False))
-    assert catalog.make([*boxes[1:], box(7, budget=1.0)], {0: 10.0}, {}, 2, 4.0) and catalog.urgent == 1
+    assert catalog.make(later, {0: 10.0}, {}, 2, 4.0) and catalog.urgent == 1
 
 
 def test_classes_become_routes_and_room_a_bound() -> None:
@@ -265,4 +292,4 @@
 def test_lists_come_in_any_order_of_words() -> None:
     balancer = started("ab")
     balancer.handle(full_list(server("b")), 101.0)
-    assert [one.name for one in beliefs.read(balancer, {"a": ("x", 1), "b": ("x", 2)}, 101.0)] == ["b"]
+    assert [one.name for one in beliefs.read(balancer, {"a": ("x", 1), "b": ("x", 2)}, {}, 101.0)] == ["b"]
--- a/tests/control/test_service.py
+++ b/tests/control/test_service.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import socket
 from datetime import UTC, datetime
 from pathlib import Path
 from typing import Any
@@ -156,6 +157,28 @@
     run(work())
 
 
+def test_several_places_in_a_tier_hear_and_are_heard() -> None:
+    async def work() -> None:
+        async with stage() as here:
+            sockets = [socket.socket(type=socket.SOCK_DGRAM) for _ in range(3)]
+            for one in sockets:
+                one.bind(("127.0.0.1", 0))
+            at = ["{}:{}".format(*one.getsockname()) for one in sockets]
+            for one in sockets:
+                one.close()
+            services = [
+                await here.service(peers={"listen": at[0], "addresses": at}, control={"counts_as": 2}),
+                await here.service(peers={"listen": at[2], "addresses": at}),
+            ]
+            here.discovery.tell(**UP)
+            engines = [engine for service in services for engine in service.core.engines]
+            await here.until(lambda: [set(one.balancer.rows) for one in engines] == [{0, 1, 2}] * 3)
+            assert [one.settings.me for one in engines] == [0, 1, 2]
+            await here.until(lambda: {one.homes for one in engines[0].balancer.up} == {1})
+
+    run(work())
+
+
 def test_operators_see_who_follows_and_why_states_differ() -> None:
     async def work() -> None:
         async with stage() as here:
