--- a/firvane/control/catalog.py
+++ b/firvane/control/catalog.py
@@ -41,7 +41,9 @@
         self.history: dict[int, deque[Entry]] = {}
         self.serial = 0
         self.urgent = 0
+        self.causes: tuple[str, ...] = ()  # of the last change
         self._told: dict[int, Assignment] = {}
+        self._due: dict[int, Entry] = {}  # worked out, and not made into resources yet
         self._endpoints = {zone: resources.Endpoints(self.zones) for zone in (NOWHERE, *range(len(zones)))}
         self._boxes: tuple[Box, ...] = ()
         self._bounds: dict[int, int] = {}
@@ -63,13 +65,22 @@
         """The group of a receiver that says it stands there."""
         return self.zones.index(name) if name in self.zones else NOWHERE
 
+    @property
+    def has_list(self) -> bool:
+        """Whether anything has been worked out to be told."""
+        return bool(self._told)
+
     def told(self, zone: int) -> tuple[Locality, ...]:
         """What a group was told last of its boxes."""
         assignment = self._told.get(zone) or self._told.get(NOWHERE)
         return assignment.localities if assignment else ()
 
     def state(self, zone: int) -> State | None:
-        return self.states.get(zone) or self.states.get(NOWHERE)
+        """What a group is told now; None while there is no list."""
+        zone = zone if zone in self._told else NOWHERE
+        if due := self._due.pop(zone, None):
+            self._publish(zone, due)
+        return self.states.get(zone)
 
     def make(
         self,
@@ -79,26 +90,31 @@
         number: int,
         at: float,
     ) -> list[int]:
-        """Work out what each group is to be told; those that are to hear of it. `at` is Unix time."""
+        """Work out what each group is to be told; those that are to hear of it. `at` is Unix time.
+
+        What is worked out becomes resources when somebody asks for it: most groups may have no receiver.
+        """
         if not boxes:
             return []
         divided = divide(boxes, demand)
         news = {
             zone: assignment for zone, assignment in divided.items()
             if zone in self._endpoints and (
-                self._stale or zone not in self.states or is_news(self._told.get(zone), assignment)
+                self._stale or zone not in self._told or is_news(self._told.get(zone), assignment)
                 or self._bound(zone, boxes, largest) != self._bounds.get(zone)
             )
         }  # fmt: skip
         if not news:
             return []
-        causes = reasons(self._boxes, boxes)
+        causes = self.causes = reasons(self._boxes, boxes)
         self._boxes, self._stale = tuple(boxes), False
         self.serial += 1
         if any(old and old.boxes() - news[zone].boxes() for zone in news if (old := self._told.get(zone))):
             self.urgent += 1
         for zone, assignment in news.items():
-            self._publish(zone, assignment, boxes, largest, number, at, causes)
+            self._bounds[zone] = self._bound(zone, boxes, largest)
+            self._told[zone] = assignment
+            self._due[zone] = Entry(self.serial, at, number, "", assignment, causes)
         return list(news)
 
     def _bound(self, zone: int, boxes: Sequence[Box], largest: Mapping[int, float]) -> int:
@@ -106,18 +122,8 @@
         wanted, old = plan.bound(boxes, largest.get(zone, 0.0) or 1.0), self._bounds.get(zone, 0)
         return wanted if wanted > old or old >= 4 * wanted else old
 
-    def _publish(
-        self,
-        zone: int,
-        assignment: Assignment,
-        boxes: Sequence[Box],
-        largest: Mapping[int, float],
-        number: int,
-        at: float,
-        causes: tuple[str, ...],
-    ) -> None:
+    def _publish(self, zone: int, due: Entry) -> None:
         settings, name = self.settings, self.service
-        self._bounds[zone] = self._bound(zone, boxes, largest)
         found = resources.by_kind(
             {
                 **self._fixed,
@@ -129,15 +135,14 @@
                         settings.limits.connect_timeout,
                     )
                 ],
-                Kind.ENDPOINTS: [self._endpoints[zone].make(name, assignment)],
+                Kind.ENDPOINTS: [self._endpoints[zone].make(name, due.assignment)],
             }
         )
         versions = {kind: resources.set_version(found[kind]) for kind in Kind}
-        self._told[zone] = assignment
-        self.states[zone] = State(found, versions, number, self.urgent, causes)
+        self.states[zone] = State(found, versions, due.number, self.urgent, due.causes)
         kept = self.history.setdefault(zone, deque(maxlen=HISTORY))
         version = found[Kind.ENDPOINTS][name].version
-        kept.append(Entry(self.serial, at, number, version, assignment, causes))
+        kept.append(due._replace(version=version))
 
     def entry(self, zone: int, version: str) -> Entry | None:
         """The state of a group by its serial number or the version of its endpoints."""
--- a/firvane/control/core.py
+++ b/firvane/control/core.py
@@ -128,7 +128,7 @@
                 was=len(before), now=len(self._up), for_s=self.words.confirm_s,
             )  # fmt: skip
             self._look_at(self.panic.until)
-        self.pace.changed(now, urgent=bool(before - self._up) or not self.catalog.states)
+        self.pace.changed(now, urgent=bool(before - self._up) or not self.catalog.has_list)
         self.publish()
 
     # What is told
@@ -161,7 +161,7 @@
             self._look_at(self.pace.due)
             return
         boxes = self._boxes()
-        if not boxes and self.catalog.states:
+        if not boxes and self.catalog.has_list:
             self.log.error("list_empty", text="no box may be sent to: receivers keep what they have")
         demand, largest = self.ledger.demand(), self.ledger.largest()
         zones = self.catalog.make(boxes, demand, largest, self.number, self.wall())
@@ -169,11 +169,11 @@
             return
         self.published_at.update(dict.fromkeys(zones, now))
         self.audience.published(zones)
-        state = self.catalog.states[zones[0]]
+        causes = self.catalog.causes
         self.log.info(
-            "told", serial=self.catalog.serial, list=state.number, groups=len(zones), boxes=len(boxes),
-            receivers=len(self.ledger.receivers), urgent=state.urgent, causes=len(state.causes),
-            why="; ".join(state.causes[:5]),
+            "told", serial=self.catalog.serial, list=self.number, groups=len(zones), boxes=len(boxes),
+            receivers=len(self.ledger.receivers), urgent=self.catalog.urgent, causes=len(causes),
+            why="; ".join(causes[:5]),
         )  # fmt: skip
 
     def _look_at(self, due: float) -> None:
@@ -197,7 +197,7 @@
             parts = split(sums, len(self.engines), self.looks)
             for engine, part in zip(self.engines, parts, strict=True):
                 engine.give(part)  # type: ignore[arg-type]  # an event that this service adds
-        if self.catalog.states or self._up:
+        if self.catalog.has_list or self._up:
             work = len(self.ledger.receivers) * len(self.addresses)
             self.pace.least = min(MOST_QUIET, work / PLACES)
             self.pace.changed(now)
