--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -171,7 +171,8 @@
             self.boxes[entry["name"]] = entry
         at = time.monotonic()
         for writer in self.writers:
-            self._write(writer, entries, False)
+            if not writer.is_closing():
+                self._write(writer, entries, False)
         return at
 
     def drain(self) -> float:
@@ -179,7 +180,9 @@
         return self.tell([{**self.boxes[name], "status": "draining"}])
 
     def weigh(self, weight: float) -> float:
-        return self.tell([{**entry, "weight": weight} for entry in self.boxes.values()])
+        """Every second box has that weight from now on: to receivers all weights are others then."""
+        entries = list(self.boxes.values())[::2]
+        return self.tell([{**entry, "weight": weight} for entry in entries])
 
 
 def used(pid: int) -> tuple[float, float]:
@@ -239,7 +242,7 @@
                     group.say(f"wait {discovery.index + (2 if name != 'idle' else 1)}")
                 await asyncio.sleep(0.05)
                 if name != "idle":
-                    discovery.weigh(1.0 + n % 2)
+                    discovery.weigh(3.0 if n % 2 else 1.0 / 3.0)
                     await asyncio.sleep(0.02)
                 found, size = await wait(discovery.drain())
                 ages += found
--- a/firvane/control/ledger.py
+++ b/firvane/control/ledger.py
@@ -144,10 +144,11 @@
         ]
         for name in gone:
             del self.receivers[name]
+        known = set(listed)
         for receiver in self.receivers.values():
-            for box in receiver.boxes.keys() - set(listed):
+            for box in receiver.boxes.keys() - known:
                 del receiver.boxes[box]
-        for box in self._pending.keys() - set(listed):
+        for box in self._pending.keys() - known:
             del self._pending[box]
         return gone
 
--- a/firvane/control/words.py
+++ b/firvane/control/words.py
@@ -23,6 +23,8 @@
     In the order in which a change is told: what is referred to comes before what refers to it.
     """
 
+    __hash__ = object.__hash__  # by identity: that of enums is written in Python, and asked for at each step
+
     CLUSTER = "cluster.v3.Cluster"
     ENDPOINTS = "endpoint.v3.ClusterLoadAssignment"
     LISTENER = "listener.v3.Listener"
