Test that routes move to another cluster without a gap, which two mutants had survived

Need: seven mutants of the stream were tried; two that break make-before-break were not caught, since routes and clusters of one name always went together.

Change: a proxy's stand-in that asks for fixed routes, whose cluster changes under them.

--- a/firvane/rehearsal/receiver.py
+++ b/firvane/rehearsal/receiver.py
@@ -129,15 +129,18 @@
         zone: str = "",
         *,
         target: str = "",
+        routes: tuple[str, ...] = (),
         delta: bool = False,
         seed: int = 0,
         taste: Callable[[str, Any], str] | None = None,
     ) -> None:
-        """With a `target` it is a client without a proxy that wants that listener; else a proxy.
+        """With a `target` it is a client without a proxy that wants that listener; else a proxy, which asks
+        for these `routes`, or for those named as its clusters.
 
         `taste` says why a resource, by its type's URL and its message, is refused; empty where it is not.
         """
         self.name, self.zone, self.target, self.delta = name, zone, target, delta
+        self.routes = routes
         self.taste = taste or (lambda url, message: "")
         self.dice = Random(f"receiver/{seed}/{name}")
         self.resources: dict[str, dict[str, Any]] = {url: {} for url in MESSAGES}
@@ -287,7 +290,7 @@
             names = {one.eds_cluster_config.service_name or name for name, one in clusters.items()}
             self._want(ENDPOINTS, names)
             if not self.target:
-                self._want(ROUTES, set(names))
+                self._want(ROUTES, set(self.routes or names))
 
     def routed(self) -> set[str]:
         """The clusters that its routes refer to."""
--- a/tests/control/helpers.py
+++ b/tests/control/helpers.py
@@ -23,16 +23,17 @@
 
 
 def state(
-    clusters: dict[str, Sequence[Box]], number: int = 1, urgent: int = 0, open_at_once: int = 64
+    clusters: dict[str, Sequence[Box]], number: int = 1, urgent: int = 0, way: str = ""
 ) -> State:
-    """One cluster for each name, with routes and a listener of the same name."""
+    """One cluster for each name, with routes and a listener of that name; or routes `way` to the first."""
     made: dict[Kind, list[Resource]] = {kind: [] for kind in Kind}
     endpoints = resources.Endpoints(ZONES)
     for name, boxes in clusters.items():
-        made[Kind.CLUSTER].append(resources.cluster(name, True, open_at_once, 0.25))
+        made[Kind.CLUSTER].append(resources.cluster(name, True, 64, 0.25))
         made[Kind.ENDPOINTS].append(endpoints.make(name, divide(boxes, {0: 10.0})[0]))
         routes = [Route("read", 2.0, 2, True)]
-        made[Kind.ROUTES].append(resources.route_configuration(name, name, routes, True))
+        if not way or not made[Kind.ROUTES]:
+            made[Kind.ROUTES].append(resources.route_configuration(way or name, name, routes, True))
         made[Kind.LISTENER].append(resources.listener(name, name))
     found = resources.by_kind(made)
     return State(found, {kind: resources.set_version(found[kind]) for kind in Kind}, number, urgent)
--- a/tests/control/test_stream.py
+++ b/tests/control/test_stream.py
@@ -104,6 +104,22 @@
     assert not dangling
 
 
+@pytest.mark.parametrize("delta", [False, True])
+def test_routes_move_to_another_cluster_without_a_gap(delta: bool) -> None:
+    # The old cluster stays until the routes have left it; they leave once the new one is acknowledged.
+    pair, seen = Pair(receiver(delta, routes=("way",))), list[tuple[set[str], set[str]]]()
+    for n, name in enumerate(("web", "other", "web", "third")):
+        now = state({name: TWO}, n + 1, way="way")
+        for _ in range(40):
+            pair.up()
+            moved = pair.push(now) or pair.down()
+            seen.append((pair.receiver.routed(), set(pair.receiver.resources[CLUSTER])))
+            if not moved:
+                break
+        assert seen[-1] == ({name}, {name}) and pair.stream.converged(now)
+    assert all(routed <= held for routed, held in seen)
+
+
 def test_delta_tells_what_is_not_there_and_state_of_the_world_is_silent() -> None:
     now = state({"web": TWO})
     one = Stream(delta=True)
