--- a/tests/control/test_stream.py
+++ b/tests/control/test_stream.py
@@ -112,7 +112,10 @@
         now = state({name: TWO}, n + 1, way="way")
         for _ in range(40):
             pair.up()
-            moved = pair.push(now) or pair.down()
+            moved = pair.push(now)
+            if moved and pair.said[-1].kind is Kind.ROUTES:
+                assert not pair.stream.watches[Kind.CLUSTER].out
+            moved = moved or pair.down()
             seen.append((pair.receiver.routed(), set(pair.receiver.resources[CLUSTER])))
             if not moved:
                 break
