Keep a control service's file from being run as a proxy, and name each fault of its table

Need: a file with [control] would have been served as a proxy that listens for HTTP where receivers speak gRPC.

Change: firvane serve refuses it in one line that says what it is for; firvane control refuses one without the table.

--- a/firvane/config/file.py
+++ b/firvane/config/file.py
@@ -19,7 +19,11 @@
 
 def read_file(path: str | Path) -> Config:
     """The configuration in a file; raises `checked.Faults` with everything that is wrong with it."""
-    return node(checked.read(path, File, CHECKS))
+    file = checked.read(path, File, CHECKS)
+    if file.control:
+        reason = "is for a control service: firvane control FILE; a proxy has none"
+        raise checked.Faults([checked.Fault(str(path), "control", reason)])
+    return node(file)
 
 
 def node(file: File) -> Config:
--- /dev/null
+++ b/tests/control/test_config.py
@@ -0,0 +1,52 @@
+"""What `[control]` may say, and who may read it."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from firvane import checked
+from firvane.config.checks import CHECKS
+from firvane.config.file import read_file
+from firvane.config.model import File
+from firvane.control.main import read
+from tests.control.live import FILE
+
+EXAMPLE = Path(__file__).resolve().parents[2] / "deploy/control.example.toml"
+TIER = {"listen": "127.0.0.1:7946", "addresses": ["127.0.0.1:7946", "127.0.0.1:7947"]}
+
+
+@pytest.mark.parametrize(
+    ("control", "more", "says"),
+    [
+        ({"service": ""}, {}, "control.service: must be a text that is not empty"),
+        ({"setle_ms": 1}, {}, "did you mean settle_ms?"),
+        ({"settle_ms": 900.0}, {}, "control.most_ms: is below settle_ms"),
+        ({"keep_s": 1.0, "report_s": 1.0}, {}, "control.keep_s: is below two reports"),
+        ({"panic": 1.0}, {}, "control.panic: must be a number of at least 0 and of at most 0.9"),
+        ({"counts_as": 2}, {}, "control.counts_as: needs as many addresses in peers"),
+        ({"counts_as": 3}, {"peers": TIER}, "control.counts_as: needs as many addresses in peers"),
+        ({"tls": {"certificate": "a", "key": "b"}}, {}, "control.tls.authority: is missing"),
+    ],
+)
+def test_each_fault_of_a_control_table_is_named(
+    control: dict[str, Any], more: dict[str, Any], says: str
+) -> None:
+    given = {"target_group": {"discovery": "127.0.0.1:1"}, "control": {"service": "web", **control}}
+    raw = {**FILE, **given, **more}
+    with pytest.raises(checked.Faults) as found:
+        checked.build(raw, File, "test.toml", CHECKS)
+    assert says in str(found.value) and len(found.value.faults) == 1
+
+
+def test_the_example_is_read_by_the_service_and_not_by_a_proxy(tmp_path: Path) -> None:
+    config, words = read(str(EXAMPLE))
+    assert words.service == "lagos-web" and config.listen == ("127.0.0.1", 18000)
+    with pytest.raises(checked.Faults, match="firvane control FILE"):
+        read_file(EXAMPLE)
+    plain = tmp_path / "firvane.toml"
+    plain.write_text(EXAMPLE.read_text().replace("[control]", "[rules]").replace('service = "lagos-web"', ""))
+    with pytest.raises(checked.Faults, match="control: is missing"):
+        read(str(plain))
