--- a/benchmarks/receivers.py
+++ b/benchmarks/receivers.py
@@ -675,13 +675,14 @@
     parser.add_argument("--case", choices=CASES, action="append")
     parser.add_argument("--mode", choices=MODES, action="append")
     parser.add_argument("--seeds", type=int, default=3)
+    parser.add_argument("--since", type=int, default=1, help="the first seed")
     parser.add_argument("--rate", type=float, default=500.0)
     parser.add_argument("--counts-as", type=int, default=3, help="places of the service in the tier")
     parser.add_argument("--jobs", type=int, default=4)
     parser.add_argument("--json", default="")
     args = parser.parse_args()
     cases, modes = args.case or CASES, args.mode or MODES
-    seeds = range(1, args.seeds + 1)
+    seeds = range(args.since, args.since + args.seeds)
     rest = args.rate, args.counts_as
     runs = [(case, mode, seed, *rest) for case in cases for mode in modes for seed in seeds]
     with multiprocessing.Pool(args.jobs) as pool:
