End a receiver's stream with a reason where its bytes are no request, and it alone

Seen: three bytes that are no request ended their stream with OK and an exception that nobody retrieved.

Change: such a stream ends as unavailable with a reason; a fault while answering one receiver is logged and ends that one, so that the pump goes on for the others.

--- a/firvane/control/ads.py
+++ b/firvane/control/ads.py
@@ -15,6 +15,7 @@
 
 import grpc
 from envoy.service.load_stats.v3 import lrs_pb2
+from google.protobuf.message import DecodeError
 
 from firvane.control import wire
 from firvane.control.stream import Stream, TooMuch
@@ -225,6 +226,10 @@
         except TooMuch as error:
             session.end(str(error))
             return None
+        except Exception:  # a fault with one receiver must not keep the others from hearing
+            self.log.exception("answer_failed", receiver=session.node.id)
+            session.end("a fault of the service")
+            return None
         if push is None:
             return None
         if push.kind is Kind.ENDPOINTS:
@@ -273,8 +278,13 @@
                 self._heard(session, request)
         except TooMuch as error:
             session.end(str(error))
+        except DecodeError:
+            session.end("a request cannot be read")
         except (grpc.RpcError, asyncio.InvalidStateError, RuntimeError):
             pass  # the receiver is gone
+        except Exception:
+            self.log.exception("request_failed", peer=session.peer)
+            session.end("a fault of the service")
         finally:
             session.end(session.why)
 
--- a/tests/control/test_service.py
+++ b/tests/control/test_service.py
@@ -19,6 +19,7 @@
 from firvane.control.service import Control
 from firvane.control.words import Kind
 from firvane.rehearsal.receiver import ENDPOINTS, Way
+from firvane.rehearsal.receiver_link import ADS
 from tests.control.live import Stage, ports, stage
 from tests.net_helpers import run
 
@@ -293,6 +294,14 @@
             greedy = here.receiver()
             greedy.receiver._want(ENDPOINTS, {str(n) for n in range(10_001)})
             await here.until(lambda: greedy.errors)  # its own words may be of the write that met the end
+            channel = grpc.aio.insecure_channel(f"127.0.0.1:{here.services[0].port}")
+            for _ in range(3):  # bytes that are no request end their stream alone
+                call = channel.stream_stream(f"{ADS}StreamAggregatedResources")()
+                await call.write(b"\xff\xff\xff")
+                assert await call.code() is not grpc.StatusCode.OK
+            await channel.close()
+            plain = here.receiver()
+            await here.until(lambda: len(ports(plain)) == 3)
             left = here.logged("receiver_left")
             assert any("receiver=r1" in line and "10001 names" in line for line in left)
 
