Keep the names of boxes by address instead of making them anew for each report

Found on a last read: each load report rebuilt the table of addresses and the parts of every place, 2,000 entries each, where only the first is needed and it changes with the list alone; what was last sent and acknowledged as a whole was kept and never read.

Change: the table is kept as the list changes, parts are worked out for reports that count by zone alone, dead state is gone.

--- a/benchmarks/receivers.py
+++ b/benchmarks/receivers.py
@@ -522,9 +522,8 @@
         self.write(follower)
 
     def report(self, follower: Told, data: bytes) -> None:
-        boxes = {at: name for name, at in self.core.addresses.items()}
         request = lrs_pb2.LoadStatsRequest.FromString(data)
-        self.core.reported(follower.name, *wire.read_reports(request, SERVICE, boxes, {}))
+        self.core.reported(follower.name, *wire.read_reports(request, SERVICE, self.core.names, dict))
 
 
 class Follower:
--- a/firvane/control/core.py
+++ b/firvane/control/core.py
@@ -71,6 +71,7 @@
         self.wall, self.log = wall, log
         self.number = 0  # of the list
         self.addresses: dict[str, Address] = {}
+        self.names: dict[Address, str] = {}  # the other way round: reports name boxes by address
         self.engines: list[Engine[Any, Any]] = [
             Engine(own, seed + place, clock, NoTargets(), post, directory, wall, log)
             for place, (own, post) in enumerate(zip(settings, posts, strict=True))
@@ -107,10 +108,11 @@
 
     def target(self, name: str, address: Address | None, up: bool) -> None:
         """Where a box is; None: it is gone."""
-        if address is None:
-            self.addresses.pop(name, None)
-        else:
-            self.addresses[name] = address
+        old = self.addresses.pop(name, None)
+        if old is not None and self.names.get(old) == name:
+            del self.names[old]
+        if address is not None:
+            self.addresses[name], self.names[address] = address, name
 
     def listed(self, news: api.ServerList) -> None:
         now, before = self.clock.time(), set(self._up)
--- a/firvane/control/keys.py
+++ b/firvane/control/keys.py
@@ -21,7 +21,7 @@
 from firvane.config.model import Tls
 from firvane.logs import QUIET, Log
 
-YEAR, TEST_DAYS = 365, 30
+TEST_DAYS = 30
 SOON = timedelta(days=14)  # to its end, from when a certificate is warned of
 
 
--- a/firvane/control/service.py
+++ b/firvane/control/service.py
@@ -110,9 +110,8 @@
         return not (tls and tls.allow) or bool(names & set(tls.allow))
 
     def reported(self, node: wire.Node, request: Any) -> None:
-        boxes = {address: name for name, address in self.core.addresses.items()}
-        parts = self.core.parts(self.zone_of(node.zone))
-        self.core.reported(node.id, *wire.read_reports(request, self.name, boxes, parts))
+        parts = partial(self.core.parts, self.zone_of(node.zone))
+        self.core.reported(node.id, *wire.read_reports(request, self.name, self.core.names, parts))
 
     def _sweep(self) -> None:
         self.ads.sweep()
--- a/firvane/control/stream.py
+++ b/firvane/control/stream.py
@@ -71,8 +71,6 @@
         self.suspects: deque[str] = deque()  # of an answer that was refused: told again one by one
         self.out: deque[Push] = deque()  # answers that are neither acknowledged nor refused
         self.last = ""  # nonce of the last answer that it has spoken of
-        self.version = ""  # of the whole set as last sent
-        self.acked = ""  # and as last acknowledged
         self.why = ""  # it refused something that it lacks still, in its words
         self.owes = True  # it has asked, and has had no answer of this kind
         self.urgent = -1  # the last state that took something away of which it was told
@@ -174,7 +172,6 @@
             watch.out.popleft()
         watch.last = push.nonce
         if error is None:
-            watch.acked = push.version
             for one in push.resources:
                 watch.refused.pop(one.name, None)
             watch.why = watch.why if watch.refused or watch.suspects else ""
@@ -201,7 +198,7 @@
                 watch.urgent = state.urgent
             if push:
                 watch.out.append(push)
-                watch.owes, watch.version = False, push.version
+                watch.owes = False
                 for one in push.resources:
                     watch.held[one.name] = one
                 for name in push.removed:
--- a/firvane/control/wire.py
+++ b/firvane/control/wire.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any, NamedTuple
 
 from envoy.service.discovery.v3 import discovery_pb2
@@ -110,12 +110,15 @@
 
 
 def read_reports(
-    request: Any, cluster: str, boxes: Mapping[tuple[str, int], str], weights: Mapping[tuple[str, str], float]
+    request: Any,
+    cluster: str,
+    boxes: Mapping[tuple[str, int], str],
+    weights: Callable[[], Mapping[tuple[str, str], float]],
 ) -> tuple[dict[str, Report], float, int]:
     """What a load report says by box, of how many seconds, and how many requests were dropped as told.
 
     `boxes` are names by address. Receivers that count by locality alone are taken to have sent to each box
-    of it as they were told: `weights` are parts of a zone's requests, by zone and box.
+    of it as they were told: `weights` tells the parts of a zone's requests, by zone and box.
     """
     found: dict[str, Report] = {}
     span, dropped = 0.0, 0
@@ -132,7 +135,7 @@
                         found[name] = _more(found.get(name), _counts(one), 1.0)
                 continue
             zone = locality.locality.zone
-            for (where, box), part in weights.items():
+            for (where, box), part in weights().items():
                 if where == zone:
                     found[box] = _more(found.get(box), _counts(locality), part)
     return found, span, dropped
