--- a/firvane/__main__.py
+++ b/firvane/__main__.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import gc
+import importlib
 import logging
 import os
 import signal
@@ -20,14 +21,16 @@
 
 from firvane.config.node import Config
 from firvane.config.platform import read_config
-from firvane.logs import Bridge
-from firvane.proxy import Proxy
+from firvane.logs import Bridge, Log
+from firvane.proxy import Keeper, Proxy
 
+MakeKeeper = Callable[[Log], Keeper]
 
-async def run(config: Config, read_again: Callable[[], Config]) -> None:
+
+async def run(config: Config, read_again: Callable[[], Config], keeper: MakeKeeper | None) -> None:
     """One proxy from its start to its end, by signals."""
     loop = asyncio.get_running_loop()
-    proxy = Proxy(loop, config)  # `OSError` where what it is to inherit is not there
+    proxy = Proxy(loop, config, keeper=keeper)  # `OSError` where what it is to inherit is not there
     logging.getLogger().addHandler(Bridge(proxy.log))
     proxy.log.info("native", **native.state()._asdict())
     told = asyncio.Event()
@@ -48,11 +51,12 @@
     await proxy.drain()
 
 
-def serve(config: Config, read_again: Callable[[], Config]) -> int:
-    """One proxy until a signal ends it; the exit code. `read_again` is called for each SIGHUP."""
+def serve(config: Config, read_again: Callable[[], Config], keeper: MakeKeeper | None = None) -> int:
+    """One proxy until a signal ends it; the exit code. `read_again` is called for each SIGHUP, `keeper` makes
+    what keeps its snapshots."""
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(run(config, read_again))
+            runner.run(run(config, read_again, keeper))
     except OSError as error:
         print(f"firvane: cannot start: {error}", file=sys.stderr)
         return 2
@@ -65,7 +69,11 @@
     except (ValueError, OSError) as error:
         print(f"firvane: {' '.join(str(error).split())}", file=sys.stderr)
         return 2
-    return serve(config, partial(read_config, os.environ, again=True))
+    keeper = None
+    if config.snapshot:  # by name: the platform sets no such key, and its processes load no tool
+        kept = importlib.import_module("firvane.snapshots.file")
+        keeper = partial(kept.Keeper, config.snapshot, config.name)
+    return serve(config, partial(read_config, os.environ, again=True), keeper)
 
 
 if __name__ == "__main__":
--- a/firvane/choice.py
+++ b/firvane/choice.py
@@ -15,14 +15,16 @@
 from zlib import crc32
 
 from firvane import interface as api
+from firvane.recovery import messages
+from firvane.recovery.recovery import Recovery
 from firvane.rooms import cold, quotas
 from firvane.rooms.evidence import CROWD, FADE, FAULTY, LONG, SILENCES, Evidence
 from firvane.routing.large import Figures, Large
-from firvane.routing.listing import Listing
+from firvane.routing.listing import Listing, merge
 from firvane.routing.pairs import forecast, pair
 from firvane.routing.ring import Ring
 from firvane.routing.walk import walk
-from firvane.state import ENTRY, ROW, VERSION, Backend, Job, Row, mix, total, unpack
+from firvane.state import Backend, Job, Row, mix, pack, total, unpack
 
 WINDOW = 0.25  # s between policies: well under the seconds over which demand moves
 ROW_EVERY, SILENT = 2, 3  # windows from row to row (the design's r); rounds until a silent peer drops out
@@ -55,6 +57,8 @@
         self.ring, self.mine = Ring(POINTS), set[Backend]()  # of keys; those of the own slice
         self.resized = dict[Backend, None]()  # whose parts of the ring change with the next list
         self.evidence = Evidence(settings, self.random, now)  # what is believed of the servers
+        wanted = settings.recovery
+        self.recovery = Recovery(wanted, settings, self.evidence, self.random, now) if wanted else None
         self.tenants = dict.fromkeys(range(len(settings.tenants)), 0.0)  # recent requests of each
         self.row_every = max(ROW_EVERY, round(settings.proxies / ROWS_HEARD))
         # By then peers are heard; where all send to cold servers it does not matter who is.
@@ -81,7 +85,7 @@
             self.on_window(now)
         elif isinstance(event, api.TimerFired) and (job := self.jobs.get(event.token - 1)):
             if not job.out or now >= job.deadline - 3 * self.settings.tick:
-                self.finish(job)  # held long enough, or due
+                self.finish(job, now)  # held long enough, or due
             else:
                 self.doubt(job, now)
         elif isinstance(event, api.ClientGone | api.StreamStarted) and (job := self.jobs.get(event.id)):
@@ -126,7 +130,7 @@
         elif over or now >= job.patience or (
             (job.maybe and job.cls.repeat is api.Repeat.UNSAFE) or self.choose(job, now, math.inf)
         ):  # fmt: skip
-            self.finish(job)  # also where servers could have it, but none has room
+            self.finish(job, now)  # also where servers could have it, but none has room
         else:
             self.held.append(job)  # no server may have it now: tried again as attempts end
             self.wake(job, job.patience - now)
@@ -145,6 +149,7 @@
         attempt, name = next(iter(job.out.items()))
         server, mark = self.servers.get(name), self.evidence.marks.get((job.request.id, attempt))
         wait, copies = DOUBT * job.cls.aim, self.copies and self.evidence.crowded < CROWD
+        copies = copies and not (self.recovery and self.recovery.on)
         if len(job.out) > 1 or job.spent or not server or not mark:
             return
         if mark.lost or self.evidence.is_lost(mark, now):
@@ -183,14 +188,8 @@
         self.copies = pressure.copies and self.settings.limits.second_copies
         for tenant, unseen in enumerate(pressure.unseen[: len(self.tenants)]):
             self.tenants[tenant] += unseen
-        span, asked = SHARE_SPAN * self.part(), list(self.tenants.values())
-        allowed = [tenant.quota * span for tenant in self.settings.tenants]
-        parts = quotas.parts(asked, allowed, pressure.part, pressure.over_share)
-        # While that lasts whoever returns soon is turned away again, at a cost to those who could be served.
-        most = self.settings.limits.max_retry_after
-        aim = max(cls.aim for cls in self.settings.classes)
-        pause = min(most, PAUSE * aim + 2.0 * pressure.part * most)
-        self.actions.append(api.TurnAway(tuple(parts) or (pressure.part,), pause, again=pause > aim))
+        asked = list(self.tenants.values())
+        self.actions.append(quotas.turn_away(self.settings, asked, SHARE_SPAN * self.part(), pressure, PAUSE))
 
     def part(self) -> float:
         """The part of all proxies' requests that comes here."""
@@ -205,6 +204,7 @@
             and self.tenants[tenant] * self.random.random() > SHARE_SPAN * quota * self.part()
         ):  # fmt: skip
             worth *= self.settings.over_share_worth  # as many of a tenant's requests as exceed its share
+        worth *= self.recovery.part(job) if self.recovery else 1.0
         return LEAST + (1.0 - LEAST) * worth / max(cls.worth for cls in classes)
 
     def send(self, job: Job, server: Backend, now: float) -> None:
@@ -230,24 +230,31 @@
         cls, limits = job.cls, self.settings.limits
         if server.entry.state is not api.ServerState.UP or job.sent >= limits.max_attempts or (
             now >= job.deadline or (job.out and not limits.second_copies)
-            or (self.evidence.is_cold(server, now) and not self.budget(server, now))
+            or self.held_back(server, now)
         ):  # fmt: skip
             return False
         kept = server.entry.group(cls.scope) == job.group and now < job.kept_until - self.settings.tick
         return not job.maybe or cls.repeat is api.Repeat.SAFE or (cls.repeat is api.Repeat.KEYED and kept)
 
+    def held_back(self, server: Backend, now: float) -> bool:
+        """Whether one that has just started, or may have, is sent nothing from here now."""
+        if self.recovery and (held := self.recovery.holds(server, server in self.mine, now)) is not None:
+            return held
+        return self.evidence.is_cold(server, now) and not self.budget(server, now)
+
     def count(self, row: Row, sign: int, among: Collection[int] | None = None) -> None:
         for tag, out in row.out:
             if (among is None or tag in among) and (server := self.listing.meant(tag)):
                 server.peers += sign * out
                 self.large.mark(server)
 
-    def finish(self, job: Job) -> None:
+    def finish(self, job: Job, now: float) -> None:
         """The final answer: a refusal where a further try is known to be harmless, a failure otherwise."""
         keyed = job.cls.repeat is api.Repeat.KEYED and job.cls.scope is api.Scope.ALL
         harmless = not job.maybe or keyed or job.cls.repeat is api.Repeat.SAFE
         pause = PAUSE * job.cls.aim * self.random.uniform(0.5, 1.5)  # spread, or they return as one
         pause = min(pause, self.settings.limits.max_retry_after)
+        pause = self.recovery.pause(job, pause, now) if self.recovery else pause
         self.actions.append(api.Refuse(job.request.id, pause) if harmless else api.Fail(job.request.id))
         self.close(job)
 
@@ -262,6 +269,8 @@
         if self.evidence.ended(server, job.request if job else None, outcome, now):
             self.actions.append(api.CloseIdle(outcome.server))
         if server:
+            if self.recovery:
+                self.recovery.ended(server, job, outcome, now)
             self.large.mark(server)
         if job:
             job.out.pop(outcome.attempt, None)
@@ -287,6 +296,7 @@
                 return found
         # No room there: a cold key's answer elsewhere is worth more than a refusal beside idle servers.
         order = sorted(self.slices)
+        limit *= self.recovery.foreign() if self.recovery else 1.0
         others = (order[(job.hash + step) % len(order)] for step in range(len(order)))
         return next((s for n in others if (s := self.find(job, None, n, now, limit))), None)
 
@@ -304,11 +314,12 @@
         index = None if grouped else self.large.index(number, now)
         if index is None:
             return self.pick(job, first, self.slices.get(number, []), now, limit)
-        keyed = job.request.key is not None
+        keyed, recovery = job.request.key is not None, self.recovery
         tried = [s for salt in job.tried if (s := self.ring.owners.get(salt))]
 
         def fits(server: Backend) -> bool:
-            return server.retry_at <= now and server.salt not in job.tried and self.legal(job, server, now)
+            ready = server.retry_at <= now and server.salt not in job.tried and self.legal(job, server, now)
+            return ready and (not recovery or recovery.fits(job, server))
 
         mine, spares = number == self.settings.me, self.large.spares
         if mine and (spare := spares.emptiest(1.0, lambda s: fits(s) and s.tokens >= 2)):
@@ -333,7 +344,7 @@
         """What the index of a large slice is to know of a server."""
         power, ready_at = self.evidence.power(server, now), server.retry_at
         soon = now + RENEW if server.slow > 1.5 and server.slow_at > now - 4 * FADE else math.inf
-        if not self.evidence.is_cold(server, now):
+        if not self.evidence.is_cold(server, now) or (self.recovery and self.recovery.stepped(server)):
             return Figures(power, ready_at, math.inf, soon)
         warm_at = (server.since or 0.0) + self.settings.rules.cold
         if not (senders := self.senders(server)):
@@ -349,6 +360,7 @@
     ) -> Backend | None:
         """Bounded-load hash: the first server in the key's order that holds no more than its fair share."""
         free = [s for s in among if s.retry_at <= now and s.salt not in job.tried and self.legal(job, s, now)]
+        free = [s for s in free if self.recovery.fits(job, s)] if self.recovery else free
         spare = [s for s in free if s.since is not None and s.tokens >= 2 and self.evidence.is_cold(s, now)]
         spare = [s for s in spare if s.own < s.room]
         if spare or not free:
@@ -402,6 +414,9 @@
         if self.slices.keys() != self.rows.keys():
             self.deal()
         self.balance(now)
+        if self.recovery:
+            peers = {n: row for n, row in self.rows.items() if n != self.settings.me}
+            self.actions += self.recovery.window(self.mine, peers, now)
         if not self.watching and now >= self.ask_at:  # where lists are sent on request only
             self.ask_at = now + 4.0
             self.actions.append(api.Watch(True))
@@ -413,11 +428,10 @@
         out = sorted(out, key=lambda s: (-s.own, s.entry.id))[:MAX_ENTRIES]
         mu = total(self.evidence.power(s, now) / s.homes for s in self.slices.get(self.settings.me, []))
         held, served = min(0xFFFF, len(self.jobs)), sum(self.served[-3:]) / 3 / WINDOW
-        payload = ROW.pack(VERSION, flags, self.settings.zone, int(now * 1000), held, mu, self.arrived[-1],
-                           forecast(self.arrived), served, len(out))  # fmt: skip
         for server in self.up:
             server.told = server.own
-        payload += b"".join(ENTRY.pack(s.salt & 0xFFFF, min(255, s.own)) for s in out)
+        figures = held, mu, self.arrived[-1], forecast(self.arrived), served
+        payload = pack(flags, self.settings.zone, now, figures, out)
         self.rows[self.settings.me] = unpack(payload, now)
         if self.settings.limits.peers and self.settings.proxies > 1:
             self.actions.append(api.Tell(peer, payload))
@@ -426,6 +440,9 @@
         try:
             if self.evidence.told(message.sender, message.payload):
                 return
+            if self.recovery and message.payload[:1] == messages.MARK:
+                self.actions += self.recovery.heard(message, self.up, self.listing.meant, now)
+                return
             row, old = unpack(message.payload, now), self.rows.get(message.sender)
         except (ValueError, struct.error):
             return  # malformed, cut or foreign rows harm nothing
@@ -521,27 +538,11 @@
             return
         if news.kind is not api.ListKind.CACHED:
             self.watching, self.ask_wait = True, 0.0
-        touched = dict[Backend, None]()
-        for entry in news.servers:
-            server = self.servers.get(entry.id)
-            if entry.state is api.ServerState.GONE:
-                if server:
-                    del self.servers[entry.id]
-                    touched[server] = None
-            elif server is None:
-                salt = crc32(entry.id.encode())
-                server = self.servers[entry.id] = Backend(entry, salt, entry.weight, entry.up_since)
-                touched[server] = None
-            else:
-                moved, resized = server.renew(entry, self.settings.live_weights)
-                if moved:
-                    touched[server] = None
-                elif resized:
-                    self.resized[server] = None
-                self.large.mark(server)
-        if news.kind is not api.ListKind.CHANGES:
-            listed = {entry.id: self.servers[entry.id] for entry in news.servers if entry.id in self.servers}
-            touched.update((s, None) for name, s in self.servers.items() if name not in listed)
-            self.servers = listed
+        self.servers, touched, renewed, resized = merge(self.servers, news, self.settings.live_weights)
+        for server in renewed:
+            self.large.mark(server)
+        self.resized.update(resized)
         if touched:
             self.relist(touched)
+        if self.recovery:
+            self.recovery.listed(self.up, news, now)
--- a/firvane/cli/__init__.py
+++ b/firvane/cli/__init__.py
@@ -24,6 +24,8 @@
     "boxes": "Stand up emulated boxes with discovery, for a client of your own.",
     "report": "Show one result, or two side by side.",
     "scenarios": "List the scenarios that come along.",
+    "recovery": "Ask a proxy where it is on its way back from a loss of power.",
+    "snapshot": "Show or check what a proxy has kept on disk.",
     "config": "Tell about the configuration format.",
 }
 
--- a/firvane/cli/serve.py
+++ b/firvane/cli/serve.py
@@ -32,4 +32,9 @@
 
     config = read_file(file)
     make_room(file, config.sockets)
-    ctx.exit(serve(config, partial(read_file, file)))
+    keeper = None
+    if config.snapshot:
+        from firvane.snapshots.file import Keeper
+
+        keeper = partial(Keeper, config.snapshot, config.name)
+    ctx.exit(serve(config, partial(read_file, file), keeper))
--- /dev/null
+++ b/firvane/cli/snapshot.py
@@ -0,0 +1,81 @@
+"""`firvane snapshot`: what a proxy has kept on disk."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import click
+
+if TYPE_CHECKING:
+    from firvane.snapshots.words import Snapshot
+
+
+@click.group("snapshot", context_settings={"help_option_names": ["-h", "--help"]})
+def command() -> None:
+    """Show or check what a proxy has kept on disk ([recovery] snapshot in firvane.toml).
+
+    \b
+    Examples:
+      firvane snapshot show /var/lib/firvane/edge-1.snapshot
+      firvane snapshot check /var/lib/firvane/*.snapshot
+    """
+
+
+@command.command("show")
+@click.argument("file", type=click.Path())
+@click.option("--json", "as_json", is_flag=True, help="As one line of JSON.")
+def show(file: str, as_json: bool) -> None:
+    """Show what FILE holds, and how each field is read back. Exit code 2 where it cannot be read."""
+    import json
+    import time
+
+    from firvane.snapshots.file import describe
+    from firvane.snapshots.words import TRUST, age
+
+    snapshot = _read(file)
+    told = describe(snapshot, age(snapshot, time.time()))
+    if as_json:
+        click.echo(json.dumps(told))
+        return
+    for name, value in told.items():
+        click.echo(f"{name:13} {value}")
+    click.echo("\nfield   read back                              until, and confirmed by")
+    for row in TRUST:
+        click.echo(f"{row.field:7} {row.how.value:38} {row.until}; {row.confirmed}")
+
+
+@command.command("check")
+@click.argument("files", nargs=-1, required=True, type=click.Path())
+@click.pass_context
+def check(ctx: click.Context, files: tuple[str, ...]) -> None:
+    """Say of each of FILES whether a proxy would read it. Exit code 2 for any that it would not."""
+    from firvane.cli import Bad
+
+    faults: list[str] = []
+    for file in files:
+        try:
+            snapshot = _read(file)
+        except Bad as bad:
+            faults.append(bad.message)
+        else:
+            listed = len((snapshot.listed or {}).get("endpoints", []))
+            click.echo(f"{file}: a snapshot of {snapshot.proxy}, {listed} boxes listed")
+    for line in faults:
+        click.echo(line, err=True)
+    ctx.exit(2 if faults else 0)
+
+
+def _read(file: str) -> Snapshot:
+    from firvane.cli import Bad
+
+    try:
+        from firvane.snapshots import file as files
+        from firvane.snapshots.format import Damaged
+    except ModuleNotFoundError:
+        raise Bad("snapshots need more than a proxy does: pip install 'firvane[snapshots]'") from None
+    try:
+        return files.read(file)
+    except OSError as error:
+        raise Bad(f"{file}: cannot be read: {error.strerror or error}") from None
+    except Damaged as error:
+        raise Bad(f"{file}: {error}") from None
--- a/firvane/config/checks.py
+++ b/firvane/config/checks.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import os
 from collections.abc import Iterable, Iterator
+from importlib.util import find_spec
+from pathlib import Path
 from typing import Any
 
-from firvane.config.model import Control, File, Limits, Peers, RequestClass, TargetGroup
+from firvane.config.model import Control, File, Limits, Peers, Recovery, RequestClass, TargetGroup
 from firvane.limits.costs import derive
 
 Found = Iterator[tuple[str, str]]
@@ -65,6 +68,18 @@
         yield "keep_s", f"is below two reports, {2 * given.report_s:g}: a receiver would be gone between them"
 
 
+def recovery(given: Recovery) -> Found:
+    if given.snapshot is None:
+        return
+    if find_spec("google_crc32c") is None:
+        yield "snapshot", "needs more than a proxy does: pip install 'firvane[snapshots]'"
+    folder = Path(given.snapshot).absolute().parent
+    if not folder.is_dir():
+        yield "snapshot", f"is {given.snapshot!r}, and there is no folder {folder}"
+    elif not os.access(folder, os.W_OK):
+        yield "snapshot", f"is {given.snapshot!r}, and {folder} may not be written to"
+
+
 def whole(file: File) -> Found:
     yield from _twice("classes[{}].name", (cls.name for cls in file.classes), "class")
     yield from _twice("tenants[{}].name", (tenant.name for tenant in file.tenants), "tenant")
@@ -100,5 +115,6 @@
     Limits: limits,
     Peers: peers,
     Control: control,
+    Recovery: recovery,
     File: whole,
 }
--- a/firvane/config/file.py
+++ b/firvane/config/file.py
@@ -10,7 +10,7 @@
 from firvane import interface as api
 from firvane.address import parse_address
 from firvane.config.checks import CHECKS
-from firvane.config.model import File, RequestClass, TargetGroup
+from firvane.config.model import File, Recovery, RequestClass, TargetGroup
 from firvane.config.node import Config
 
 TICK = 0.005  # s: what a deadline is met with, beside the loop's own lag
@@ -44,6 +44,8 @@
         zones=zones,
         kinds=kinds,
         settings=_settings(file, zones),
+        snapshot=file.recovery.snapshot if file.recovery else None,
+        snapshot_every=file.recovery.snapshot_every_s if file.recovery else Config.snapshot_every,
         ops=parse_address(file.ops) if file.ops else None,
         cores=limits.cores,
         memory_mb=limits.memory_mb,
@@ -90,6 +92,12 @@
     )
 
 
+def _recovery(given: Recovery | None) -> api.Recovery | None:
+    if given is None:
+        return None
+    return api.Recovery(given.trials, given.steps, given.first_tries, given.ask)
+
+
 def _settings(file: File, zones: tuple[str, ...]) -> api.Settings:
     limits, rules, tier = file.limits, file.rules, file.peers
     me = 0
@@ -125,4 +133,5 @@
         zones=max(1, len(zones)),
         over_share_worth=file.over_share_worth,
         warm_keys=file.remembers_keys,
+        recovery=_recovery(file.recovery),
     )
--- a/firvane/config/model.py
+++ b/firvane/config/model.py
@@ -154,6 +154,17 @@
     tls: Annotated[Tls | None, says("receivers must show a certificate; without it nothing is hidden")] = None
 
 
+class Recovery(Part, frozen=True, kw_only=True):
+    """Coming back from a loss of power (docs/recovery.md). All proxies of a tier have it, or none."""
+
+    trials: Annotated[bool, says("a target that may be cold is tried by its home first, not by all")] = True
+    steps: Annotated[bool, says("its room is found by steps, which double while answers are quick")] = True
+    first_tries: Annotated[bool, says("they go before requests that come again")] = True
+    ask: Annotated[bool, says("a few peers are asked what they hold")] = True
+    snapshot: Annotated[str | None, says("the file that keeps what was learnt; its folder must last")] = None
+    snapshot_every_s: Annotated[float, says("from one writing to the next", ge=0.1, le=3600)] = 5.0
+
+
 class Log(Part, frozen=True, kw_only=True):
     """What is told on standard error."""
 
@@ -167,7 +178,7 @@
     listen: Annotated[Address, says("where clients connect; port 0 takes any that is free")]
     target_group: TargetGroup
     classes: Annotated[tuple[RequestClass, ...], says("of requests; others get 404", min_length=1)]
-    ops: Annotated[Address | None, says("where operators call: ready, show-stat, drain, resume")] = None
+    ops: Annotated[Address | None, says("where operators call: ready, show-stat, drain and more")] = None
     name: Annotated[Name, says("of this proxy, in the log")] = "firvane"
     seed: Annotated[Count | None, says("for random choices; the system's where missing")] = None
     zone: Annotated[str, says("where this proxy stands; one of zones")] = ""
@@ -182,4 +193,5 @@
     limits: Limits = Limits()
     peers: Peers | None = None
     control: Control | None = None
+    recovery: Annotated[Recovery | None, says("off where missing")] = None
     log: Log = Log()
--- a/firvane/config/node.py
+++ b/firvane/config/node.py
@@ -30,5 +30,7 @@
     ops: Address | None = None  # where operators call; None: nowhere
     inherited: int | None = None  # the descriptor of a listening socket that the platform holds for clients
     shape: frozenset[str] = frozenset()  # the settings' keys, all of which a later file must have
+    snapshot: str | None = None  # the file in which what was learnt is kept; None: nowhere
+    snapshot_every: float = 5.0  # s
     log_level: str = "info"
     log_format: str = "logfmt"
--- a/firvane/config/platform.py
+++ b/firvane/config/platform.py
@@ -4,8 +4,10 @@
 
 import json
 from collections.abc import Mapping
+from dataclasses import fields, replace
 from typing import Any
 
+from firvane import interface as api
 from firvane.address import Address, parse_address
 from firvane.config.node import Config
 from firvane.limits.costs import derive
@@ -51,7 +53,7 @@
     raw = data.get("settings")
     if not isinstance(raw, dict):
         raise ValueError("settings is missing or not an object")
-    settings = parse_settings(raw)
+    settings = replace(parse_settings(raw), recovery=_recovery(data.get("recovery")))
     limits = data.get("limits") or {}
     if not isinstance(limits, dict):
         raise ValueError("limits is not an object")
@@ -60,6 +62,7 @@
         if not is_number(value):
             raise ValueError(f"limits.{key} is {value!r}, not a number")
     derive(numbers["memory_mb"], int(numbers["sockets"]), numbers["cores"])
+    kept = data.get("recovery") or {}
     log = _log(environment, data.get("log") or {})
     peers = data.get("peers") or []
     if not isinstance(peers, list):
@@ -87,6 +90,8 @@
         zones=names("dcs"),
         kinds=names("machine-types"),
         settings=settings,
+        snapshot=kept.get("snapshot"),
+        snapshot_every=kept.get("snapshot_every", Config.snapshot_every),
         shape=shape(raw),
         ops=address("ops", "NODE_OPS") if data.get("ops") or environment.get("NODE_OPS") else None,
         inherited=None if inherited is None else int(inherited),
@@ -95,6 +100,23 @@
     )
 
 
+def _recovery(given: Any) -> api.Recovery | None:
+    """Which parts of a recovery from a power loss are on; `ValueError` for a part that there is not."""
+    if given is None:
+        return None
+    if not isinstance(given, dict):
+        raise ValueError("recovery is not an object")
+    wanted: dict[str, type | tuple[type, ...]] = {field.name: bool for field in fields(api.Recovery)}
+    wanted |= {"snapshot": str, "snapshot_every": (int, float)}
+    for key, value in given.items():
+        if key not in wanted:
+            raise ValueError(f"recovery.{key} is not one of {', '.join(sorted(wanted))}")
+        spans = key != "snapshot_every" or (is_number(value) and 0.1 <= value <= 3600)
+        if not isinstance(value, wanted[key]) or not spans:
+            raise ValueError(f"recovery.{key} is {value!r}")
+    return api.Recovery(**{key: given[key] for key in given if wanted[key] is bool})
+
+
 def _log(environment: Mapping[str, str], given: Any) -> dict[str, str]:
     """How to log: as the file says, or else the environment; `ValueError` for what there is not."""
     told = {}
--- a/firvane/fleet/box.py
+++ b/firvane/fleet/box.py
@@ -264,6 +264,22 @@
         """Standard cores that it can use at this moment, 0 if it is not up. Pauses and crowds don't count."""
         return self.cores * self._pace * self._warmth(now) if self.is_up else 0.0
 
+    def would_take(self, now: float, key: str, work: float) -> float:
+        """Seconds that an attempt offered now would take, if no other came; inf where there is no room."""
+        self._settle(now)
+        if not self.is_up or self._inside >= len(self._each) - 1:
+            return inf
+        met = self._met.get(key) if key else None
+        cost = work if met is None or now - met > self._remembers_s else work * (1.0 - self._saves)
+        inside = self._inside + 1
+        pace = self._pace * self._warmth(now)
+        alone = cost / (pace * self._each[inside])
+        if inside <= self._slots:
+            return alone
+        ahead = sum(finish - self._served for finish, _, _ in self._working)
+        ahead += sum(job.cost for job in self._waiting)
+        return max(alone, (ahead + cost) / (pace * self._whole[inside]))
+
     def next_at(self) -> float:
         """When something happens by itself: an end, or a new `state` after a pause or the warm-up."""
         if self._out:
--- a/firvane/fleet/checks.py
+++ b/firvane/fleet/checks.py
@@ -26,9 +26,11 @@
 Found = Iterator[tuple[str, str]]
 
 OF_ONE = re.compile(
-    r"(.*_)?(share|part|loss|chance|error|saves|abandon|vanishing|slow_readers|batch|crowded_from)$"
+    r"(.*_)?(share|part|loss|chance|error|saves|abandon|vanishing|slow_readers|batch|crowded_from"
+    r"|never|late)$"
 )
-LEAST = {"share": 1e-6, "cores": 0.01, "speed": 0.01, "proxy": -1}  # 0 where it is not here
+LEAST = {"share": 1e-6, "cores": 0.01, "speed": 0.01, "proxy": -1, "other": -1}  # 0 where it is not here
+LEAST |= {"step_s": -1e9}
 LEAST |= dict.fromkeys(("count", "slots_per_core", "connections", "keys"), 1)
 LEAST |= dict.fromkeys(("quota", "warm_s", "aim_s", "deadline_s", "rate", "work_ms"), 1e-3)
 LEAST |= dict.fromkeys(("fall_multiple", "times", "part_speed", "every_s", "beat_s"), 1e-3)
@@ -110,6 +112,10 @@
             yield f"{at}.community", f"is {trouble.community!r}, not one of {', '.join(sorted(communities))}"
         if trouble.proxy >= whole.proxies.count:
             yield f"{at}.proxy", f"is {trouble.proxy}, and there are {whole.proxies.count} proxies, from 0"
+        if trouble.other >= whole.proxies.count:
+            yield f"{at}.other", f"is {trouble.other}, and there are {whole.proxies.count} proxies, from 0"
+        if trouble.never + trouble.late > 1.0:
+            yield f"{at}.late", f"and never are {trouble.never + trouble.late:g} together, above 1"
         if trouble.kind == "cut" and len(whole.network.zones) < 2:
             yield f"{at}.kind", "is a cut, and there is one zone"
 
--- a/firvane/fleet/draw.py
+++ b/firvane/fleet/draw.py
@@ -12,7 +12,8 @@
 from firvane.fleet.crowd import popularity
 from firvane.fleet.scenario import Boxes, Load, Network, Retries, Scenario, Trouble, TroubleKind
 
-KINDS: tuple[TroubleKind, ...] = get_args(TroubleKind)
+STAGED = ("power", "stall", "link", "away", "clock")  # not drawn: the rehearsals of recovery stage them
+KINDS: tuple[TroubleKind, ...] = tuple(kind for kind in get_args(TroubleKind) if kind not in STAGED)
 LATEST = 50.0  # s from the start by which all of them have begun
 AT_ONCE = ("kill", "herd", "restart", "reset")
 RATE_PER_BOX = 710.0 / 14.0  # requests a second on the operators' ordinary days
@@ -130,3 +131,5 @@
             return Trouble(kind=kind, at_s=at, part=between(0.4, 0.8))
         case "kill" | "restart":
             return Trouble(kind=kind, at_s=at)
+        case _:
+            raise ValueError(f"{kind} is not drawn")
--- a/firvane/fleet/scenario.py
+++ b/firvane/fleet/scenario.py
@@ -130,6 +130,9 @@
     memory_mb: int = 64
     sockets: int = 512
     back_s: float = 1.0  # from a kill or an end to the next start
+    recovery: bool = False  # the proxies come back from a power loss by their order of service
+    without: Literal["", "trials", "steps", "first-tries", "ask"] = ""  # with one part of that switched off
+    snapshots: bool = False  # each keeps what it has learnt on a disk of its own
 
 
 TroubleKind = Literal[
@@ -147,6 +150,11 @@
     "lockstep",  # clients retry at once, all on one beat
     "slow",  # boxes do `part_speed` of what they did
     "reset",  # boxes break the connections that they have
+    "power",  # what `strikes` names is off at once: boxes are back cold after `for_s`, proxies by `back_s`
+    "stall",  # a proxy stands still for `for_s` and goes on where it was
+    "link",  # datagrams of a proxy, to `other` or all, are lost for `for_s`, or late by `late_s`
+    "away",  # discovery says nothing for `for_s`, and where `older` then tells the list of then once more
+    "clock",  # a proxy's wall clock steps by `step_s`
 ]
 
 
@@ -165,6 +173,15 @@
     proxy: int = -1  # -1 is drawn
     every_s: float = 5.0
     part_speed: float = 0.3
+    strikes: Literal["both", "proxies", "boxes"] = "both"
+    memory: Literal["kept", "lost", "old", "torn"] = "kept"  # what becomes of the disks of proxies struck
+    never: float = 0.0  # part of the proxies struck that never return
+    late: float = 0.0  # part of them that returns `late_s` after the others
+    late_s: float = 0.0
+    other: int = -1  # the other end of a link; -1 is all
+    way: Literal["both", "out", "in"] = "both"  # of a link, as its proxy sees it
+    older: bool = False
+    step_s: float = 0.0
 
 
 class Scenario(Part, frozen=True, kw_only=True):
--- a/firvane/fleet/timeline.py
+++ b/firvane/fleet/timeline.py
@@ -46,6 +46,10 @@
     KILL = "kill"  # a proxy's process ends at once
     LAUNCH = "launch"  # a proxy is started again
     END = "end"  # a proxy is told to end, and is started again `back_s` after it has
+    STALL = "stall"  # a proxy's process stands still until then
+    LINK = "link"  # datagrams from one proxy to another are lost, or late by `value` s, until then
+    AWAY = "away"  # discovery says nothing until then; with a `value` it then tells an older list first
+    CLOCK = "clock"  # a proxy's wall clock steps by `value` s
 
 
 # What discovery learns of a step. Of any other it learns nothing.
@@ -72,6 +76,8 @@
     community: str = ""
     until: float = 0.0
     value: float = 0.0  # of a burst its times, of slowness the part that is left
+    other: str = ""  # the proxy at the far end of a link
+    memory: str = "kept"  # what becomes of the disk of a proxy that is killed
 
 
 class Spot:
@@ -122,7 +128,8 @@
             "silent": self._silent, "crash": self._crash, "pause": self._pause, "slow": self._slow,
             "reset": self._reset, "drain": self._drain, "deploy": self._deploy, "churn": self._churn,
             "burst": self._burst, "cut": self._cut, "lockstep": self._lockstep,
-            "kill": self._kill, "herd": self._herd, "restart": self._end,
+            "kill": self._kill, "herd": self._herd, "restart": self._end, "power": self._power,
+            "stall": self._stall, "link": self._link, "away": self._away, "clock": self._clock,
         }  # fmt: skip
         for number, trouble in enumerate(scenario.troubles):
             draw = Random(f"trouble/{seed}/{number}")
@@ -282,17 +289,63 @@
         for name in draw.sample(names, max(1, round(trouble.part * len(names)))):
             self._kill_one(name, at)
 
-    def _kill_one(self, name: str, at: float) -> None:
-        self._steps.append(Step(at, Action.KILL, proxy=name))
-        back = at + self._scenario.proxies.back_s
+    def _power(self, trouble: Trouble, draw: Random, at: float) -> None:
+        """All at once, and back each in its time. What lost its power forgets all but what its disk keeps."""
+        where = " ".join(filter(None, (trouble.zone, "" if trouble.strikes == "both" else trouble.strikes)))
+        self._shade(at, at + trouble.for_s, "power", where)
+        if trouble.strikes != "proxies":
+            for spot in some(draw, self._there(trouble.zone), trouble.part):
+                self._take_away(spot, Action.STOP, at, at + trouble.for_s)
+        if trouble.strikes == "boxes":
+            return
+        bank = seats(self._scenario.network, self._scenario.proxies)
+        names = [seat.name for seat in bank if trouble.zone in ("", seat.zone)]
+        struck = draw.sample(names, max(1, round(trouble.part * len(names)))) if names else []
+        never, late = round(trouble.never * len(struck)), round(trouble.late * len(struck))
+        for number, name in enumerate(struck):
+            wait = trouble.late_s if number < never + late else 0.0
+            self._kill_one(name, at, wait, number >= never, trouble.memory)
+
+    def _stall(self, trouble: Trouble, draw: Random, at: float) -> None:
+        name, until = self._proxy(trouble, draw, at, trouble.for_s), at + trouble.for_s
+        self._steps.append(Step(at, Action.STALL, proxy=name, until=until))
+
+    def _link(self, trouble: Trouble, draw: Random, at: float) -> None:
+        name, until = self._proxy(trouble, draw, at, trouble.for_s), at + trouble.for_s
+        bank = seats(self._scenario.network, self._scenario.proxies)
+        others = [bank[trouble.other].name] if trouble.other >= 0 else [seat.name for seat in bank]
+        for other in others:
+            ways = {"out": [(name, other)], "in": [(other, name)]}
+            for a, b in ways.get(trouble.way, [(name, other), (other, name)]):
+                if a != b:
+                    step = Step(at, Action.LINK, proxy=a, other=b, until=until, value=trouble.late_s)
+                    self._steps.append(step)
+
+    def _away(self, trouble: Trouble, draw: Random, at: float) -> None:
+        until = at + trouble.for_s
+        self._shade(at, until, "away", trouble.zone)
+        self._steps.append(Step(at, Action.AWAY, zone=trouble.zone, until=until, value=float(trouble.older)))
+
+    def _clock(self, trouble: Trouble, draw: Random, at: float) -> None:
+        name = self._proxy(trouble, draw, at, 0.0)
+        self._steps.append(Step(at, Action.CLOCK, proxy=name, value=trouble.step_s))
+
+    def _kill_one(
+        self, name: str, at: float, wait: float = 0.0, returns: bool = True, memory: str = "kept"
+    ) -> None:
+        self._steps.append(Step(at, Action.KILL, proxy=name, memory=memory))
+        if not returns:
+            return
+        back = at + self._scenario.proxies.back_s + wait
         self._plan(back, lambda then: self._steps.append(Step(then, Action.LAUNCH, proxy=name)))
 
     def _end(self, trouble: Trouble, draw: Random, at: float) -> None:
         # When its process is over after that only the run can tell, so there is no step for its return.
         self._steps.append(Step(at, Action.END, proxy=self._proxy(trouble, draw, at)))
 
-    def _proxy(self, trouble: Trouble, draw: Random, at: float) -> str:
+    def _proxy(self, trouble: Trouble, draw: Random, at: float, lasts: float | None = None) -> str:
         bank = seats(self._scenario.network, self._scenario.proxies)
         which = trouble.proxy if trouble.proxy >= 0 else draw.randrange(len(bank))
-        self._shade(at, at + self._scenario.proxies.back_s, trouble.kind, bank[which].name)
+        until = at + (self._scenario.proxies.back_s if lasts is None else lasts)
+        self._shade(at, until, trouble.kind, bank[which].name)
         return bank[which].name
--- a/firvane/interface.py
+++ b/firvane/interface.py
@@ -125,6 +125,27 @@
     requests_per_connection: int = 1
 
 
+@dataclass(slots=True, frozen=True)
+class Recovery:
+    """The parts of a recovery from a power loss, each of which may be switched off."""
+
+    trials: bool = True  # a box is tried by its home first, and not by all
+    steps: bool = True  # its room is found by steps
+    first_tries: bool = True  # they go before those that come again
+    ask: bool = True  # peers are asked what they hold
+
+
+@dataclass(slots=True, frozen=True)
+class Remembered:
+    """What was kept from a life before this one, as it may be believed now."""
+
+    age: float  # s since it was kept
+    scale: float = 0.0  # answers a second and weight of a warm server; 0: not known
+    kinds: Mapping[str, float] = field(default_factory=dict)  # the same by kind, by its name
+    rooms: Mapping[str, float] = field(default_factory=dict)  # of servers, by id
+    starts: Mapping[str, float] = field(default_factory=dict)  # their last starts, by id
+
+
 @dataclass(slots=True, frozen=True)
 class Settings:
     """What one balancer is told when it starts."""
@@ -147,6 +168,7 @@
     over_share_worth: float = 1.0
     warm_keys: bool = False
     prices: Mapping[str, float] = field(default_factory=dict)
+    recovery: Recovery | None = None  # off
 
 
 @dataclass(slots=True)
@@ -361,9 +383,11 @@
 
 @dataclass(slots=True)
 class Log:
-    """A line for the operators."""
+    """A line for the operators: an event and its fields."""
 
-    text: str
+    text: str = ""
+    event: str = "decisions"
+    fields: Mapping[str, str] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
--- a/firvane/net/targets.py
+++ b/firvane/net/targets.py
@@ -16,6 +16,7 @@
 from firvane.logs import QUIET, Log
 
 STATES = {"up": api.ServerState.UP, "draining": api.ServerState.DRAINING, "removed": api.ServerState.GONE}
+WORDS = {state: word for word, state in STATES.items()}
 SILENCE = 4.5  # s: discovery writes a line every 2 s while it lives
 
 
@@ -150,6 +151,7 @@
         self.on_target, self.on_list = on_target, on_list
         self.index = 0
         self.servers: dict[str, api.Server] = {}
+        self.addresses: dict[str, Address] | None = None  # kept where the list is to be written down
         self.known = False  # some list was taken in, be it an old one
         self.heard = asyncio.Event()  # discovery itself has told of the list
         self.last = 0.0  # when anything last came
@@ -176,6 +178,8 @@
                 # Restarted: the old one is gone, and each connection left from it would only end in a reset.
                 self.on_target(server.id, None, False)
             self.on_target(server.id, addresses.get(server.id), up)
+            if self.addresses is not None and server.id in addresses:
+                self.addresses[server.id] = addresses[server.id]
             if server.state is api.ServerState.GONE:
                 self.servers.pop(server.id, None)
             else:
@@ -183,6 +187,27 @@
         self.index, self.known = news.version, True
         self.on_list(news)
 
+    def listed(self) -> dict[str, Any] | None:
+        """The list in discovery's form, to be read by `learn` in another life; None where none is known."""
+        if not self.known or self.addresses is None:
+            return None
+        self.addresses = {name: self.addresses[name] for name in self.servers}
+        zones, kinds = list(self.reader.zones), list(self.reader.kinds)
+        endpoints = [
+            {
+                "name": server.id,
+                "address": "{}:{}".format(*self.addresses[server.id]),
+                "zone": zones[server.zone] if server.zone < len(zones) else "",
+                "type": kinds[server.kind] if server.kind < len(kinds) else "",
+                "group": server.cell,
+                "status": WORDS[server.state],
+                "weight": server.weight,
+                "since_ms": round(1000 * server.up_since) if server.up_since else 0,
+            }
+            for server in self.servers.values()
+        ]
+        return {"index": self.index, "snapshot": True, "endpoints": endpoints}
+
     def refresh(self) -> None:
         """Tell the list again, whole, where the decisions ask for it: the watch always stands."""
         self.loop.call_soon(self._tell_whole)
--- a/firvane/ops/calls.py
+++ b/firvane/ops/calls.py
@@ -21,6 +21,7 @@
     SHOW_STAT = "show-stat"
     DRAIN = "drain"
     RESUME = "resume"
+    RECOVERY = "recovery"
 
 
 class Useless(Exception):  # noqa: N818 - the caller's fault, and an ordinary event here
--- a/firvane/proxy.py
+++ b/firvane/proxy.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import replace
+from typing import Any, Protocol
 
 from firvane import interface as api
 from firvane import logs
@@ -40,6 +41,18 @@
 REPORT = 5.0  # s from one line of figures in the log to the next
 
 
+class Keeper(Protocol):
+    """Whatever keeps what was learnt over this process's end (`snapshots.file`)."""
+
+    def recall(self, now: float) -> tuple[api.Remembered, Any] | None:
+        """What was kept, and the list in discovery's form; `now` in Unix time."""
+
+    def keep(self, now: float, listed: Any, held: api.Remembered) -> None: ...
+
+    def close(self, now: float, listed: Any, held: api.Remembered) -> None:
+        """Keep it for the last time."""
+
+
 class Proxy:
     """All parts of one proxy, wired."""
 
@@ -52,8 +65,10 @@
         dialer: Dialer | None = None,
         usage: Callable[[], Usage] | None = None,
         log: logs.Log | None = None,
+        keeper: Callable[[logs.Log], Keeper] | None = None,
     ) -> None:
-        """`wall` tells Unix time in seconds; without a dialer connections to targets are sockets.
+        """`keeper` makes what keeps what was learnt, where anything does. `wall` tells Unix time in
+        seconds; without a dialer connections to targets are sockets.
 
         `usage` tells what the proxy has used; without it, what this process has. Without a log it makes its
         own on standard error, as its configuration says.
@@ -93,6 +108,9 @@
         inherited = None if config.inherited is None else adopt(config.inherited)
         self.door: Door = LoopDoor(loop) if dialer else SocketDoor(loop, self.hands, self.log, inherited)
         self.front.door = self.door.let
+        self.wall, self.keeper = wall, keeper(self.log) if keeper else None
+        if self.keeper:
+            self.group.addresses = {}
         self.life, self.loads = Life(), Loads()
         self.desk, self.desk_hands = Desk(loop, self._answer), Hands(loop)
         self.ops: Door = LoopDoor(loop) if dialer else SocketDoor(loop, self.desk_hands, self.log)
@@ -123,6 +141,7 @@
         if config.inherited is None:
             await self.door.open(config.listen, self.front.accept)
         self.engine.start()
+        config = self._recall(config)
         if config.known:
             try:
                 self.group.learn(config.known, cached=config.discovery is not None)
@@ -158,8 +177,38 @@
             bodies_mb=round(bounds.bodies / MB, 1),
             boxes=bounds.boxes,
         )
+        if self.keeper:
+            due = self.loop.time() + config.snapshot_every
+            self.loop.call_at(due, self._keep, due)
         self.log.info("ready", listen=f"{host}:{port}", targets=len(self.group.servers))
 
+    # What is kept
+
+    def _recall(self, config: Config) -> Config:
+        """Take in what was kept of the life before; the configuration with the list from there, if it has
+        none."""
+        recovery = self.engine.balancer.recovery
+        kept = self.keeper.recall(self.wall()) if self.keeper and recovery else None
+        if not (kept and recovery):
+            return config
+        memory, listed = kept
+        recovery.remember(memory, {name: number for number, name in enumerate(config.kinds)})
+        self.log.info(
+            "snapshot_read", age_s=round(memory.age, 1), scale=round(memory.scale, 2), rooms=len(memory.rooms)
+        )
+        return config if config.known or config.discovery is None else replace(config, known=listed)
+
+    def _held(self) -> tuple[float, Any, api.Remembered]:
+        recovery, balancer = self.engine.balancer.recovery, self.engine.balancer
+        assert recovery  # a keeper without one is not made
+        return self.wall(), self.group.listed(), recovery.recall(balancer.servers.values(), self.config.kinds)
+
+    def _keep(self, due: float) -> None:
+        if self.keeper and self.life.meaning().takes:
+            self.keeper.keep(*self._held())
+            due += self.config.snapshot_every
+            self.loop.call_at(due, self._keep, due)
+
     # What operators ask
 
     def figures(self) -> Figures:
@@ -181,6 +230,12 @@
         if call is Call.READY:
             state = self.life.state.value
             return calls.yes(state) if self.life.meaning().takes else calls.no(f"{state}: no clients yet")
+        if call is Call.RECOVERY:
+            recovery = self.engine.balancer.recovery
+            if recovery is None:
+                return calls.no("recovery is switched off")
+            told = recovery.status(self.engine.now())
+            return calls.lines("\n".join(f"{name} {value}" for name, value in told.items()))
         event = Event.DRAIN if call is Call.DRAIN else Event.RESUME
         if not self._hear(event):
             return calls.no(f"{self.life.state.value}: too late, or too early, to {call.value}")
@@ -317,6 +372,8 @@
         self._stop()
 
     def _stop(self) -> None:
+        if self.keeper and self.group.known:
+            self.keeper.close(*self._held())
         self.group.stop()
         self.hands.close()
         self.desk.close()
--- a/firvane/rehearsal/arrivals.py
+++ b/firvane/rehearsal/arrivals.py
@@ -19,6 +19,7 @@
 if TYPE_CHECKING:
     from firvane.rehearsal.link import End
     from firvane.rehearsal.memory import Memory
+    from firvane.rehearsal.process import Process
 
 READ = 256 * 1024  # bytes of one read, as asyncio's own transports read
 
@@ -47,6 +48,7 @@
 
     _cancelled = False  # never, as far as the loop knows
     peer: End
+    process: Process | None
     protocol: Any
 
     def __init__(self, memory: Memory) -> None:
--- a/firvane/rehearsal/discovery.py
+++ b/firvane/rehearsal/discovery.py
@@ -23,6 +23,7 @@
 from firvane.rehearsal.wire import END_OF_HEAD
 
 BEAT_S = 2.0  # s from one empty line to the next while nothing changes
+OLDER_S = 2.0  # s for which an agent that has come back with an older list knows no better
 COUNTS_S = 6.0  # s after which a change counts as told
 MOST_HEAD = 16 * 1024
 PATH = "/discovery/hosts"
@@ -99,6 +100,7 @@
         self.connections: list[Watcher] = []
         self.is_silent = False
         self.counted: dict[str, int] = {}  # box to the version that counts as told to this life of the proxy
+        self.first = registry.snapshot(proxy, 0.0)  # the list of the beginning
         self.had = self.known()  # the list that the proxy was last told
         self.timer: Timer | None = None
 
@@ -165,14 +167,26 @@
     def silence(self) -> None:
         self.is_silent = True
 
-    def speak(self) -> None:
-        """It is heard again, and answers what it was asked meanwhile."""
+    def speak(self, older: bool = False) -> None:
+        """It is heard again, and answers what it was asked meanwhile; with an `older` list first, where one
+        that has come back itself knows no better."""
         self.is_silent = False
+        if older:
+            for connection in self.connections:
+                if connection.watches:
+                    connection.transport.write(chunk(self._json(self.first[0], self.first[1], True) + b"\n"))
+            self.clock.loop.call_later(OLDER_S, self._tell_whole)
         for connection in list(self.connections):
             if connection.unanswered:
                 connection.answer()
         self.changed()
 
+    def _tell_whole(self) -> None:
+        """Everybody who watches gets the whole list."""
+        for connection in self.connections:
+            if connection.watches and not self.is_silent:
+                connection.transport.write(chunk(self.whole() + b"\n"))
+
     def _json(self, version: int, changes: Iterable[Change], is_whole: bool) -> bytes:
         entries = [
             {
--- a/firvane/rehearsal/live.py
+++ b/firvane/rehearsal/live.py
@@ -260,6 +260,8 @@
 def check(scenario: Scenario) -> None:
     """`ValueError` for a scenario that is too large to be played live on this system."""
     proxies, boxes = scenario.proxies.count, scenario.boxes.count
+    if any(trouble.kind == "clock" for trouble in scenario.troubles):
+        raise ValueError("the clock of one process cannot step alone: play it in virtual time")
     doors, most = proxies * boxes, resource.getrlimit(resource.RLIMIT_NOFILE)[1]
     if 2 * doors > most:  # as many again for what comes in by them
         raise ValueError(
--- a/firvane/rehearsal/machines.py
+++ b/firvane/rehearsal/machines.py
@@ -20,6 +20,7 @@
 from firvane.rehearsal.boxes import Sink
 from firvane.rehearsal.clock import Clock
 
+OLD_S = 30 * 86_400.0  # s by which a snapshot is old that is said to be
 SAMPLE_S = 0.5  # s from one look at what a proxy uses to the next
 END_S = 5.0  # s that a process that was killed may take to be gone
 TICKS = os.sysconf("SC_CLK_TCK")
@@ -60,6 +61,17 @@
     return (int(stat[11]) + int(stat[12])) / TICKS, pages * PAGE, descriptors
 
 
+def spoil(path: Path, memory: str) -> None:
+    """What a loss of power does to a file: "kept", "lost", "torn" in the middle, or weeks "old"."""
+    if memory == "lost":
+        path.unlink(missing_ok=True)
+    elif memory in ("torn", "old") and path.exists():
+        from firvane.snapshots.format import aged  # what `snapshots` installs, of which few have need
+
+        whole = path.read_bytes()
+        path.write_bytes(whole[: len(whole) // 2] if memory == "torn" else aged(whole, OLD_S))
+
+
 class Machines:
     """All proxies' processes. `on_ended` hears of each that has ended and was not killed from here."""
 
@@ -113,6 +125,20 @@
         if process := self.processes.get(number):
             process.terminate()
 
+    def spoil(self, number: int, memory: str) -> None:
+        spoil(self.folder / f"{self.names[number]}.snapshot", memory)
+
+    def stall(self, number: int) -> None:
+        if process := self.processes.get(number):
+            process.send_signal(signal.SIGSTOP)
+
+    def go_on(self, number: int) -> None:
+        if process := self.processes.get(number):
+            process.send_signal(signal.SIGCONT)
+
+    def step_clock(self, number: int, seconds: float) -> None:
+        """Processes of one machine share its clock: `check` turns such a scenario down before."""
+
     def _ended(self, number: int, process: subprocess.Popen[bytes], ended: int) -> None:
         self.clock.loop.remove_reader(ended)
         os.close(ended)
--- a/firvane/rehearsal/memory.py
+++ b/firvane/rehearsal/memory.py
@@ -210,6 +210,14 @@
     def __repr__(self) -> str:
         return f"<{self.callback}{self.args}>"
 
+    def owner(self) -> Process | None:
+        """The process that it arrives at; None where a kernel alone is concerned."""
+        whose = getattr(self.callback, "__self__", None)
+        if isinstance(whose, Memory):  # a datagram, which waits in the kernel for its process
+            receiver = whose.bound.get(self.args[1])
+            return receiver.process if receiver else None
+        return whose.process if isinstance(whose, Connecting) and not self.args else None
+
     def _run(self) -> None:
         try:
             self.callback(*self.args)
--- a/firvane/rehearsal/plan.py
+++ b/firvane/rehearsal/plan.py
@@ -147,9 +147,11 @@
 
 
 def configuration(
-    scenario: Scenario, plan: Plan, seat: Seat, number: int, seed: int, known: dict[str, Any]
-) -> dict[str, Any]:
-    """The platform's JSON for one start of a proxy; `seed` is below 2^64 and new with each."""
+    scenario: Scenario, plan: Plan, seat: Seat, number: int, seed: int, known: dict[str, Any],
+    folder: str = "",
+) -> dict[str, Any]:  # fmt: skip
+    """The platform's JSON for one start of a proxy; `seed` is below 2^64 and new with each. `folder` is the
+    proxies' disk."""
     limits = scenario.proxies
     told: dict[str, Any] = {
         "name": seat.name,
@@ -160,6 +162,10 @@
         "known": known,
         "settings": settings(scenario, number, seat.zone),
     }
+    if limits.recovery:
+        told["recovery"] = {limits.without.replace("-", "_"): False} if limits.without else {}
+        if folder and limits.snapshots:
+            told["recovery"]["snapshot"] = f"{folder}/{seat.name}.snapshot"
     if scenario.network.peers:
         told["peer_listen"] = text(plan.peer_listen(number))
         told["peers"] = [text(plan.peer(number, other)) for other in range(plan.proxies)]
--- a/firvane/rehearsal/relay.py
+++ b/firvane/rehearsal/relay.py
@@ -52,6 +52,7 @@
         self.clock, self.plan, self.names, self.zones = clock, plan, names, zones
         self.post, self.sink = post, sink
         self.ears: dict[tuple[int, int], Ear] = {}  # by sender and receiver; -1 is all
+        self.faults: dict[tuple[int, int], tuple[float, float]] = {}  # until when; s late, or 0: lost
 
     async def open(self) -> None:
         """Take datagrams; `OSError` where an address cannot be had."""
@@ -72,10 +73,17 @@
         delay = None
         if len(data) <= LONGEST:
             delay = self.post.datagram(now, self.zones[sender], self.zones[receiver])
+        until, late = self.faults.get((sender, receiver), (0.0, 0.0))
+        if delay is not None and now < until:
+            delay = delay + late if late else None
         self.sink(Sent(now, self.names[sender], len(data), delay is not None))
         if delay is not None:
             self.clock.call_at(now + delay, self._deliver, sender, receiver, data)
 
+    def strike(self, sender: str, receiver: str, until: float, late: float) -> None:
+        """Datagrams from one to the other are lost until then, or come `late` s later where that is not 0."""
+        self.faults[self.names.index(sender), self.names.index(receiver)] = until, late
+
     def _deliver(self, now: float, sender: int, receiver: int, data: bytes) -> None:
         transport = self.ears[receiver, sender].transport
         if not transport.is_closing():
--- a/firvane/rehearsal/report.py
+++ b/firvane/rehearsal/report.py
@@ -16,10 +16,11 @@
 from firvane.fleet.verdict import Breach
 from firvane.rehearsal import charts
 from firvane.rehearsal.charts import LATENCY, Shown
-from firvane.rehearsal.result import Result, write_whole
+from firvane.rehearsal.result import Result
 from firvane.rehearsal.style import style
 from firvane.rehearsal.svg import number
 from firvane.rehearsal.tags import Cell, cells, figure, key, section
+from firvane.whole import write_whole
 
 COLOURS = ("one", "two")
 
--- a/firvane/rehearsal/result.py
+++ b/firvane/rehearsal/result.py
@@ -11,11 +11,9 @@
 
 from __future__ import annotations
 
-import contextlib
 import hashlib
 import os
 import shlex
-import tempfile
 from pathlib import Path
 from typing import Any, Literal
 
@@ -28,6 +26,7 @@
 from firvane.fleet.scenario import Scenario
 from firvane.fleet.service import Progress, Service
 from firvane.fleet.verdict import Breach, Grade
+from firvane.whole import write_whole
 
 FORMAT = 1
 BATCH = 1 << 16  # bytes that are hashed at once
@@ -190,25 +189,3 @@
 def write(path: str | os.PathLike[str], result: Result) -> None:
     """Write a result's file, or leave the one that is there. `OSError` where that cannot be done."""
     write_whole(path, msgspec.json.encode(result) + b"\n")
-
-
-def write_whole(path: str | os.PathLike[str], data: bytes) -> None:
-    """All of it, or what was there before."""
-    place = Path(path)
-    handle, aside = tempfile.mkstemp(prefix=f".{place.name}.", dir=place.parent)
-    try:
-        with open(handle, "wb") as file:
-            file.write(data)
-            file.flush()
-            os.fsync(file.fileno())
-        os.chmod(aside, 0o644)
-        os.replace(aside, place)
-    except BaseException:
-        with contextlib.suppress(OSError):
-            os.unlink(aside)
-        raise
-    folder = os.open(place.parent, os.O_RDONLY)
-    try:
-        os.fsync(folder)
-    finally:
-        os.close(folder)
--- a/firvane/rehearsal/run.py
+++ b/firvane/rehearsal/run.py
@@ -12,6 +12,7 @@
 import json
 import tempfile
 from collections.abc import Callable, Iterator
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -23,6 +24,7 @@
 from firvane.rehearsal.clock import Clock
 from firvane.rehearsal.doors import Address
 from firvane.rehearsal.live import NoVerdict, excuse, live
+from firvane.rehearsal.machines import spoil
 from firvane.rehearsal.plan import Plan
 from firvane.rehearsal.result import ClockName, Result, Witness
 from firvane.rehearsal.virtual import VirtualLoop
@@ -91,13 +93,14 @@
         self, loop: VirtualLoop, names: tuple[str, ...], folder: Path, on_ended: Callable[[int, int], None]
     ) -> None:
         self.loop, self.names, self.folder, self.on_ended = loop, names, folder, on_ended
+        self.steps = [0.0] * len(names)  # of the proxies' wall clocks, in s
         self.proxies = [
-            VirtualProxy(loop, self._wall, self._hears(number), logs.make("error", wall=self._wall))
-            for number in range(len(names))
+            VirtualProxy(loop, wall := partial(self._wall, n), self._hears(n), logs.make("error", wall=wall))
+            for n in range(len(names))
         ]
 
-    def _wall(self) -> float:
-        return WALL + self.loop.time()
+    def _wall(self, number: int) -> float:
+        return WALL + self.loop.time() + self.steps[number]
 
     def _hears(self, number: int) -> Callable[[str, int], None]:
         def hear(state: str, code: int) -> None:
@@ -118,6 +121,18 @@
     def end(self, number: int) -> None:
         self.proxies[number].end()
 
+    def spoil(self, number: int, memory: str) -> None:
+        spoil(self.folder / f"{self.names[number]}.snapshot", memory)
+
+    def stall(self, number: int) -> None:
+        self.proxies[number].stall(True)
+
+    def go_on(self, number: int) -> None:
+        self.proxies[number].stall(False)
+
+    def step_clock(self, number: int, seconds: float) -> None:
+        self.steps[number] += seconds
+
 
 class VirtualRun:
     """One run in virtual time; its records go to `sink` as they are made."""
--- a/firvane/rehearsal/virtual.py
+++ b/firvane/rehearsal/virtual.py
@@ -21,7 +21,8 @@
 from heapq import heapify, heappop, heappush
 from typing import Any, NoReturn, Protocol, TypeVar
 
-from firvane.rehearsal.memory import Listening, Memory
+from firvane.rehearsal.arrivals import Arrivals
+from firvane.rehearsal.memory import Listening, Memory, Parcel
 from firvane.rehearsal.process import PROCESS, Process, host_here
 from firvane.rehearsal.zones import Network, Same
 
@@ -112,6 +113,7 @@
         super().__init__()
         self.now, self.turns = start, turns
         self.memory = Memory(self, network or Same())
+        self.stalled: dict[Process, list[Turn]] = {}  # processes that stand still, and what waits for them
         self.cancelled = 0  # timers cancelled since those were last taken away
         self._due: list[tuple[float, int, Any]] = []  # a heap: when, in which order, what (Turn)
         self._order = itertools.count().__next__
@@ -184,7 +186,8 @@
                 if when > self.now:
                     self.now, stood = when, 0
                 if stood < self.turns and (not due or due[0][0] > when):  # alone, as nearly always
-                    turn._run()
+                    if not (self.stalled and self._holds(turn)):
+                        turn._run()
                     if self._stopping:
                         return
                     continue
@@ -196,17 +199,33 @@
                 ready.append(heappop(due)[2])
             for _ in range(len(ready)):
                 turn = ready.popleft()
-                if not turn._cancelled:
+                if not (turn._cancelled or (self.stalled and self._holds(turn))):
                     turn._run()
             if self._stopping:
                 return
 
+    def stall(self, process: Process, stands: bool) -> None:
+        """Hold back all that is a process's until it goes on; then it runs in its order, late."""
+        if stands:
+            self.stalled.setdefault(process, [])
+        else:
+            self._ready.extend(self.stalled.pop(process, ()))
+
+    def _holds(self, turn: Turn) -> bool:
+        """Whether the turn is of a process that stands still; it is kept for later, then."""
+        process = owner(turn)
+        if process is None or process not in self.stalled:
+            return False
+        self.stalled[process].append(turn)
+        return True
+
     def _waiting(self) -> str:
         tasks = sorted(str(task.get_coro()) for task in asyncio.all_tasks(self))
         return f"these wait: {', '.join(tasks)}" if tasks else "no task waits"
 
     def drop(self, process: Process) -> None:
         """Cancel what a process has set."""
+        self.stalled.pop(process, None)
         for turn in [*self._ready, *(entry[2] for entry in self._due)]:
             if (
                 isinstance(turn, Soon | Timer)
@@ -308,6 +327,15 @@
             raise NotVirtual(f"connections in memory have no {name}")
 
 
+def owner(turn: Any) -> Process | None:
+    """Whose turn it is: a handle's, an arrival's at one side of a connection, or a datagram's."""
+    if isinstance(turn, Soon | Timer):
+        return None if _is_inner(turn) else turn._context.get(PROCESS)
+    if isinstance(turn, Arrivals):
+        return turn.process or getattr(getattr(turn.on_open, "__self__", None), "process", None)
+    return turn.owner() if isinstance(turn, Parcel) else None
+
+
 def _is_inner(handle: Any) -> bool:
     """Whether it is a task's step or tells of a future's end: without these no task could be cancelled."""
     args: tuple[Any, ...] = handle._args or ()
--- a/firvane/rehearsal/virtual_proxy.py
+++ b/firvane/rehearsal/virtual_proxy.py
@@ -117,9 +117,15 @@
         host = config.listen[0]
         process = self.process = Process(self.loop, config.name, host)
         dialer = MemoryDialer(self.loop.memory, host)
+        keeper = None
+        if config.snapshot:
+            from firvane.snapshots.file import Keeper  # what `snapshots` installs, of which few have need
+
+            keeper = partial(Keeper, config.snapshot, config.name, aside=lambda work: work())
         make = partial(
-            Proxy, self.loop, config, wall=self.wall, dialer=dialer, usage=lambda: UNKNOWN, log=self.log
-        )
+            Proxy, self.loop, config, wall=self.wall, dialer=dialer, usage=lambda: UNKNOWN, log=self.log,
+            keeper=keeper,
+        )  # fmt: skip
         self.proxy = process.call(make)
         self.on_state("started", 0)
         starts = process.start(self.proxy.start())
@@ -148,6 +154,11 @@
                 log.error("%s cannot end in order", process.name, exc_info=error)
             self._gone("ended", FAILED if error else 0)
 
+    def stall(self, stands: bool) -> None:
+        """Let it stand still, or go on where it was."""
+        if self.process:
+            self.loop.stall(self.process, stands)
+
     def kill(self, silently: bool = False) -> None:
         """End it at once; `silently` where its machine is gone. What it knew and held is lost."""
         if self.process:
--- a/firvane/rehearsal/world.py
+++ b/firvane/rehearsal/world.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable, Sequence
 from functools import partial
+from pathlib import Path
 from typing import Any, Protocol
 
 from firvane.fleet.box import Box
@@ -103,7 +104,7 @@
             Action.START: self._start, Action.DRAIN: self._drain, Action.STOP: self._stop,
             Action.RESTART: self._restart, Action.SILENCE: self._silence, Action.PAUSE: self._pause,
             Action.SLOW: self._slow, Action.RESET: self._reset,
-            Action.CUT: self._cut, Action.HEAL: self._heal,
+            Action.CUT: self._cut, Action.HEAL: self._heal, Action.LINK: self._link, Action.AWAY: self._away,
         }  # fmt: skip
         play(self.clock, self.timeline.steps(), acts)
         for shaded in self.timeline.shaded():
@@ -207,6 +208,20 @@
         self.links.heal(now, step.zone)
         self._set_ways(now)
 
+    def _link(self, now: float, step: Step) -> None:
+        self.relay.strike(step.proxy, step.other, step.until, step.value)
+
+    def _away(self, now: float, step: Step) -> None:
+        """Discovery's agents of a zone, or all, say nothing for a while."""
+        for seat in self.seats:
+            if step.zone in ("", seat.zone):
+                agent = self.agents[seat.name]
+                agent.silence()
+                self.clock.call_at(step.until, self._heard_again, agent, bool(step.value))
+
+    def _heard_again(self, now: float, agent: Agent, older: bool) -> None:
+        agent.speak(older)
+
     def _set_ways(self, now: float) -> None:
         """Let every way be as the links are."""
         for seat in self.seats:
@@ -264,6 +279,8 @@
 class Proxies(Protocol):
     """Whoever has the proxies' processes. It tells `Tier.ended` of each end, once."""
 
+    folder: Path  # their disk
+
     def launch(self, number: int, told: dict[str, Any]) -> None:
         """Start one, with the platform's configuration."""
 
@@ -272,6 +289,18 @@
     def end(self, number: int) -> None:
         """Tell one to end in order."""
 
+    def spoil(self, number: int, memory: str) -> None:
+        """What becomes of the disk of one that has lost its power: "kept", "lost", "old" or "torn"."""
+
+    def stall(self, number: int) -> None:
+        """Let one stand still."""
+
+    def go_on(self, number: int) -> None:
+        """Let one that stands still go on where it was."""
+
+    def step_clock(self, number: int, seconds: float) -> None:
+        """Its wall clock steps."""
+
 
 class FrontSide(Protocol):
     """What the front is told of the proxies' processes."""
@@ -313,7 +342,8 @@
         for seat in self.seats:
             self._launch(seat)
         acts: dict[Action, Act] = {
-            Action.KILL: self._kill, Action.LAUNCH: self._launch_again, Action.END: self._end
+            Action.KILL: self._kill, Action.LAUNCH: self._launch_again, Action.END: self._end,
+            Action.STALL: self._stall, Action.CLOCK: self._step_clock,
         }  # fmt: skip
         play(self.clock, Timeline(self.scenario, self.seed).steps(), acts)
 
@@ -345,7 +375,8 @@
         start = named(self.seed, f"{seat.name}/{life}")
 
         def known(listed: dict[str, Any]) -> None:
-            told = configuration(self.scenario, self.plan, seat, number, start, listed)
+            folder = str(self.proxies.folder)
+            told = configuration(self.scenario, self.plan, seat, number, start, listed, folder)
             self._put(seat.name, "started")
             self.proxies.launch(number, told)
             self.front.started(seat.name)
@@ -360,6 +391,21 @@
         if number in self.running:
             self._down(number, self.seats[number], "killed", -9)
             self.proxies.kill(number)
+            self.proxies.spoil(number, step.memory)
+
+    def _stall(self, now: float, step: Step) -> None:
+        number = self.numbers[step.proxy]
+        if number in self.running:
+            self.proxies.stall(number)
+            life = self.lives[number]
+            self.clock.call_at(step.until, self._go_on, number, life)
+
+    def _go_on(self, now: float, number: int, life: int) -> None:
+        if number in self.running and self.lives[number] == life:
+            self.proxies.go_on(number)
+
+    def _step_clock(self, now: float, step: Step) -> None:
+        self.proxies.step_clock(self.numbers[step.proxy], step.value)
 
     def _end(self, now: float, step: Step) -> None:
         number = self.numbers[step.proxy]
--- a/firvane/rooms/quotas.py
+++ b/firvane/rooms/quotas.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Sequence
 
+from firvane import interface as api
 from firvane.state import total
 
 
@@ -15,3 +16,17 @@
     first = min(1.0, wanted / (total(over) or 1.0))  # of what exceeds a share
     rest = max(0.0, wanted - total(over)) / (within or 1.0)  # and then of the others
     return [(x * first + (n - x) * rest) / (n or 1.0) for x, n in zip(over, asked, strict=True)]
+
+
+def turn_away(
+    settings: api.Settings, asked: Sequence[float], span: float, pressure: api.Pressure, pause: float
+) -> api.TurnAway:
+    """Whom to turn away unseen: `asked` requests by tenant within `span` s of their quotas' worth; who is
+    sent away stays away for `pause` of the aim at least."""
+    allowed = [tenant.quota * span for tenant in settings.tenants]
+    each = parts(asked, allowed, pressure.part, pressure.over_share)
+    # While that lasts whoever returns soon is turned away again, at a cost to those who could be served.
+    most = settings.limits.max_retry_after
+    aim = max(cls.aim for cls in settings.classes)
+    pause = min(most, pause * aim + 2.0 * pressure.part * most)
+    return api.TurnAway(tuple(each) or (pressure.part,), pause, again=pause > aim)
--- a/firvane/routing/listing.py
+++ b/firvane/routing/listing.py
@@ -11,7 +11,9 @@
 
 from bisect import bisect_left
 from collections.abc import Callable, Iterable
+from zlib import crc32
 
+from firvane import interface as api
 from firvane.state import Backend
 
 
@@ -55,3 +57,33 @@
 
 def id_of(server: Backend) -> str:
     return server.entry.id
+
+
+def merge(
+    servers: dict[str, Backend], news: api.ServerList, live: bool
+) -> tuple[dict[str, Backend], dict[Backend, None], list[Backend], dict[Backend, None]]:
+    """The servers by id after news of the list: all; those that came, went or moved; those that were known;
+    and, of these, those whose part of the ring changes. `live`: weights fall with what they hold."""
+    touched, resized, renewed = dict[Backend, None](), dict[Backend, None](), list[Backend]()
+    for entry in news.servers:
+        server = servers.get(entry.id)
+        if entry.state is api.ServerState.GONE:
+            if server:
+                del servers[entry.id]
+                touched[server] = None
+        elif server is None:
+            salt = crc32(entry.id.encode())
+            server = servers[entry.id] = Backend(entry, salt, entry.weight, entry.up_since)
+            touched[server] = None
+        else:
+            moved, grown = server.renew(entry, live)
+            if moved:
+                touched[server] = None
+            elif grown:
+                resized[server] = None
+            renewed.append(server)
+    if news.kind is not api.ListKind.CHANGES:
+        listed = {entry.id: servers[entry.id] for entry in news.servers if entry.id in servers}
+        touched.update((s, None) for name, s in servers.items() if name not in listed)
+        servers = listed
+    return servers, touched, renewed, resized
--- a/firvane/state.py
+++ b/firvane/state.py
@@ -81,9 +81,12 @@
     tokens_at: float = 0.0
     homes: int = 0  # proxies whose slices hold it
     slice: int = -1  # the proxy whose slice it counts to
+    steps: float = 1.0  # its room as found by steps, in a recovery
+    stepping: bool = False  # that room doubles with each round trip (recovery/steps.py)
+    stepped_at: float = 0.0  # when that was last cut there
+    pace: float = 0.0  # s that a second of work takes there, as of its last answers in a recovery
     out: list[Mark] = field(default_factory=list)  # the attempts that `own` counts, as sent
 
-
     def renew(self, entry: api.Server, live: bool) -> tuple[bool, bool]:
         """The list says this of it now; whether it has moved, and whether its part of the ring changes."""
         old, weight = self.entry, self.weight
@@ -132,6 +135,14 @@
     out: list[tuple[int, int]]  # attempts out by server, own slice and offload alike
 
 
+def pack(
+    flags: int, zone: int, now: float, figures: tuple[int, float, float, float, float], out: list[Backend]
+) -> bytes:
+    """A row as bytes: the `figures` from `phi` to `served`, and the attempts that are `out` from here."""
+    head = ROW.pack(VERSION, flags, zone, int(now * 1000), *figures, len(out))
+    return head + b"".join(ENTRY.pack(s.salt & 0xFFFF, min(255, s.own)) for s in out)
+
+
 def unpack(payload: bytes, now: float) -> Row:
     """A row from bytes; `ValueError` or `struct.error` where they are not one."""
     row = Row._make([*ROW.unpack_from(payload), now, list(ENTRY.iter_unpack(payload[ROW.size :]))])
--- a/tests/fleet/test_timeline.py
+++ b/tests/fleet/test_timeline.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 
 from benchmarks.fleet import asked, fleet, serve
-from firvane.fleet.draw import balance, draw
+from firvane.fleet.draw import KINDS, balance, draw
 from firvane.fleet.scenario import Boxes, Scenario, Trouble, TroubleKind
 from firvane.fleet.scenarios import load_named, scenario_names
 from firvane.fleet.timeline import Action, Step, Timeline
@@ -106,7 +106,7 @@
 
 def test_drawn_scenarios_overlap_reach_every_kind_and_can_be_served() -> None:
     drawn = [draw(seed) for seed in range(100)]
-    assert {one.kind for scenario in drawn for one in scenario.troubles} == set(get_args(TroubleKind))
+    assert {one.kind for scenario in drawn for one in scenario.troubles} == set(KINDS)
     assert draw(3) == drawn[3]
     for scenario in drawn:
         timeline = Timeline(scenario, scenario.seed)
