--- a/firvane/rehearsal/world.py
+++ b/firvane/rehearsal/world.py
@@ -100,16 +100,20 @@
             agent.open()
         if self.scenario.network.peers:
             await self.relay.open()
-        acts: dict[Action, Act] = {
+        self.acts: dict[Action, Act] = {
             Action.START: self._start, Action.DRAIN: self._drain, Action.STOP: self._stop,
             Action.RESTART: self._restart, Action.SILENCE: self._silence, Action.PAUSE: self._pause,
             Action.SLOW: self._slow, Action.RESET: self._reset,
             Action.CUT: self._cut, Action.HEAL: self._heal, Action.LINK: self._link, Action.AWAY: self._away,
         }  # fmt: skip
-        play(self.clock, self.timeline.steps(), acts)
+        play(self.clock, self.timeline.steps(), self.acts)
         for shaded in self.timeline.shaded():
             self.clock.call_at(shaded.at, lambda now, shaded=shaded: self.sink(shaded))
 
+    def strike(self, step: Step) -> None:
+        """Carry out a step now that no trouble of the scenario has planned; it must be open."""
+        self.acts[step.action](self.clock.now(), step)
+
     def known(self, proxy: str) -> dict[str, Any]:
         """A proxy starts anew: the list that it had."""
         return self.agents[proxy].restarted()
@@ -341,11 +345,15 @@
         """Start all of them, and let the timeline see to the rest."""
         for seat in self.seats:
             self._launch(seat)
-        acts: dict[Action, Act] = {
+        self.acts: dict[Action, Act] = {
             Action.KILL: self._kill, Action.LAUNCH: self._launch_again, Action.END: self._end,
             Action.STALL: self._stall, Action.CLOCK: self._step_clock,
         }  # fmt: skip
-        play(self.clock, Timeline(self.scenario, self.seed).steps(), acts)
+        play(self.clock, Timeline(self.scenario, self.seed).steps(), self.acts)
+
+    def strike(self, step: Step) -> None:
+        """Carry out a step now that no trouble of the scenario has planned; it must be open."""
+        self.acts[step.action](self.clock.now(), step)
 
     def is_ready(self, proxy: str) -> None:
         """The front has found it ready."""
--- /dev/null
+++ b/tests/snapshots/test_snapshots.py
@@ -0,0 +1,244 @@
+"""What is kept: its form whatever is done to it, how each field is read back, and a file that is whole."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import random
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from firvane import interface as api
+from firvane.cli import main
+from firvane.recovery.recovery import Recovery
+from firvane.recovery.steps import MOST_FIRST
+from firvane.rooms.evidence import Evidence
+from firvane.snapshots import format
+from firvane.snapshots.file import Keeper, read
+from firvane.snapshots.words import FORMAT, HALF_ROOM, HALF_SCALE, OLDEST, TRUST, Box, Snapshot, remembered
+from firvane.state import Backend
+from tests.helpers import settings as made
+
+NOW = 1.8e9
+LISTED = {"index": 7, "snapshot": True, "endpoints": [{"name": "a", "status": "draining"}]}
+SNAPSHOT = Snapshot(
+    saved_at=NOW, proxy="edge", listed=LISTED, scale=20.0, kinds={"big": 30.0},
+    boxes={"a": Box(room=12.0, start=NOW - 90.0), "b": Box(room=1.0)},
+)  # fmt: skip
+WRITER = """
+import sys
+from firvane.logs import QUIET
+from firvane.snapshots.file import Keeper
+from firvane import interface as api
+keeper = Keeper(sys.argv[1], "p", QUIET, aside=lambda work: work())
+print("up", flush=True)
+n = 0
+while True:
+    n += 1
+    keeper.keep(float(n), None, api.Remembered(0.0, 1.0, {}, {f"box-{i}": float(n) for i in range(300)}))
+"""
+
+
+def test_a_snapshot_comes_back_as_it_went() -> None:
+    assert format.unpack(format.pack(SNAPSHOT)) == SNAPSHOT
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(st.data())
+def test_whatever_is_cut_flipped_or_added_is_refused_in_one_line(data: st.DataObject) -> None:
+    whole = bytearray(format.pack(SNAPSHOT))
+    place = data.draw(st.integers(0, len(whole) - 1))
+    match data.draw(st.sampled_from(["cut", "flip", "more", "noise"])):
+        case "cut":
+            del whole[place:]
+        case "flip":
+            if place in (10, 11):  # of the head, and without a meaning
+                return
+            whole[place] ^= 1 << data.draw(st.integers(0, 7))
+        case "more":
+            whole += data.draw(st.binary(min_size=1, max_size=50))
+        case _:
+            whole = bytearray(data.draw(st.binary(max_size=300)))
+    with pytest.raises(format.Damaged) as refused:
+        format.unpack(bytes(whole))
+    assert "\n" not in str(refused.value)
+
+
+@pytest.mark.parametrize(
+    ("version", "change", "why"),
+    [
+        (FORMAT + 1, {}, "reads up to"),
+        (0, {}, "of format 0"),
+        (FORMAT, {"scale": float("nan")}, "below 0 or none"),
+        (FORMAT, {"kinds": {"big": -1.0}}, "below 0 or none"),
+        (FORMAT, {"boxes": 3}, "words do not fit"),
+        (FORMAT, {"saved_at": None}, "words do not fit"),
+        (1, {"rooms": {"a": "x"}, "starts": {}}, "words do not fit"),
+        (1, {}, "words do not fit"),
+    ],
+)
+def test_words_that_do_not_fit_are_refused(version: int, change: dict[str, Any], why: str) -> None:
+    import google_crc32c
+    import msgspec
+
+    body = msgspec.msgpack.encode({**msgspec.to_builtins(SNAPSHOT), **change})
+    head = format.HEAD.pack(format.MAGIC, version, len(body), google_crc32c.value(body))
+    with pytest.raises(format.Damaged, match=why):
+        format.unpack(head + body)
+
+
+@pytest.mark.parametrize(
+    ("age", "scale", "room"),
+    [
+        (0.0, 20.0, 12.0),
+        (HALF_ROOM, None, 8.0),
+        (HALF_SCALE, 10.0, 4.0),
+        (OLDEST, 0.0, None),
+        (-3600.0, 0.0, None),
+    ],
+)
+def test_each_field_is_read_back_as_the_table_says(
+    age: float, scale: float | None, room: float | None
+) -> None:
+    memory = remembered(SNAPSHOT, NOW + age)
+    assert scale is None or memory.scale == pytest.approx(scale)
+    assert memory.rooms.get("a") == (None if room is None else pytest.approx(room, abs=0.01))
+    assert dict(memory.starts) == ({} if room is None else {"a": NOW - 90.0})
+    kept = {row.field for row in TRUST}
+    assert kept == {"listed", "scale", "kinds", "rooms", "starts"}
+    assert not {"fails", "doubts", "up", "slow"} & set(Snapshot.__struct_fields__)
+
+
+@settings(derandomize=True, max_examples=60, deadline=None)
+@given(st.floats(0, 1e9), st.floats(0, 1e9), st.booleans(), st.integers(0, 5))
+def test_whatever_was_remembered_a_room_begins_within_its_bound(
+    scale: float, room: float, same: bool, fails: int
+) -> None:
+    told = made(proxies=1, recovery=api.Recovery())
+    own = Recovery(api.Recovery(), told, Evidence(told, random.Random(1), 0.0), random.Random(1), 0.0)
+    own.remember(api.Remembered(0.0, scale, {}, {"a": room}, {"a": 5.0 if same else 1.0}), {})
+    box = Backend(api.Server("a", up_since=5.0), 1, 1.0, None)
+    box.fails = fails
+    own.listed([box], api.ServerList(api.ListKind.CACHED, 1), 0.0)
+    own.window({box}, {}, 0.1)
+    assert 1.0 <= box.room <= MOST_FIRST
+    if not same or fails:
+        assert box.room <= max(1.0, told.rules.start_capacity * room)
+
+
+def keeper(path: Path, events: list[str]) -> Keeper:
+    class Log:
+        def info(self, event: str, **fields: Any) -> None:
+            events.append(event)
+
+        warning = info
+
+    return Keeper(path, "edge", Log(), aside=lambda work: work())  # type: ignore[arg-type]
+
+
+HELD = api.Remembered(0.0, 20.0, {"big": 30.0}, {"a": 12.0}, {"a": NOW - 90.0})
+
+
+def test_a_keeper_keeps_and_recalls(tmp_path: Path) -> None:
+    events: list[str] = []
+    one = keeper(tmp_path / "s", events)
+    assert one.recall(NOW) is None and events == ["snapshot_none"]
+    one.keep(NOW, LISTED, HELD)
+    memory, listed = one.recall(NOW + 1.0) or (None, None)
+    assert listed == LISTED and memory and memory.scale == pytest.approx(20.0, rel=1e-3)
+    assert os.listdir(tmp_path) == ["s"] and events == ["snapshot_none"]
+
+
+@pytest.mark.parametrize("fault", ["no folder", "a folder in its place", "full", "read-only"])
+def test_a_write_that_fails_is_one_line_and_leaves_the_file(
+    fault: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    events: list[str] = []
+    place = tmp_path / "d" / "s"
+    place.parent.mkdir()
+    one = keeper(place, events)
+    one.keep(NOW, LISTED, HELD)
+    before = place.read_bytes()
+    calls = {"full": ("fsync", 28), "read-only": ("replace", 30)}
+    if fault in calls:
+        name, number = calls[fault]
+
+        def fails(*args: Any, **more: Any) -> None:
+            raise OSError(number, os.strerror(number))
+
+        monkeypatch.setattr(os, name, fails)
+    elif fault == "no folder":
+        place.unlink()
+        place.parent.rmdir()
+    else:
+        place.unlink()
+        place.mkdir()
+    for _ in range(3):
+        one.keep(NOW, LISTED, HELD)
+    assert events == ["snapshot_unwritten"]
+    if fault in calls:
+        assert place.read_bytes() == before and os.listdir(place.parent) == ["s"]
+        monkeypatch.undo()
+        one.keep(NOW, LISTED, HELD)
+        assert one.written == 2 and not one.failed
+
+
+def test_killed_at_random_moments_of_the_writing_it_is_one_or_the_other(tmp_path: Path) -> None:
+    place, draw = tmp_path / "s", random.Random(3)
+    last = 0.0
+    for _ in range(12):
+        child = subprocess.Popen([sys.executable, "-c", WRITER, str(place)], stdout=subprocess.PIPE)
+        assert child.stdout and child.stdout.readline() == b"up\n"
+        with contextlib.suppress(subprocess.TimeoutExpired):
+            child.wait(draw.uniform(0.0, 0.05))
+        child.send_signal(signal.SIGKILL)
+        child.wait()
+        child.stdout.close()
+        if place.exists():
+            snapshot = read(place)
+            assert {box.room for box in snapshot.boxes.values()} == {snapshot.saved_at}
+            last = max(last, snapshot.saved_at)
+    assert last > 1.0
+
+
+def test_two_processes_on_one_file_each_write_whole_ones(tmp_path: Path) -> None:
+    place = tmp_path / "s"
+    run = [sys.executable, "-c", WRITER, str(place)]
+    children = [subprocess.Popen(run, stdout=subprocess.DEVNULL) for _ in range(2)]
+    try:
+        seen = 0
+        while seen < 50:
+            assert all(child.poll() is None for child in children)
+            if place.exists():
+                read(place)
+                seen += 1
+    finally:
+        for child in children:
+            child.kill()
+            child.wait()
+
+
+def test_the_command_shows_and_checks(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    good, bad = tmp_path / "good", tmp_path / "bad"
+    good.write_bytes(format.pack(SNAPSHOT))
+    bad.write_bytes(format.pack(SNAPSHOT)[:-1])
+    assert main(["snapshot", "show", str(good)]) == 0
+    out = capsys.readouterr().out
+    assert "scale         20.0" in out and all(row.field in out for row in TRUST)
+    assert main(["snapshot", "show", "--json", str(good)]) == 0
+    assert '"list_version": 7' in capsys.readouterr().out
+    assert main(["snapshot", "check", str(good), str(bad), str(tmp_path / "none")]) == 2
+    told = capsys.readouterr()
+    assert "a snapshot of edge, 1 boxes listed" in told.out
+    assert [line.partition(": ")[2] for line in told.err.splitlines()] == [
+        f"it has {len(good.read_bytes()) - format.HEAD.size - 1} bytes of "
+        f"{len(good.read_bytes()) - format.HEAD.size}",
+        "cannot be read: No such file or directory",
+    ]
--- /dev/null
+++ b/tests/together/test_power.py
@@ -0,0 +1,209 @@
+"""Power goes from real processes, with faults on top: each state of the order, each row of the table."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from firvane.recovery.course import State
+from firvane.snapshots import format
+from firvane.snapshots.file import read
+from firvane.snapshots.words import FORMAT
+from tests.together.harness import Together, run, small, together
+
+ALL = (0, 1, 2)
+
+
+async def warmed(fleet: Together) -> None:
+    """Every proxy serves and has left its first recovery, and what it knows is on its disk."""
+    await fleet.reaches(State.OVER.value, *ALL)
+    await fleet.serves(*ALL, more=10)
+    for number in ALL:
+        await fleet.written(number)
+
+
+async def cut(fleet: Together, memory: str = "kept") -> None:
+    """Everything off, and the proxies back before the boxes."""
+    fleet.off(*ALL, boxes=True, memory=memory)
+    fleet.back(*ALL)
+
+
+def test_all_comes_back_by_the_order_and_no_box_falls(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with together(tmp_path) as fleet:
+            await warmed(fleet)
+            await cut(fleet)
+            await fleet.reaches(State.TRIALS.value, *ALL)  # nobody is known to be warm
+            fleet.boxes_back()
+            await fleet.reaches(State.GROWING.value, *ALL)
+            await fleet.serves(*ALL)
+            await fleet.reaches(State.OVER.value, *ALL)
+            for number in ALL:
+                order = fleet.states(number)
+                assert order[:1] == [State.ASKING.value] and order[-1] == State.OVER.value, order
+                assert "memory" in (await fleet.status(number))["trusted"]
+            assert "fell" not in fleet.boxes.values()
+
+    run(work())
+
+
+@pytest.mark.parametrize("links", ["whole", "lost", "out", "in"])
+def test_one_alone_takes_its_warm_peers_word_or_finds_out_by_itself(tmp_path: Path, links: str) -> None:
+    async def work() -> None:
+        async with together(tmp_path) as fleet:
+            await warmed(fleet)
+            fleet.off(1)
+            if links != "whole":
+                fleet.links(1, lost=True, way="both" if links == "lost" else links)
+            fleet.back(1)
+            await fleet.reaches(State.OVER.value, 1)
+            await fleet.serves(1)
+            over = await fleet.said(1, "event=recovery", "now=over")
+            heard = links in ("whole", "out")  # rows come by themselves, so only what comes in counts
+            assert ("peers are warm" in over) is heard, over
+            await fleet.serves(0, 2)
+
+    run(work())
+
+
+def test_boxes_alone_lose_power_and_running_proxies_go_back_to_steps(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with together(tmp_path) as fleet:
+            await warmed(fleet)
+            fleet.off(boxes=True)
+            fleet.boxes_back()
+            for number in ALL:
+                await fleet.said(number, "event=recovery", "was=over", "now=growing", "are cold")
+                await fleet.said(number, "event=recovery", "was=growing", "now=over")
+            await fleet.serves(*ALL)
+            assert "fell" not in fleet.boxes.values()
+
+    run(work())
+
+
+def test_power_goes_again_in_the_middle_and_one_stands_still(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with together(tmp_path) as fleet:
+            await warmed(fleet)
+            await cut(fleet)
+            await fleet.reaches(State.TRIALS.value, *ALL)
+            fleet.boxes_back()
+            await fleet.reaches(State.GROWING.value, 0)
+            await cut(fleet)
+            await fleet.reaches(State.ASKING.value, *ALL)
+            fleet.stall(2)
+            fleet.boxes_back()
+            await fleet.serves(0, 1)
+            fleet.go_on(2)
+            await fleet.serves(*ALL)
+            await fleet.reaches(State.OVER.value, *ALL)
+            assert "fell" not in fleet.boxes.values()
+
+    run(work())
+
+
+def test_without_discovery_the_list_comes_from_memory_and_what_drained_stays_out(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with together(tmp_path, knows=False) as fleet:
+            await warmed(fleet)
+            fleet.drain("box-2")
+            listed = "draining"
+
+            def drained() -> bool:
+                files = [tmp_path / f"{name}.snapshot" for name in fleet.names]
+                return all(listed in str(read(file).listed) for file in files)
+
+            await fleet.until("the drain on every disk", drained)
+            fleet.off(*ALL)
+            fleet.discovery(away=True)
+            before = fleet.fleet.hosts["box-2"].box._serial  # all that it has ever taken
+            fleet.back(*ALL)
+            await fleet.serves(*ALL)
+            for number in ALL:
+                await fleet.said(number, "event=discovery_silent")
+                assert "as last known" in (await fleet.status(number))["trusted"]
+            assert fleet.fleet.hosts["box-2"].box._serial == before
+            fleet.discovery(away=False)
+
+            async def spoken() -> bool:
+                return "list: discovery" in (await fleet.status(0))["trusted"]
+
+            await fleet.until("discovery's own word", spoken)
+
+    run(work())
+
+
+def test_without_any_list_it_says_so_and_refuses_until_there_is_one(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with together(tmp_path, small(snapshots=False), knows=False) as fleet:
+            await fleet.reaches(State.OVER.value, *ALL)
+            fleet.off(*ALL)
+            fleet.discovery(away=True)
+            fleet.back(*ALL)
+            for number in ALL:
+                await fleet.in_state(State.LISTLESS.value, number)
+                assert "starting" in await fleet.ask(number, "ready")
+            fleet.discovery(away=False)
+            await fleet.serves(*ALL)
+
+    run(work())
+
+
+@pytest.mark.parametrize("memory", ["lost", "torn", "old", "newer", "older"])
+def test_a_disk_is_trusted_as_the_table_says_or_refused_in_one_line(tmp_path: Path, memory: str) -> None:
+    async def work() -> None:
+        async with together(tmp_path) as fleet:
+            await warmed(fleet)
+            fleet.off(*ALL, memory=memory if memory in ("lost", "torn", "old") else "kept")
+            for name in fleet.names if memory in ("newer", "older") else ():
+                version = FORMAT + 1 if memory == "newer" else 1
+                path = tmp_path / f"{name}.snapshot"
+                path.write_bytes(other_format(path.read_bytes(), version))
+            fleet.back(*ALL)
+            lines = {
+                "lost": "event=snapshot_none",
+                "torn": "event=snapshot_useless",
+                "newer": f"reads up to {FORMAT}",
+                "old": "scale=0 rooms=0",
+                "older": "event=snapshot_read",
+            }
+            for number in ALL:
+                await fleet.said(number, lines[memory])
+            await fleet.serves(*ALL)
+            for number in ALL:
+                assert read(await fleet.written(number)).listed
+
+    run(work())
+
+
+def other_format(data: bytes, version: int) -> bytes:
+    """The same as another version of the program would have written it."""
+    import google_crc32c
+    import msgspec
+
+    raw = msgspec.msgpack.decode(data[format.HEAD.size :])
+    if version == 1:
+        boxes = raw.pop("boxes")
+        raw.pop("kinds")
+        raw["rooms"] = {name: box["room"] for name, box in boxes.items()}
+        raw["starts"] = {name: box["start"] for name, box in boxes.items()}
+    body = msgspec.msgpack.encode(raw)
+    return format.HEAD.pack(format.MAGIC, version, len(body), google_crc32c.value(body)) + body
+
+
+def test_a_planned_end_of_all_keeps_what_was_learnt_and_loses_no_request(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with together(tmp_path) as fleet:
+            await warmed(fleet)
+            fleet.terminate(*ALL)
+            assert await fleet.gone(*ALL) == [0, 0, 0]
+            held = [read(tmp_path / f"{name}.snapshot") for name in fleet.names]
+            assert all(one.listed and one.boxes for one in held)
+            assert not [key for key in fleet.answers if key[1] == 502]
+            fleet.back(*ALL)
+            for number in ALL:
+                await fleet.said(number, "event=snapshot_read")
+            await fleet.serves(*ALL)
+
+    run(work())
