Take peers' word for warmth, not their service, and no first answer for a warm box

Seen in a small fleet without sockets (three balancers, boxes cold that no list says so): proxies left recovery 0.4 s after the first answers. Two causes, both in recovery.py: a peer that served counted as warm, which in a recovery of all it does, too (`window`, the rows' served); and a box that had answered once counted as warm (`WARM`).

--- a/firvane/recovery/messages.py
+++ b/firvane/recovery/messages.py
@@ -16,7 +16,7 @@
 VERSION = 4
 MARK = bytes((VERSION,))
 HEAD = struct.Struct("<BBQ")  # version, what it is, ms: a later one of a sender goes before an earlier
-TELL = struct.Struct("<IffB")  # the list's version, the scale, s since an answer, how many are cold
+TELL = struct.Struct("<IffBB")  # version of the list, scale, s since an answer, warm, how many cold
 COLD = struct.Struct("<HH")  # a tag, and its age in tenths of a second
 LOAN = struct.Struct("<HB")  # a tag, and how many attempts may be out there
 MOST = 55  # cold boxes in one message
@@ -34,6 +34,7 @@
     version: int  # of the list; 0: none from discovery itself
     scale: float  # answers a second and weight of a warm box; 0: not known
     since: float  # s since its last answer from any box
+    warm: bool  # it is in no recovery itself
     cold: dict[int, float]  # s since the start of boxes that are cold, by tag
 
 
@@ -55,7 +56,8 @@
     if isinstance(message, Loan):
         return HEAD.pack(VERSION, LENDS, at) + LOAN.pack(message.tag, min(255, message.most))
     cold = sorted(message.cold.items(), key=lambda entry: (entry[1], entry[0]))[:MOST]
-    told = TELL.pack(message.version & 0xFFFFFFFF, message.scale, min(NEVER, message.since), len(cold))
+    since = min(NEVER, message.since)
+    told = TELL.pack(message.version & 0xFFFFFFFF, message.scale, since, message.warm, len(cold))
     ages = b"".join(COLD.pack(tag, min(0xFFFF, int(10 * age))) for tag, age in cold)
     return HEAD.pack(VERSION, TELLS, at) + told + ages
 
@@ -72,8 +74,8 @@
         return at, Loan(*LOAN.unpack(rest))
     if what != TELLS:
         raise ValueError("a message that is not known")
-    list_version, scale, since, count = TELL.unpack_from(rest)
+    list_version, scale, since, warm, count = TELL.unpack_from(rest)
     cold = {tag: age / 10 for tag, age in COLD.iter_unpack(rest[TELL.size :])}
     if len(cold) != count or not (0.0 <= scale < 1e9) or not (0.0 <= since <= NEVER):
         raise ValueError("an answer that does not fit itself")
-    return at, Held(list_version, scale, since, cold)
+    return at, Held(list_version, scale, since, warm == 1, cold)
--- a/firvane/recovery/peers.py
+++ b/firvane/recovery/peers.py
@@ -11,7 +11,9 @@
 3. A box is taken for cold when most of those that told say so, at the median of their ages. That can make it
    colder, never warmer: a word of others opens no box.
 4. What was told counts for `FRESH` seconds.
-5. Room is lent by the home of a box alone, to one peer at a time, out of its own, and for `LENT` seconds:
+5. Peers are warm when most of those that told say so and have had answers of late. That a peer serves says
+   nothing: in a recovery of all it does, too.
+6. Room is lent by the home of a box alone, to one peer at a time, out of its own, and for `LENT` seconds:
    the home leaves it free meanwhile, and one that has gone takes its loans with it.
 """
 
@@ -27,6 +29,7 @@
 FEW, AGAIN, RATE, QUORUM = 5, 1.0, 20.0, 2
 BOUND = 4.0  # times by which peers may differ from memory
 FRESH = 5.0  # s
+LATELY = 2.0  # s within which a warm peer has had an answer
 LENT = 1.0  # s
 SPARE = 1.0  # attempts' room that a home keeps when it lends
 NEEDY = 0.1  # part of what comes to a peer that it does not serve, from which on it is lent to
@@ -50,6 +53,12 @@
     def fresh(self, now: float) -> list[tuple[float, Held]]:
         return [(at, held) for at, held in self.held.values() if now - at < FRESH]
 
+    def warm(self, now: float) -> int:
+        """How many say that they are warm and had an answer of late; 0 where most do not."""
+        fresh = [held for _, held in self.fresh(now)]
+        warm = sum(held.warm and held.since <= LATELY for held in fresh)
+        return warm if 2 * warm > len(fresh) else 0
+
     def scale(self, now: float, remembered: float) -> float:
         """Answers a second and weight of a warm box; what is remembered where too few have told."""
         scales = [held.scale for _, held in self.fresh(now) if held.scale > 0.0]
--- a/firvane/recovery/recovery.py
+++ b/firvane/recovery/recovery.py
@@ -32,7 +32,6 @@
 AGAIN, FOREIGN = 0.4, 0.7  # part of a room for who comes again; for keys of boxes of other homes
 STRUCK = 0.5  # part of its boxes' weight that is cold
 SETTLED = 0.5  # s in which nothing was turned away here, before room is lent
-SERVED = 1.0  # answers a second of a peer that make it warm
 WINDOW = 0.25  # s that a row's arrivals stand for
 
 
@@ -166,7 +165,8 @@
             if not self.parts.ask or not self.told.may_answer(now):
                 return []
             cold = {s.salt & 0xFFFF: now - (s.since or now) for s in up if self.evidence.is_cold(s, now)}
-            held = Held(self.version, self.evidence.best, now - self.answered_at, cold)
+            since = now - self.answered_at
+            held = Held(self.version, self.evidence.best, since, not self.on, cold)
             return [api.Tell(sender, messages.pack(held, now))]
         if isinstance(said, Held):
             self.told.hear(sender, at, said, now)
@@ -200,16 +200,17 @@
         weight, colds = sum(s.weight for s in mine), sum(s.weight for s in cold)
         struck = weight > 0 and colds >= STRUCK * weight
         if course.state in (State.ASKING, State.TRIALS):
-            warm = [row for row in rows.values() if row.served > SERVED]
-            self.trusting = bool(warm)
+            warm = self.told.warm(now)
+            self.trusting = warm > 0
             if warm and not struck:
-                course.hear(Event.PEERS_WARM, now, f"{len(warm)} of them serve")
+                course.hear(Event.PEERS_WARM, now, f"{warm} say so")
             elif now >= course.since + PATIENCE:
                 course.hear(Event.NOBODY_WARM, now)
         if struck:
             course.hear(Event.STRUCK, now, f"{colds / weight:.0%}")
         if course.state is State.GROWING and weight:
-            if not cold and all(s in self.proven for s in mine):
+            # That a box has answered shows nothing: only one whose start is known is warm by its age.
+            if not cold and not any(s in self.begun and s.since is None for s in mine):
                 course.hear(Event.WARM, now)
             elif now >= max(self.turned_away, course.since) + CALM:
                 course.hear(Event.CALM, now)
--- a/tests/recovery/test_peers.py
+++ b/tests/recovery/test_peers.py
@@ -24,7 +24,8 @@
 def test_messages_come_back_as_they_went_and_fit_a_datagram(
     version: int, scale: int, since: int, cold: dict[int, float]
 ) -> None:
-    for message in (Ask(), Loan(version & 0xFFFF, scale & 0xFF), Held(version, scale, since, cold)):
+    held = Held(version, scale, since, bool(version & 1), cold)
+    for message in (Ask(), Loan(version & 0xFFFF, scale & 0xFF), held):
         payload = messages.pack(message, 12.5)
         assert messages.unpack(payload) == (12_500, message) and len(payload) <= 256
         for cut in range(len(payload)):
@@ -33,7 +34,7 @@
 
 
 def test_of_many_cold_boxes_the_youngest_are_told() -> None:
-    held = Held(1, 2.0, 0.0, {tag: float(tag) for tag in range(200)})
+    held = Held(1, 2.0, 0.0, True, {tag: float(tag) for tag in range(200)})
     payload = messages.pack(held, 1.0)
     assert len(payload) <= 256
     _, back = messages.unpack(payload)
@@ -50,7 +51,7 @@
 def told(scales: list[float], cold: list[dict[int, float]] | None = None, now: float = 10.0) -> Told:
     said = Told()
     for number, scale in enumerate(scales):
-        said.hear(number, 1, Held(1, scale, 1.0, (cold or [{}] * len(scales))[number]), now)
+        said.hear(number, 1, Held(1, scale, 1.0, scale > 0.0, (cold or [{}] * len(scales))[number]), now)
     return said
 
 
@@ -72,10 +73,18 @@
     assert told([0.0] * 5).scale(10.0, 3.0) == 3.0  # they know nothing either
 
 
+def test_peers_are_warm_when_most_say_so_and_have_had_answers() -> None:
+    assert told([1.0] * 3).warm(10.0) == 3 and told([]).warm(10.0) == 0
+    assert told([1.0, 1.0, 0.0]).warm(10.0) == 2 and told([1.0, 0.0]).warm(10.0) == 0
+    said = told([0.0])
+    said.hear(0, 2, Held(1, 1.0, 60.0, True, {}), 10.0)  # warm, and idle for a minute
+    assert said.warm(10.0) == 0
+
+
 def test_a_box_is_cold_when_most_say_so_and_an_older_message_changes_nothing() -> None:
     said = told([1.0] * 5, [{1: 4.0}, {1: 6.0}, {1: 5.0, 2: 0.0}, {2: 0.0}, {}])
     assert said.cold(10.0) == {1: 5.0}
-    said.hear(4, 0, Held(1, 1.0, 1.0, {2: 0.0}), 10.0)
+    said.hear(4, 0, Held(1, 1.0, 1.0, True, {2: 0.0}), 10.0)
     assert said.cold(10.0) == {1: 5.0}
 
 
