Hear warm peers at once, keep one home a box before slices are dealt, and step boxes that return

Seen, in this order: (1) twelve balancers and boxes cold from the start: boxes fell at 1 to 2 s, all proxies growing. Until rows are heard each proxy takes itself for the home of all boxes (`deal` over its own row alone), so all began with one box. Now a box's home is named by its salt till then. (2) One liar that answers first was a majority of one. Now half of those asked must have told, over two in three of these warm. (4) OVER and GROWING took turns every 3 s while boxes were cold by age; what was cold at an end is no cause any more.

--- a/firvane/fleet/lives.py
+++ b/firvane/fleet/lives.py
@@ -7,7 +7,9 @@
    burst).
 3. Flows are held for requests that are open, and for few others: what is out for one that is over is
    cancelled.
-4. Datagrams go to peers only where the network has them, and hold at most 256 bytes.
+4. What was asked of a proxy before or while it stands still (SIGSTOP, a machine without a turn) is not owed
+   by it: nobody can answer then.
+5. Datagrams go to peers only where the network has them, and hold at most 256 bytes.
 """
 
 from __future__ import annotations
@@ -20,6 +22,7 @@
 from firvane.fleet.verdict import Findings, Rule
 
 LAME = 0.7  # s after the order to end for which clients may still come
+AWAKE = 0.1  # s after a stand-still in which it may still take up what came during it
 LINGER = 0.1  # s after its end for which a flow may still be held
 FEW = 8  # flows that may be held beyond what is known of
 SAMPLES = 3  # in a row that show more, before it is a leak
@@ -37,6 +40,8 @@
         self.up: dict[str, int] = {}  # box to the start that it was told of
         self.down: dict[str, float] = {}  # box to when it was told that it drains or is gone, in that order
         self.floors = {"sockets": Floors(began, 24.0), "memory, in MB,": Floors(began, 8.0)}
+        self.stands = False  # still, where it was
+        self.went_on = -1.0  # when it last stood still no longer
         self.open = 0  # requests that it has to answer
         self._ended: deque[float] = deque()  # when those of the last `LINGER` s did
         self._over = 0  # samples in a row with more flows than can be
@@ -55,6 +60,10 @@
                 break
             del self.down[first]
 
+    def excuses(self, asked: float) -> bool:
+        """Whether it stood still while a request of then was open: nothing can be owed meanwhile."""
+        return self.stands or asked <= self.went_on + AWAKE
+
     def closed(self, at: float) -> None:
         """One of its open requests has ended."""
         self.open -= 1
@@ -96,6 +105,9 @@
         name, life = record.proxy, self.of(record.proxy)
         if record.state == "started":
             self.lives[name] = Life(record.at)
+        elif record.state in ("stalled", "on"):
+            life.stands = record.state == "stalled"
+            life.went_on = record.at
         elif record.state == "ending":
             life.ending = record.at
         elif record.state in ("killed", "ended") and life.running:
--- a/firvane/fleet/records.py
+++ b/firvane/fleet/records.py
@@ -126,7 +126,9 @@
 
 
 class ProxyState(NamedTuple):
-    """A proxy changed: "started", "ready", "ending" (told to), "killed" or "ended" (`code` tells how)."""
+    """A proxy changed: "started", "ready", "ending" (told to), "killed" or "ended" (`code` tells how).
+
+    "stalled" and "on": it stands still, and goes on where it was."""
 
     at: float
     proxy: str
--- a/firvane/recovery/peers.py
+++ b/firvane/recovery/peers.py
@@ -2,17 +2,19 @@
 
 Rules that hold here and nowhere else:
 
-1. `FEW` peers are asked, drawn anew each round, and rounds are `AGAIN` seconds apart: a recovery of N proxies
-   costs some 2 x `FEW` x N small datagrams a round, however large N is. A proxy answers `RATE` of them a
-   second at the most.
+1. `FEW` peers are asked, drawn anew each round, and rounds are `AGAIN` seconds apart, then twice as long each
+   time: a recovery of N proxies costs some 2 x `FEW` x N small datagrams a round, however large N is. A proxy
+   answers `RATE` of them a second at the most.
 2. A scale is believed as the median of those that were told, from `QUORUM` of them on, and kept within
    `BOUND` times what is remembered, where something is: no third of the peers moves it beyond what an honest
    one said.
 3. A box is taken for cold when most of those that told say so, at the median of their ages. That can make it
    colder, never warmer: a word of others opens no box.
 4. What was told counts for `FRESH` seconds.
-5. Peers are warm when most of those that told say so and have had answers of late. That a peer serves says
-   nothing: in a recovery of all it does, too.
+5. Peers are warm when half of those asked have told, and over two in three of these say so and have had
+   answers of late. With fewer the first to answer would decide; and a bare majority of a sample is too
+   often a third that lies (five asked of twelve: one recovery in five). That a peer serves says nothing: in
+   a recovery of all it does, too.
 6. Room is lent by the home of a box alone, to one peer at a time, out of its own, and for `LENT` seconds:
    the home leaves it free meanwhile, and one that has gone takes its loans with it.
 """
@@ -26,7 +28,7 @@
 from firvane.recovery.messages import Held
 from firvane.state import Backend, Row
 
-FEW, AGAIN, RATE, QUORUM = 5, 1.0, 20.0, 2
+FEW, AGAIN, RATE, QUORUM = 15, 1.0, 20.0, 2
 BOUND = 4.0  # times by which peers may differ from memory
 FRESH = 5.0  # s
 LATELY = 2.0  # s within which a warm peer has had an answer
@@ -53,11 +55,11 @@
     def fresh(self, now: float) -> list[tuple[float, Held]]:
         return [(at, held) for at, held in self.held.values() if now - at < FRESH]
 
-    def warm(self, now: float) -> int:
-        """How many say that they are warm and had an answer of late; 0 where most do not."""
+    def warm(self, now: float, asked: int) -> int:
+        """How many of those `asked` say that they are warm and had an answer of late; 0 where too few do."""
         fresh = [held for _, held in self.fresh(now)]
         warm = sum(held.warm and held.since <= LATELY for held in fresh)
-        return warm if 2 * warm > len(fresh) else 0
+        return warm if 2 * len(fresh) >= asked and 3 * warm > 2 * len(fresh) else 0
 
     def scale(self, now: float, remembered: float) -> float:
         """Answers a second and weight of a warm box; what is remembered where too few have told."""
--- a/firvane/recovery/recovery.py
+++ b/firvane/recovery/recovery.py
@@ -5,12 +5,17 @@
 1. While it lasts, a box that has just started, or that nobody is known to have had an answer from, is sent
    to by its homes alone, and by them as `steps` allows; by others within what a home has lent them. Any
    other box is as in ordinary times.
-2. Trials of boxes that do not answer come at even, short times: an attempt that finds nobody costs no box
+2. Until all peers have been heard, or have had `PATIENCE` to be, slices are not dealt alike: each proxy would
+   take itself for the home of all. Till then a box's home is the proxy that its salt names.
+3. Trials of boxes that do not answer come at even, short times: an attempt that finds nobody costs no box
    anything, one proxy alone makes it, and an exponential pause would sleep through the return.
-3. First tries go before those that come again, which the aim of most has passed: these may fill a part of
+4. First tries go before those that come again, which the aim of most has passed: these may fill a part of
    each room. So may keys whose own box has another home: what a box remembers is worth a third of its work.
-4. Who is sent away is told to come back after his aim at the earliest, spread over all of the time allowed.
-5. What is remembered and what peers say are priors: a scale where the evidence has none, a first room of a
+5. Who is sent away is told to come back after his aim at the earliest, spread over all of the time allowed.
+6. A box that took no connection for `DOWN` seconds and answers again has started anew, whatever the list says
+   yet, in ordinary times too: it is cold from then on, and its home finds its room by steps. What was cold
+   when a recovery ended is no cause for the next one.
+7. What is remembered and what peers say are priors: a scale where the evidence has none, a first room of a
    few attempts, a box taken for colder than the list says. None of them opens a box or closes one for good.
 """
 
@@ -30,6 +35,7 @@
 
 TRIAL = (0.15, 0.25)  # s from one trial of a box that does not answer to the next
 AGAIN, FOREIGN = 0.4, 0.7  # part of a room for who comes again; for keys of boxes of other homes
+DOWN = 1.0  # s without a connection that are a process's end
 STRUCK = 0.5  # part of its boxes' weight that is cold
 SETTLED = 0.5  # s in which nothing was turned away here, before room is lent
 WINDOW = 0.25  # s that a row's arrivals stand for
@@ -47,16 +53,21 @@
         now: float,
     ) -> None:
         self.parts, self.settings, self.evidence, self.dice = parts, settings, evidence, dice
-        self.course = Course(now)
+        self.course, self.started = Course(now), now
+        self.dealt = settings.proxies <= 1 or not settings.limits.peers  # slices are dealt with all that live
         self.turned_away = now  # when a request last found no room
         self.answered_at = now - messages.NEVER  # when a box last did
         self.proven = set[Backend]()  # have answered in this life
-        self.begun = set[Backend]()  # whose rooms are found by steps now
+        self.begun = dict[Backend, float | None]()  # whose rooms are found by steps, and their starts then
+        self.mine = set[Backend]()  # this proxy's, as of the last window
+        self.down = dict[Backend, float]()  # since when no connection has come up
+        self.settled = dict[Backend, float | None]()  # the starts of boxes that were cold at the last end
+        self.struck = False  # half of this proxy's boxes are cold
         self.trusting = False  # peers are warm: what the list says has not just started has not
         self.memory: api.Remembered | None = None
         self.version = 0  # of the list, by discovery's own word
         self.told, self.loans = Told(), Loans()
-        self.ask_at, self.asked = now, 0
+        self.ask_at, self.asked, self.rounds, self.few = now, 0, 0, 0
         self.sources: dict[str, str] = {}  # what was trusted, and from whom
 
     @property
@@ -67,14 +78,19 @@
 
     def holds(self, server: Backend, is_mine: bool, now: float) -> bool | None:
         """Whether nothing is sent to a box from here now; None where that is as in ordinary times."""
+        if self.parts.steps and server in self.begun:
+            return False
         if not self.on:
             return None
-        if is_mine:
-            return False if self.parts.steps and server in self.begun else None
-        cold = self.evidence.is_cold(server, now)
-        if self.parts.trials and (cold or not (self.trusting or server in self.proven)):
-            return server.own >= self.loans.left(server, now)
-        return None
+        if self._is_known(server, now):
+            return None
+        if is_mine and self.dealt:
+            return True if self.parts.steps else None  # the next window begins with it
+        return server.own >= self.loans.left(server, now) if self.parts.trials else None
+
+    def _is_known(self, server: Backend, now: float) -> bool:
+        """Whether a box is as in ordinary times: warm, by its own answers or on peers' word."""
+        return (self.trusting or server in self.proven) and not self.evidence.is_cold(server, now)
 
     def stepped(self, server: Backend) -> bool:
         """Whether its room is found by steps."""
@@ -132,6 +148,15 @@
             self.answered_at = now
             self.proven.add(server)
             self.course.hear(Event.ANSWERED, now, server.entry.id)
+            if now > self.down.pop(server, now) + DOWN:
+                if not self.evidence.is_cold(server, now):
+                    server.since, server.timed = now, 0.0
+                if server in self.mine:
+                    self._step(server, 1.0)
+        elif outcome.result is api.Result.CONNECT_FAILED:
+            self.down.setdefault(server, now)
+            if server.fails > 1 and server in self.mine and server not in self.begun:
+                self._step(server, 1.0)
         if server in self.begun and outcome.result is not api.Result.CANCELLED:
             request = job.request if job else None
             aim = job.cls.aim if job else self.settings.classes[0].aim
@@ -150,7 +175,35 @@
             self.sources.setdefault("list", f"as last known, version {news.version}")
         self.course.hear(Event.LISTED if servers else Event.LOST, now, f"{len(servers)} boxes")
         self.proven &= set(servers)
-        self.begun &= set(servers)
+        for server in self.begun.keys() - set(servers):
+            del self.begun[server]
+        for server, start in self.begun.items():
+            if server.since != start:  # it has started anew: what was found of it is void
+                self._step(server, 1.0)
+        for gone in self.down.keys() - set(servers):
+            del self.down[gone]
+        if not self.dealt:
+            self._begin(servers, now)
+
+    def _listen(self, now: float) -> None:
+        """Whether peers are warm by what they have told."""
+        if self.course.state in (State.ASKING, State.TRIALS):
+            warm = self.told.warm(now, self.few)
+            self.trusting = warm > 0
+            if warm and not self.struck:
+                self.course.hear(Event.PEERS_WARM, now, f"{warm} say so")
+
+    def _begin(self, mine: Iterable[Backend], now: float) -> None:
+        """Find the rooms by steps of those of this proxy's boxes that are not known."""
+        settings = self.settings
+        for server in mine:
+            home = self.dealt or server.salt % settings.proxies == settings.me
+            if self.on and home and server not in self.begun and not self._is_known(server, now):
+                self._step(server, self._first_room(server, now))
+
+    def _step(self, server: Backend, room: float) -> None:
+        self.begun[server] = server.since
+        steps.begin(server, room)
 
     def heard(
         self,
@@ -171,6 +224,7 @@
         if isinstance(said, Held):
             self.told.hear(sender, at, said, now)
             self._believe(up, now)
+            self._listen(now)
         elif (server := meant(said.tag)) and server.slice == sender and self.on:
             self.loans.take(server, said.most, now)
             server.room = max(1.0, float(said.most))
@@ -194,19 +248,19 @@
     def window(self, mine: Collection[Backend], rows: Mapping[int, Row], now: float) -> list[api.Action]:
         """Once a window: `mine` are this proxy's boxes, `rows` the peers'."""
         course = self.course
+        heard = len(rows) + 1 >= self.settings.proxies
+        self.dealt = self.dealt or heard or now >= self.started + PATIENCE
+        self.mine = set(mine)
         cold = {s for s in mine if self.evidence.is_cold(s, now)}
-        if not course.on and not cold:
+        if not (course.on or cold or self.begun):
             return []
-        weight, colds = sum(s.weight for s in mine), sum(s.weight for s in cold)
-        struck = weight > 0 and colds >= STRUCK * weight
-        if course.state in (State.ASKING, State.TRIALS):
-            warm = self.told.warm(now)
-            self.trusting = warm > 0
-            if warm and not struck:
-                course.hear(Event.PEERS_WARM, now, f"{warm} say so")
-            elif now >= course.since + PATIENCE:
-                course.hear(Event.NOBODY_WARM, now)
-        if struck:
+        weight = sum(s.weight for s in mine)
+        colds = sum(s.weight for s in cold if s not in self.settled or self.settled[s] != s.since)
+        self.struck = weight > 0 and colds >= STRUCK * weight
+        self._listen(now)
+        if course.state is State.ASKING and now >= course.since + PATIENCE:
+            course.hear(Event.NOBODY_WARM, now)
+        if self.struck:
             course.hear(Event.STRUCK, now, f"{colds / weight:.0%}")
         if course.state is State.GROWING and weight:
             # That a box has answered shows nothing: only one whose start is known is warm by its age.
@@ -216,19 +270,25 @@
                 course.hear(Event.CALM, now)
         actions: list[api.Action] = []
         if course.on:
-            for server in mine:
-                if server not in self.begun and (server in cold or server not in self.proven):
-                    self.begun.add(server)
-                    steps.begin(server, self._first_room(server, now))
-            actions += self._ask(now) + self._lend(mine, rows, now)
-        elif self.begun:
-            self.begun.clear()
+            if self.dealt:  # what has another home now is its to find
+                self._leave(self.begun.keys() - self.mine)
+            self._begin(mine, now)
+            actions += self._ask(now) + self._lend(rows, now)
+        else:
+            self.settled = {s: s.since for s in cold}
+            self._leave(self.begun.keys() - self.mine)
             self.loans.clear()
         for change in course.told():
             fields = {"now": change.now.value, "was": change.was.value, "why": change.why}
             actions.append(api.Log(event="recovery", fields=fields))
         return actions
 
+    def _leave(self, servers: Iterable[Backend]) -> None:
+        """These have another home now, which finds their rooms."""
+        for server in list(servers):
+            del self.begun[server]
+            self.proven.discard(server)
+
     def _first_room(self, server: Backend, now: float) -> float:
         """Where the steps begin: at one, or at what is remembered of a box that is the same still."""
         if not self.memory or server in self.proven:
@@ -241,20 +301,20 @@
     def _ask(self, now: float) -> list[api.Action]:
         """Ask a few peers, anew in each round, until a box has answered."""
         peers = [n for n in range(self.settings.proxies) if n != self.settings.me]
-        wanted = self.course.state in (State.ASKING, State.TRIALS) and self.settings.limits.peers
+        wanted = self.course.state is not State.GROWING and self.settings.limits.peers
         if not (wanted and peers and self.parts.ask and now >= self.ask_at):
             return []
-        self.ask_at = now + ASK_AGAIN * self.dice.uniform(0.8, 1.2)
+        self.ask_at = now + ASK_AGAIN * 2 ** min(3, self.rounds) * self.dice.uniform(0.8, 1.2)
         few = self.dice.sample(peers, min(FEW, len(peers)))
-        self.asked += len(few)
+        self.rounds, self.few, self.asked = self.rounds + 1, len(few), self.asked + len(few)
         return [api.Tell(peer, messages.pack(Ask(), now)) for peer in few]
 
-    def _lend(self, mine: Collection[Backend], rows: Mapping[int, Row], now: float) -> list[api.Action]:
+    def _lend(self, rows: Mapping[int, Row], now: float) -> list[api.Action]:
         """Lend the room that is left over at a box to who lacks most, one box to each."""
         if not self.parts.trials or not rows or now < self.turned_away + SETTLED:
             return []
         needy, actions = neediest(rows.items(), WINDOW), list[api.Action]()
-        for server in sorted(mine & self.begun, key=lambda s: s.entry.id) if isinstance(mine, set) else ():
+        for server in sorted(self.mine & self.begun.keys(), key=lambda s: s.entry.id):
             spare = int(server.steps - server.own - self.loans.lent(server, now) - SPARE)
             if spare >= 1 and needy and server in self.proven:
                 peer = needy.pop(0)
--- a/firvane/recovery/steps.py
+++ b/firvane/recovery/steps.py
@@ -22,6 +22,7 @@
 
 QUICK, LATE = 0.55, 0.8  # of the aim: an answer's time that allows more, and that is too much
 CUT, DEEP = 0.85, 0.6  # what an answer that is late leaves of a room; what a failure or a turn-away does
+APART = 0.1  # s from one cut to the next at the least
 USED = 0.7  # part of the room that has to be out for an answer to say anything of it
 PACE = 0.25  # how far one answer moves the time that a second of work is thought to take
 MOST_FIRST = 8.0  # attempts that a room may begin with, whatever was remembered
@@ -59,7 +60,7 @@
 def _cut(server: Backend, part: float, took: float, now: float) -> None:
     """Once for all that was out together: they were late together."""
     server.stepping = False
-    if now >= server.stepped_at + took:
+    if now >= server.stepped_at + max(took, APART):  # turn-aways and resets take no time
         server.steps, server.stepped_at = max(1.0, part * server.steps), now
 
 
--- a/firvane/rehearsal/world.py
+++ b/firvane/rehearsal/world.py
@@ -405,12 +405,14 @@
         number = self.numbers[step.proxy]
         if number in self.running:
             self.proxies.stall(number)
+            self._put(step.proxy, "stalled")
             life = self.lives[number]
             self.clock.call_at(step.until, self._go_on, number, life)
 
     def _go_on(self, now: float, number: int, life: int) -> None:
         if number in self.running and self.lives[number] == life:
             self.proxies.go_on(number)
+            self._put(self.seats[number].name, "on")
 
     def _step_clock(self, now: float, step: Step) -> None:
         self.proxies.step_clock(self.numbers[step.proxy], step.value)
--- /dev/null
+++ b/tests/recovery/test_mutants.py
@@ -0,0 +1,94 @@
+"""Each promise of a recovery broken on purpose, and the test that catches it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import pytest
+from _pytest.outcomes import Failed
+
+from firvane import interface as api
+from firvane.recovery import peers, recovery, steps
+from firvane.recovery.course import TABLE, Event, State
+from firvane.recovery.peers import Told
+from firvane.recovery.recovery import Recovery
+from firvane.snapshots import file, format, words
+from firvane.state import Backend
+from tests.recovery import test_peers, test_small_fleet, test_steps
+from tests.snapshots import test_snapshots
+
+
+class Mutant(NamedTuple):
+    """One way to break it: whose, which, and what takes its place."""
+
+    name: str
+    owner: Any
+    attribute: str
+    instead: Any
+    caught_by: Callable[[], None]
+
+
+def grows(server: Backend, *more: Any) -> None:
+    """Room grows with each answer, whatever it says."""
+    server.steps += 1.0
+
+
+def writes(path: Path, data: bytes) -> None:
+    """In place, as one would at first."""
+    Path(path).write_bytes(data)
+
+
+def any_is_warm(self: Told, now: float, asked: int) -> int:
+    return sum(held.warm for _, held in self.fresh(now))
+
+
+def cut() -> None:
+    test_steps.test_what_cuts_a_room_does_so_once_for_all_that_was_out_together(api.Result.FULL, 0.01, 4.8)
+
+
+def failing_write() -> None:
+    import tempfile
+
+    caught_by = test_snapshots.test_a_write_that_fails_is_one_line_and_leaves_the_file
+    with tempfile.TemporaryDirectory() as folder, pytest.MonkeyPatch.context() as patch:
+        caught_by("read-only", Path(folder), patch)
+
+
+def back() -> None:
+    test_small_fleet.test_no_box_is_pushed_over_and_all_proxies_come_back()
+
+
+MUTANTS = (
+    Mutant("no cut", steps, "_cut", lambda *more: None, cut),
+    Mutant("boundless growth", steps, "ended", grows, back),
+    Mutant("a room as remembered", Recovery, "_first_room", lambda self, server, now: 1e4, back),
+    Mutant("all try a box", Recovery, "holds", lambda *more: None,
+           test_small_fleet.test_each_box_is_tried_by_one_proxy_while_none_answers),
+    Mutant("trials too rare", recovery, "TRIAL", (5.0, 6.0),
+           test_small_fleet.test_each_box_is_tried_by_one_proxy_while_none_answers),
+    Mutant("the highest scale", peers, "median", max,
+           test_peers.test_a_third_of_liars_moves_the_scale_no_further_than_honest_peers),
+    Mutant("one warm peer is enough", Told, "warm", any_is_warm,
+           test_peers.test_peers_are_warm_when_most_say_so_and_have_had_answers),
+    Mutant("answers without a rate", Told, "may_answer", lambda self, now: True,
+           test_peers.test_a_question_is_answered_within_a_rate),
+    Mutant("no way out", recovery, "CALM", 1e9, back),
+    Mutant("a table without an end", TABLE, State.GROWING.value, {Event.LOST: State.LISTLESS}, back),
+    Mutant("a checksum that says nothing", format.google_crc32c, "value", lambda data: 0,
+           test_snapshots.test_whatever_is_cut_flipped_or_added_is_refused_in_one_line),
+    Mutant("written in place", file, "write_whole", writes, failing_write),
+    Mutant("nothing ages", words, "HALF_ROOM", 1e18,
+           lambda: test_snapshots.test_each_field_is_read_back_as_the_table_says(600.0, None, 8.0)),
+)  # fmt: skip
+
+
+@pytest.mark.parametrize("mutant", MUTANTS, ids=lambda mutant: mutant.name)
+def test_a_broken_promise_is_caught(mutant: Mutant, monkeypatch: pytest.MonkeyPatch) -> None:
+    if isinstance(mutant.owner, dict):
+        monkeypatch.setitem(mutant.owner, State(mutant.attribute), mutant.instead)
+    else:
+        monkeypatch.setattr(mutant.owner, mutant.attribute, mutant.instead)
+    with pytest.raises((AssertionError, Failed)):
+        mutant.caught_by()
