--- a/benchmarks/situations.py
+++ b/benchmarks/situations.py
@@ -334,6 +334,22 @@
     ]
 
 
+def power(result: Result, sight: Sight) -> Checks:
+    first, second = troubles(result, "power")
+    killed = [one.at for one in sight.proxies if one.state == "killed"]
+    cold = [one.at for one in sight.states("cold")]
+    count, boxes = len(sight.zones), result.scenario.boxes.count
+    after = [part for part in result.over_time.service[int(first.at_s) + 20 : int(second.at_s)] if part]
+    return [
+        Check("proxies off at once, twice", len(killed), 2 * count, 2 * count),
+        Check("boxes back cold", len(cold), boxes, boxes),
+        Check("s till they are", min(cold) - first.at_s, first.for_s, first.for_s + 0.01),
+        Check("members cut off", result.tries.failed + result.tries.unreached, 100, ANY),
+        Check("service from 17 s after the boxes' return on", min(after), 0.8, ANY, felt=True),
+        Check("service in all", result.service, 0.8, ANY, felt=True),
+    ]
+
+
 def churn(result: Result, sight: Sight) -> Checks:
     trouble = troubles(result, "churn")[0]
     slow = troubles(result, "slow")[0]
@@ -393,6 +409,7 @@
     "many-join": many_join,
     "many-zone": many_zone,
     "many-killed": many_killed,
+    "power-loss": power,
     "quiet-sunday": quiet,
     "silent-zone": silence,
     "flooded-community": flood,
--- a/tests/config/test_checked.py
+++ b/tests/config/test_checked.py
@@ -148,3 +148,19 @@
         assert checked.build(raw, Whole, "f") == wanted
     except checked.Faults:
         assert wanted is None
+
+
+@pytest.mark.parametrize(
+    ("given", "why"),
+    [
+        ([], "recovery is not an object"),
+        ({"stepz": True}, "recovery.stepz is not one of ask, first_tries, snapshot, .*"),
+        ({"steps": 1}, "recovery.steps is 1"),
+        ({"snapshot_every": 0}, "recovery.snapshot_every is 0"),
+    ],
+)
+def test_the_platform_s_form_of_recovery_is_checked(given: object, why: str) -> None:
+    from firvane.config.platform import _recovery
+
+    with pytest.raises(ValueError, match=f"^{why}$"):
+        _recovery(given)
--- a/tests/config/test_file.py
+++ b/tests/config/test_file.py
@@ -57,23 +57,35 @@
 
 def test_each_default_that_the_example_shows_is_the_one_that_holds() -> None:
     # Lines of the form `# key = value` belong to the table above them; those of whole tables are left out.
-    shown = re.sub(r"^# (\w+ = )", r"\1", EXAMPLE, flags=re.MULTILINE)
+    shown = re.sub(r"^# (\w+ = |\[recovery\])", r"\1", EXAMPLE, flags=re.MULTILINE)
     others = 'discovery|name = "lagos|share|quota_rps|listen = .*7946|me|everyone|addresses|seed'
     raw = tomllib.loads(re.sub(f"^({others}).*", "", shown, flags=re.MULTILINE))
-    default = msgspec.to_builtins(checked.build(checked.parse(CONFIG.encode(), "f"), File, "f"))
+    with_all = CONFIG + "[recovery]\n"
+    default = msgspec.to_builtins(checked.build(checked.parse(with_all.encode(), "f"), File, "f"))
     compared = 0
-    for table, keys in (("rules", None), ("log", None), ("limits", ("second_copies",))):
+    shown_otherwise = {"limits": ("second_copies",), "recovery": ("snapshot",)}
+    for table in ("rules", "log", "limits", "recovery"):
         for key, value in raw[table].items():
-            if key not in (keys or ()):
+            if key not in shown_otherwise.get(table, ()):
                 assert value == default[table][key], (table, key)
                 compared += 1
-    assert compared >= 18 and raw["remembers_keys"] is default["remembers_keys"]
+    assert compared >= 23 and raw["remembers_keys"] is default["remembers_keys"]
 
 
 @pytest.mark.parametrize(
     ("old", "new", "line"),
     [
         ("aim_ms = 500", "aim_ms = 5000", "classes[0].aim_ms: is above deadline_ms, 2000"),
+        (
+            'repeat = "safe"',
+            'repeat = "safe"\n[recovery]\nsnapshot = "/nowhere/s"',
+            "recovery.snapshot: is '/nowhere/s', and there is no folder /nowhere",
+        ),
+        (
+            'repeat = "safe"',
+            'repeat = "safe"\n[recovery]\nsnapshot_every = 1',
+            "recovery.snapshot_every: unknown key; did you mean snapshot_every_s?",
+        ),
         (
             'name = "read"',
             'name = "up"',
