Shade the states of recoveries in the report, as the proxies' doors tell them

Need: a report of a power loss showed the loss and the service, not where the proxies were on their way.

The report of a short power loss shows trials and growing at their times; two runs alike to the last bit.

--- a/benchmarks/recovery.py
+++ b/benchmarks/recovery.py
@@ -14,13 +14,15 @@
 if __name__ == "__main__":
     sys.path[0] = str(Path(__file__).resolve().parent.parent)  # in place of this folder
 
+from benchmarks.situations import played
+from firvane.fleet.records import Record, Sent
 from firvane.fleet.reference import Reference
 from firvane.fleet.scenario import Boxes, Load, Proxies, Scenario, Trouble
 from firvane.fleet.worth import Worth
 from firvane.rehearsal.result import Result
-from firvane.rehearsal.run import rehearse
 
 OFF_S, PROXIES_S, BOXES_S = 15.0, 1.0, 3.0  # when power goes; after which proxies and boxes are back
+WARM_S = 25.0  # from the loss until all boxes are warm by the clock
 LARGE = 40  # proxies from which on the fleet is larger, too
 WHAT, MEMORY = ("proxies", "boxes", "both", "zone"), ("kept", "lost", "old", "torn")
 HALF, NEARLY = 0.5, 0.95
@@ -61,7 +63,13 @@
     """A run and its reference."""
     told = scenario(proxies, what, seconds, memory, off)
     best: Worth = Reference(told, seed).play()
-    result: Result = rehearse(told, seed)
+    said: list[tuple[str, int]] = []
+
+    def see(record: Record) -> None:
+        if isinstance(record, Sent) and OFF_S <= record.at < OFF_S + WARM_S:
+            said.append((record.proxy, record.size))
+
+    result: Result = played(told, seed, see)
     earned = [part * asked for part, asked in zip(result.over_time.service, best.all.asked, strict=False)
               if part is not None]  # fmt: skip
     reference = best.counted.service()
@@ -72,6 +80,7 @@
         "pushed": pushed, "broken": dict(result.broken_counts),
         "half_s": after(list(best.all.asked), earned, HALF, list(best.all.earned)),
         "nearly_s": after(list(best.all.asked), earned, NEARLY, list(best.all.earned)),
+        "messages": len(said) / proxies / WARM_S, "bytes": sum(size for _, size in said) / proxies / WARM_S,
         "refused": result.tries.refused, "sent": result.attempts.sent,
         "series": [round(x, 2) if x is not None else None for x in result.over_time.service],
         "best": [round(x, 2) if x is not None else None for x in best.all.series(1)],
@@ -109,7 +118,8 @@
             print(
                 "{proxies:3} {what:8} {memory:5} {off:8} seed {seed:3}  service {service:.3f} of"
                 " {reference:.3f} = {part:.3f}  half {half_s:4} s, 0.95 {nearly_s:4} s  sent {sent}"
-                " refused {refused}  broken {broken}".format(**row),
+                " refused {refused}  each proxy {messages:.1f} messages, {bytes:.0f} bytes a second"
+                "  broken {broken}".format(**row),
                 flush=True,
             )
             if series:
--- a/benchmarks/situations.py
+++ b/benchmarks/situations.py
@@ -424,12 +424,12 @@
 
 
 def played(scenario: Scenario, seed: int, *sinks: Any) -> Result:
-    """One run in virtual time, seen by others as well."""
+    """One run in virtual time, seen by others (objects with a `see`, or functions) as well."""
     from firvane.rehearsal.result import Witness
     from firvane.rehearsal.run import play_virtual
 
     witness = Witness(scenario, seed, "virtual")
-    see = [witness.see, *(sink.see for sink in sinks)]
+    see = [witness.see, *(getattr(sink, "see", sink) for sink in sinks)]
 
     def sink(record: Record) -> None:
         for each in see:
--- a/firvane/fleet/records.py
+++ b/firvane/fleet/records.py
@@ -156,6 +156,14 @@
     arrived: bool
 
 
+class Stated(NamedTuple):
+    """A proxy's door says another state of its recovery than when last asked; "" where it is silent."""
+
+    at: float
+    proxy: str
+    state: str
+
+
 class Shaded(NamedTuple):
     """A trouble of the scenario begins or ends, for the plots."""
 
@@ -177,5 +185,6 @@
     | ProxyState
     | Used
     | Sent
+    | Stated
     | Shaded
 )
--- a/firvane/rehearsal/charts.py
+++ b/firvane/rehearsal/charts.py
@@ -143,8 +143,12 @@
 
 
 def _bands(shown: Sequence[Shown]) -> list[Band]:
-    """The troubles of either result, once."""
-    shades = {(shade.at, shade.until, shade.name) for one in shown for shade in one.result.troubles}
+    """The troubles of either result, and the states of recoveries, once."""
+    shades = {
+        (shade.at, shade.until, shade.name)
+        for one in shown
+        for shade in [*one.result.troubles, *one.result.recovery]
+    }
     return [Band(at, until, name) for at, until, name in sorted(shades)]
 
 
--- a/firvane/rehearsal/pipe.py
+++ b/firvane/rehearsal/pipe.py
@@ -31,6 +31,7 @@
     records.Used,
     records.Sent,
     records.Shaded,
+    records.Stated,
 )
 NUMBERS = {kind: number for number, kind in enumerate(KINDS)}
 BATCH_S = 0.1  # s from one batch of records to the next
--- a/firvane/rehearsal/plan.py
+++ b/firvane/rehearsal/plan.py
@@ -19,7 +19,7 @@
 
 Address = tuple[str, int]
 
-PORT, PEER_PORT, AGENT_PORT, LOCK_PORT = 8080, 7946, 8500, 8081
+PORT, PEER_PORT, AGENT_PORT, LOCK_PORT, OPS_PORT = 8080, 7946, 8500, 8081, 9090
 MOST_PROXIES, MOST_BOXES = 64, 250
 NETS = range(20, 250)
 TICK_S, SLACK_S, DRAIN_GRACE_S, ASK_WITHIN_S = 0.005, 0.02, 1.0, 10.0
@@ -45,6 +45,10 @@
     def listen(self, proxy: int) -> Address:
         return self._at(proxy, 1, PORT)
 
+    def ops(self, proxy: int) -> Address:
+        """Where operators call, where they do."""
+        return self._at(proxy, 1, OPS_PORT)
+
     def peer_listen(self, proxy: int) -> Address:
         return self._at(proxy, 1, PEER_PORT)
 
@@ -163,6 +167,7 @@
         "settings": settings(scenario, number, seat.zone),
     }
     if limits.recovery:
+        told["ops"] = text(plan.ops(number))
         told["recovery"] = {limits.without.replace("-", "_"): False} if limits.without else {}
         if folder and limits.snapshots:
             told["recovery"]["snapshot"] = f"{folder}/{seat.name}.snapshot"
--- a/firvane/rehearsal/result.py
+++ b/firvane/rehearsal/result.py
@@ -22,13 +22,14 @@
 
 from firvane.fleet.figures import ServiceResult
 from firvane.fleet.judge import Judge
-from firvane.fleet.records import Record, Shaded
+from firvane.fleet.records import Record, Shaded, Stated
 from firvane.fleet.scenario import Scenario
 from firvane.fleet.service import Progress, Service
 from firvane.fleet.verdict import Breach, Grade
 from firvane.whole import write_whole
 
 FORMAT = 1
+OVER = "over"  # of a recovery: the ordinary way of things
 BATCH = 1 << 16  # bytes that are hashed at once
 
 ClockName = Literal["virtual", "live"]
@@ -59,6 +60,7 @@
     cost_counts: dict[str, int]
     near: list[Breach]
     troubles: list[Shade]
+    recovery: list[Shade] = msgspec.field(default_factory=list)  # while any proxy was in that state
 
     @property
     def well(self) -> bool:
@@ -127,6 +129,8 @@
         self.service = Service(scenario)
         self.digest = Digest()
         self.troubles: list[Shade] = []
+        self.states: dict[str, tuple[str, float]] = {}  # of each proxy, and since when
+        self.recovery: dict[str, list[tuple[float, float]]] = {}  # when proxies were in each state
         self.at = 0.0
 
     def see(self, record: Record) -> None:
@@ -136,6 +140,14 @@
         self.service.see(record)
         if type(record) is Shaded:
             self.troubles.append(Shade(name=record.name, at=record.at, until=record.until))
+        elif type(record) is Stated:
+            self._stated(record.proxy, record.state, record.at)
+
+    def _stated(self, proxy: str, state: str, at: float) -> None:
+        before, since = self.states.pop(proxy, ("", at))
+        if before not in ("", OVER):
+            self.recovery.setdefault(before, []).append((since, at))
+        self.states[proxy] = state, at
 
     def progress(self) -> Progress:
         return self.service.progress()
@@ -147,6 +159,8 @@
     def result(self, no_verdict: str = "") -> Result:
         """Once, after the last record."""
         self.judge.end(self.at)
+        for proxy in list(self.states):
+            self._stated(proxy, "", self.at)
         found = self.judge.findings
         figures = self.service.result()
         counts: dict[Grade, dict[str, int]] = {grade: {} for grade in Grade}
@@ -168,9 +182,25 @@
             cost_counts=counts[Grade.COSTS],
             near=found.of(Grade.NEAR),
             troubles=self.troubles,
+            recovery=[
+                Shade(name=f"{state} (recovery)", at=at, until=until)
+                for state, spans in sorted(self.recovery.items())
+                for at, until in joined(spans)
+            ],
         )
 
 
+def joined(spans: list[tuple[float, float]]) -> list[tuple[float, float]]:
+    """The same times, each once."""
+    whole: list[tuple[float, float]] = []
+    for at, until in sorted(spans):
+        if whole and at <= whole[-1][1]:
+            whole[-1] = whole[-1][0], max(whole[-1][1], until)
+        else:
+            whole.append((at, until))
+    return whole
+
+
 class _Format(Struct):
     format: int = 0
 
--- a/firvane/rehearsal/world.py
+++ b/firvane/rehearsal/world.py
@@ -19,6 +19,7 @@
 from firvane.fleet.registry import Registry
 from firvane.fleet.scenario import Kind, Scenario
 from firvane.fleet.timeline import TOLD, Action, Step, Timeline
+from firvane.rehearsal.asker import Asker
 from firvane.rehearsal.boxes import Host, Sink
 from firvane.rehearsal.clients import Clients
 from firvane.rehearsal.clock import Clock
@@ -340,9 +341,16 @@
         self.ending: set[int] = set()
         self.ready: set[str] = set()  # that have been ready once
         self.is_over = False
+        self.askers = [
+            Asker(clock, seat.name, plan.ops(number), sink)
+            for number, seat in enumerate(self.seats)
+            if scenario.proxies.recovery
+        ]
 
     def open(self) -> None:
         """Start all of them, and let the timeline see to the rest."""
+        for asker in self.askers:
+            asker.begin()
         for seat in self.seats:
             self._launch(seat)
         self.acts: dict[Action, Act] = {
@@ -446,5 +454,7 @@
     def close(self) -> None:
         """The end of the rehearsal: kill what runs."""
         self.is_over = True
+        for asker in self.askers:
+            asker.close()
         for number in sorted(self.running):
             self.proxies.kill(number)
--- a/tests/rehearsal/test_recovery.py
+++ b/tests/rehearsal/test_recovery.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from pathlib import Path
+
 import pytest
 
 from firvane.fleet.reference import Reference
 from firvane.fleet.scenario import Boxes, Load, Proxies, Scenario, Trouble
+from firvane.rehearsal.report import write_html
 from firvane.rehearsal.run import rehearse
 
 
@@ -56,3 +59,15 @@
 
 def test_two_runs_are_alike_to_the_last_bit() -> None:
     assert len({rehearse(day(SOME, DEAF, STALLED), 5).result_hash for _ in range(2)}) == 1
+
+
+def test_the_report_shades_the_states_that_doors_told(tmp_path: Path) -> None:
+    result = rehearse(day(ALL), 2)
+    spans = [(shade.name, shade.at, shade.until) for shade in result.recovery]
+    assert {"trials (recovery)", "growing (recovery)"} <= {name for name, *_ in spans}
+    # The first start of all, and the one after power came back at 4 s and the boxes at 5.
+    assert [at for name, at, until in spans if name == "growing (recovery)" and at < 1.0 and until <= 4.5]
+    assert [at for name, at, until in spans if name == "growing (recovery)" and 5.0 <= at < 9.0 < until]
+    page = tmp_path / "page.html"
+    write_html([result], page)
+    assert "growing (recovery)" in page.read_text()
--- a/tests/together/harness.py
+++ b/tests/together/harness.py
@@ -12,6 +12,7 @@
 import os
 import re
 import signal
+import socket
 import time
 from collections import Counter
 from collections.abc import AsyncIterator, Callable
@@ -32,6 +33,7 @@
 DEADLINE = 40.0  # s after which what a test waits for will not come
 LOOK = 0.02  # s from one look to the next
 OPS = 9090
+CLAIMS: list[socket.socket] = []
 
 
 def small(proxies: int = 3, boxes: int = 6, **more: Any) -> Scenario:
@@ -239,6 +241,7 @@
     """All of it, until the test is over; `knows`: proxies are told the list as last known when they start,
     `changes` go into each proxy's configuration."""
     net, claim = claim_net()
+    CLAIMS.append(claim)  # kept: the next test has a net of its own, whatever this one's sockets still do
     whole = Together(scenario or small(), folder, net, knows, changes)
     try:
         await whole.fleet.open()
@@ -251,7 +254,6 @@
         whole.machines.close()
         whole.members.clients.close()
         whole.fleet.close()
-        claim.close()
         await asyncio.sleep(0)
 
 
