--- a/firvane/recovery/recovery.py
+++ b/firvane/recovery/recovery.py
@@ -78,7 +78,7 @@
 
     def holds(self, server: Backend, is_mine: bool, now: float) -> bool | None:
         """Whether nothing is sent to a box from here now; None where that is as in ordinary times."""
-        if self.parts.steps and server in self.begun:
+        if server in self.begun:
             return False
         if not self.on:
             return None
@@ -94,7 +94,7 @@
 
     def stepped(self, server: Backend) -> bool:
         """Whether its room is found by steps."""
-        return self.parts.steps and server in self.begun
+        return server in self.begun
 
     def part(self, job: Job) -> float:
         """The part of its room that a request may fill."""
@@ -133,11 +133,11 @@
     def recall(self, servers: Iterable[Backend], kinds: Sequence[str]) -> api.Remembered:
         """What is to be kept for a life after this one; `kinds` names their numbers.
 
-        Rooms that are found by steps, or were never tried, say less than what was kept before."""
+        Rooms that are still being found, or were never tried, say less than what was kept before."""
         kept, evidence = self.memory or api.Remembered(0.0), self.evidence
         listed = list(servers)
         rates = {kinds[n]: rate for n, rate in evidence.rates.items() if n < len(kinds) and rate > 0.0}
-        known = {s.entry.id: s.room for s in listed if s in self.proven and s not in self.begun}
+        known = {s.entry.id: s.room for s in listed if s in self.proven and not (self.on and s in self.begun)}
         before = {s.entry.id: kept.rooms[s.entry.id] for s in listed if s.entry.id in kept.rooms}
         starts = {s.entry.id: s.entry.up_since for s in listed if s.entry.up_since is not None}
         return api.Remembered(0.0, evidence.best, rates, before | known, starts)
@@ -202,8 +202,9 @@
                 self._step(server, self._first_room(server, now))
 
     def _step(self, server: Backend, room: float) -> None:
-        self.begun[server] = server.since
-        steps.begin(server, room)
+        if self.parts.steps:
+            self.begun[server] = server.since
+            steps.begin(server, room)
 
     def heard(
         self,
@@ -252,7 +253,7 @@
         self.dealt = self.dealt or heard or now >= self.started + PATIENCE
         self.mine = set(mine)
         cold = {s for s in mine if self.evidence.is_cold(s, now)}
-        if not (course.on or cold or self.begun):
+        if not (course.on or cold or self.begun or course.changes):
             return []
         weight = sum(s.weight for s in mine)
         colds = sum(s.weight for s in cold if s not in self.settled or self.settled[s] != s.since)
