Ask doors in live rehearsals, too: the loop's transports there are no asyncio.WriteTransport

Seen: a live run's report had no state of any recovery, the same run in virtual time had; each question ended in an AssertionError in `connection_made` (asker.py), as uvloop's transports do not descend from asyncio's.

--- a/firvane/rehearsal/asker.py
+++ b/firvane/rehearsal/asker.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import cast
 
 from firvane.fleet.records import Stated
 from firvane.rehearsal.boxes import Sink
@@ -26,8 +27,7 @@
         self.heard, self.answer = heard, b""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.WriteTransport)
-        transport.write(LINE)
+        cast(asyncio.Transport, transport).write(LINE)
 
     def data_received(self, data: bytes) -> None:
         self.answer += data
--- a/tests/rehearsal/test_live.py
+++ b/tests/rehearsal/test_live.py
@@ -127,7 +127,9 @@
 
 def test_a_live_rehearsal_is_judged() -> None:
     calm = replace(SMALL, seconds=1.5, troubles=(), proxies=Proxies(count=1))
+    calm = replace(calm, proxies=replace(calm.proxies, recovery=True))
     result = rehearse(calm, 1, "live")
+    assert "growing (recovery)" in {shade.name for shade in result.recovery}
     assert result.clock == "live" and result.requests.asked > 20 and not result.broken_rules
     assert result.proxies["proxy-0"].memory_most > 5e6
 
