--- a/firvane/recovery/recovery.py
+++ b/firvane/recovery/recovery.py
@@ -199,7 +199,7 @@
         for server in mine:
             home = self.dealt or server.salt % settings.proxies == settings.me
             if self.on and home and server not in self.begun and not self._is_known(server, now):
-                self._step(server, self._first_room(server, now))
+                self._step(server, self._first_room(server))
 
     def _step(self, server: Backend, room: float) -> None:
         if self.parts.steps:
@@ -290,7 +290,7 @@
             del self.begun[server]
             self.proven.discard(server)
 
-    def _first_room(self, server: Backend, now: float) -> float:
+    def _first_room(self, server: Backend) -> float:
         """Where the steps begin: at one, or at what is remembered of a box that is the same still."""
         if not self.memory or server in self.proven:
             return 1.0
--- a/firvane/snapshots/file.py
+++ b/firvane/snapshots/file.py
@@ -53,7 +53,6 @@
         self.aside: Aside = aside or self._in_thread
         self.writing = self.failed = False
         self.written = 0
-        self.bytes = 0
 
     def recall(self, now: float) -> tuple[api.Remembered, Any] | None:
         """What was kept, and the list, `now` in Unix time; None, and a line in the log, where that is of no
@@ -90,14 +89,13 @@
 
     def _write(self, now: float, listed: Callable[[], Any], held: api.Remembered) -> None:
         try:
-            data = format.pack(made(self.proxy, now, listed(), held))
-            write_whole(self.path, data)
+            write_whole(self.path, format.pack(made(self.proxy, now, listed(), held)))
         except OSError as error:
             if not self.failed:
                 self.log.warning("snapshot_unwritten", file=str(self.path), why=error.strerror or str(error))
             self.failed = True
         else:
-            self.failed, self.bytes = False, len(data)
+            self.failed = False
             self.written += 1
         finally:
             self.writing = False
