--- a/tests/control/live.py
+++ b/tests/control/live.py
@@ -40,8 +40,16 @@
         self.writers.append(writer)
         if self.index:
             self._write(writer, list(self.boxes.values()), True)
+        # A service that ends takes its watch along; uvloop raises where a closed one is written to.
+        with contextlib.suppress(OSError):
+            await reader.read()
+        if writer in self.writers:
+            self.writers.remove(writer)
+        writer.close()
 
     def _write(self, writer: asyncio.StreamWriter, endpoints: list[dict[str, Any]], whole: bool) -> None:
+        if writer.is_closing():  # its end is known to the transport a turn before it is read here
+            return
         line = json.dumps({"index": self.index, "snapshot": whole, "endpoints": endpoints}) + "\n"
         writer.write(f"{len(line):x}\r\n{line}\r\n".encode())
 
