Judge one policy everywhere or nowhere from records made outside

No rule tells yet whether a change of policy kept its promise, and a proxy's own word proves nothing. Epochs sees what clients, doors and the rehearsal write down and tells a breach only where the bounds of when a request was taken prove it.

--- a/firvane/fleet/records.py
+++ b/firvane/fleet/records.py
@@ -49,6 +49,15 @@
     body_of: str  # the call id that the body was made for; "" where no box made it
 
 
+class Decided(NamedTuple):
+    """A final answer's head told which epoch of the policy decided its request; `Answered` follows."""
+
+    at: float
+    call: str
+    proxy: str
+    epoch: int
+
+
 class Abandoned(NamedTuple):
     """The client gave a try up, unanswered; at a deadline it waits for the rules' slack first."""
 
@@ -164,6 +173,33 @@
     state: str
 
 
+class Proposed(NamedTuple):
+    """An operator's call that proposes a policy was written to a proxy's door."""
+
+    at: float
+    proxy: str
+    digest: str  # of the policy's text, in hexadecimal
+
+
+class Said(NamedTuple):
+    """A proxy's door has said what became of a proposal made there: a change of what it said before."""
+
+    at: float  # when it was read
+    proxy: str
+    digest: str
+    outcome: str  # "in force", "open", "failed" or "unknown"
+    epoch: int = 0  # where it is in force
+
+
+class InUse(NamedTuple):
+    """A proxy's door says another epoch and policy in use there than when last asked."""
+
+    at: float
+    proxy: str
+    epoch: int
+    digest: str
+
+
 class Shaded(NamedTuple):
     """A trouble of the scenario begins or ends, for the plots."""
 
@@ -175,6 +211,7 @@
 Record = (
     Asked
     | Answered
+    | Decided
     | Abandoned
     | Arrived
     | Finished
@@ -186,5 +223,8 @@
     | Used
     | Sent
     | Stated
+    | Proposed
+    | Said
+    | InUse
     | Shaded
 )
--- a/firvane/fleet/verdict.py
+++ b/firvane/fleet/verdict.py
@@ -26,6 +26,11 @@
     LEAK = "growth without bound"
     OVER = "more than a proxy may hold"
     DATAGRAM = "a datagram that is not allowed"
+    TWO_EPOCHS = "a request decided by two policies"
+    OLDER = "a request taken by an older policy"
+    FAILED_CAME = "a failed change in force"
+    TAKEN_BACK = "a change in force taken back"
+    ENDLESS = "a change without an end"
 
 
 class Grade(Enum):
