--- a/firvane/quorum/words.py
+++ b/firvane/quorum/words.py
@@ -72,8 +72,10 @@
 
     @property
     def notice(self) -> float:
-        """From a voter's yes to the swap, at the least: whoever has asked since then knows of it, and the lease
-        of whoever has not has run out."""
+        """From a voter's yes to the swap, at the least.
+
+        Whoever has asked since then knows of it, and the lease of whoever has not has run out.
+        """
         return (self.lease + self.trip) * (1 + 2 * self.skew) + self.trip
 
     @property
@@ -83,7 +85,7 @@
 
     @property
     def slack(self) -> float:
-        """By which two proxies' swaps may be apart: each maps the moment twice, half a way off at the most."""
+        """By which two proxies' swaps may be apart: each maps the moment twice, half a trip off at most."""
         return 2 * self.trip + 2 * self.skew * self.lead
 
 
