Read a policy's file with all of its faults, and [policy] in both forms of the configuration

Classes, tenants, rules and limits of requests are to be in force on all proxies or on none, so they need a text of their own and a table that says how a proxy takes part.

--- a/firvane/cli/check.py
+++ b/firvane/cli/check.py
@@ -9,7 +9,7 @@
 @click.argument("files", nargs=-1, required=True, type=click.Path())
 @click.pass_context
 def command(ctx: click.Context, files: tuple[str, ...]) -> None:
-    """Name every fault of FILES: configurations (firvane.toml or the platform's JSON) or scenarios.
+    """Name every fault of FILES: configurations (firvane.toml or the platform's JSON), policies or scenarios.
 
     Which of them a file is meant to be is told by its content. Each fault is one line: file, key, what is
     wrong, what was given, and for an unknown key the one that was probably meant. Exit code 2 for any.
@@ -53,6 +53,14 @@
         except (ValueError, OSError) as error:
             raise checked.Faults([checked.Fault(file, "", str(error).removeprefix(f"{file} "))]) from None
         return f"the platform's configuration of {told.name}, {len(told.settings.classes)} classes"
+    if form == "policy":
+        from pathlib import Path
+
+        from firvane.config.policy import parse
+
+        policy = parse(Path(file).read_bytes(), file)  # of its text there may be less than of other files
+        said = (key for key in policy.__struct_fields__ if getattr(policy, key) is not None)
+        return f"policy that says {', '.join(said)}"
     from firvane.config.checks import CHECKS
     from firvane.config.model import File
 
--- a/firvane/cli/config.py
+++ b/firvane/cli/config.py
@@ -11,9 +11,9 @@
 
 
 @command.command("schema")
-@click.argument("kind", type=click.Choice(["configuration", "scenario"]), default="configuration")
+@click.argument("kind", type=click.Choice(["configuration", "scenario", "policy"]), default="configuration")
 def schema(kind: str) -> None:
-    """Print the JSON schema of firvane.toml, or of a scenario, for an editor.
+    """Print the JSON schema of firvane.toml, of a scenario or of a policy, for an editor.
 
     What must fit together across keys is not in it: firvane check tells of that.
 
@@ -29,8 +29,9 @@
     import msgspec
 
     from firvane.config.model import File
+    from firvane.config.policy import Policy
     from firvane.fleet.scenario import Scenario
 
-    made = msgspec.json.schema(File if kind == "configuration" else Scenario)
+    made = msgspec.json.schema({"configuration": File, "scenario": Scenario, "policy": Policy}[kind])
     made = {"$schema": "https://json-schema.org/draft/2020-12/schema", **made}
     click.echo(json.dumps(made, indent=2))
--- a/firvane/cli/files.py
+++ b/firvane/cli/files.py
@@ -9,19 +9,25 @@
 from firvane.cli import Bad
 from firvane.fleet.scenario import Scenario
 
-Form = Literal["configuration", "scenario", "platform"]
+Form = Literal["configuration", "scenario", "platform", "policy"]
 
 
 def form_of(raw: dict[str, Any]) -> Form:
-    """What bare data is meant to be: by its keys, since all three may be TOML or JSON.
+    """What bare data is meant to be: by its keys, since all of them may be TOML or JSON.
 
     The platform's JSON alone has settings. Between the others the one decides that knows more of the keys; a
-    file without any is held to be a configuration.
+    file without any is held to be a configuration. A policy has keys of a configuration, and none of those
+    that say which proxy it is.
     """
     from firvane.config.model import File
+    from firvane.config.policy import Policy
 
     if "settings" in raw:
         return "platform"
+    of_policy = set(Policy.__struct_fields__)
+    others = {*File.__struct_fields__, *Scenario.__struct_fields__} - of_policy
+    if raw.keys() & of_policy and not raw.keys() & others:
+        return "policy"
     known = (len(raw.keys() & set(kind.__struct_fields__)) for kind in (File, Scenario))
     of_file, of_scenario = known
     return "scenario" if of_scenario > of_file or raw.keys() & {"troubles", "boxes"} else "configuration"
--- a/firvane/config/checks.py
+++ b/firvane/config/checks.py
@@ -3,12 +3,22 @@
 from __future__ import annotations
 
 import os
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 from importlib.util import find_spec
 from pathlib import Path
 from typing import Any
 
-from firvane.config.model import Control, File, Limits, Peers, Recovery, RequestClass, TargetGroup
+from firvane.config.model import (
+    Control,
+    File,
+    Limits,
+    Peers,
+    PolicyTable,
+    Recovery,
+    RequestClass,
+    TargetGroup,
+    Tenant,
+)
 from firvane.limits.costs import derive
 
 Found = Iterator[tuple[str, str]]
@@ -69,24 +79,61 @@
 
 
 def recovery(given: Recovery) -> Found:
-    if given.snapshot is None:
-        return
+    if given.snapshot is not None:
+        yield from _kept("snapshot", given.snapshot, Path(given.snapshot).absolute().parent)
+
+
+def _kept(key: str, given: str, folder: Path) -> Found:
+    """What keeps files from being kept in a folder."""
     if find_spec("google_crc32c") is None:
-        yield "snapshot", "needs more than a proxy does: pip install 'firvane[snapshots]'"
-    folder = Path(given.snapshot).absolute().parent
+        yield key, "needs more than a proxy does: pip install 'firvane[snapshots]'"
     if not folder.is_dir():
-        yield "snapshot", f"is {given.snapshot!r}, and there is no folder {folder}"
+        yield key, f"is {given!r}, and there is no folder {folder}"
     elif not os.access(folder, os.W_OK):
-        yield "snapshot", f"is {given.snapshot!r}, and {folder} may not be written to"
+        yield key, f"is {given!r}, and {folder} may not be written to"
+
+
+def policy(given: PolicyTable) -> Found:
+    yield from _kept("folder", given.folder, Path(given.folder).absolute())
+
+
+def callers(classes: Sequence[RequestClass], tenants: Sequence[Tenant]) -> Found:
+    """What a configuration and a policy alike must keep to."""
+    yield from _twice("classes[{}].name", (cls.name for cls in classes), "class")
+    yield from _twice("tenants[{}].name", (tenant.name for tenant in tenants), "tenant")
+    if (shares := sum(tenant.share for tenant in tenants)) > 1.0 + 1e-6:
+        yield "tenants", f"have shares that add up to {shares:g}, above 1"
+
+
+def agreement(file: File, table: PolicyTable) -> Found:
+    """What [policy] needs of the rest."""
+    if file.control:
+        yield "policy", "is for proxies, and control makes this a control service's file"
+    if file.ops is None:
+        yield "policy", "needs ops: the other proxies get texts at this one's door"
+    elif file.ops.endswith(":0"):
+        yield "ops", "must have a port that the other proxies know, as policy is there"
+    if file.peers is None:
+        yield "policy", "needs peers: the proxies that agree"
+        return
+    for key, reason in table.told().misfits(len(file.peers.addresses)):
+        yield f"policy.{key}", reason
+    me = _me(file.peers)
+    if file.ops in table.doors and file.ops not in table.doors[me : me + 1]:
+        yield "policy.doors", f"has ops at {table.doors.index(file.ops)}, and this is proxy {me} of peers"
+
+
+def _me(tier: Peers) -> int:
+    """The place of the proxy whose file it is; 0 where that is a fault of `peers`."""
+    if tier.me is not None:
+        return tier.me
+    return tier.addresses.index(tier.listen) if tier.listen in tier.addresses else 0
 
 
 def whole(file: File) -> Found:
-    yield from _twice("classes[{}].name", (cls.name for cls in file.classes), "class")
-    yield from _twice("tenants[{}].name", (tenant.name for tenant in file.tenants), "tenant")
+    yield from callers(file.classes, file.tenants)
     yield from _twice("zones[{}]", file.zones, "zone")
     yield from _twice("kinds[{}]", file.kinds, "kind")
-    if (shares := sum(tenant.share for tenant in file.tenants)) > 1.0 + 1e-6:
-        yield "tenants", f"have shares that add up to {shares:g}, above 1"
     targets = file.target_group.targets
     if file.ops == file.listen and not file.listen.endswith(":0"):
         yield "ops", "is where clients connect: operators need an address of their own"
@@ -100,11 +147,11 @@
         if target.address == file.listen:
             yield f"target_group.targets[{index}].address", "is where this proxy itself listens"
     if file.control and file.control.counts_as > 1:
-        me, tier = 0, file.peers
-        if tier:
-            me = tier.me if tier.me is not None else tier.addresses.index(tier.listen)
-        if tier is None or me + file.control.counts_as > len(tier.addresses):
+        tier = file.peers
+        if tier is None or _me(tier) + file.control.counts_as > len(tier.addresses):
             yield "control.counts_as", "needs as many addresses in peers, from the one of this service on"
+    if file.policy:
+        yield from agreement(file, file.policy)
     if file.peers and not file.zones and (file.zone or any(target.zone for target in targets)):
         yield "zones", "is missing: proxies of a tier number their zones alike only where all list them"
 
@@ -116,5 +163,6 @@
     Peers: peers,
     Control: control,
     Recovery: recovery,
+    PolicyTable: policy,
     File: whole,
 }
--- a/firvane/config/file.py
+++ b/firvane/config/file.py
@@ -46,6 +46,7 @@
         settings=_settings(file, zones),
         snapshot=file.recovery.snapshot if file.recovery else None,
         snapshot_every=file.recovery.snapshot_every_s if file.recovery else Config.snapshot_every,
+        policy=file.policy.told() if file.policy else None,
         ops=parse_address(file.ops) if file.ops else None,
         cores=limits.cores,
         memory_mb=limits.memory_mb,
@@ -79,7 +80,7 @@
     }
 
 
-def _class(cls: RequestClass) -> api.RequestClass:
+def request_class(cls: RequestClass) -> api.RequestClass:
     return api.RequestClass(
         name=cls.name,
         aim=cls.aim_ms / 1000,
@@ -107,7 +108,7 @@
         me=me,
         proxies=len(tier.addresses) if tier else 1,
         tick=TICK,
-        classes=tuple(map(_class, file.classes)),
+        classes=tuple(map(request_class, file.classes)),
         rules=api.Rules(
             answer_slack=rules.answer_slack_ms / 1000,
             drain_grace=rules.drain_grace_s,
--- a/firvane/config/model.py
+++ b/firvane/config/model.py
@@ -10,6 +10,9 @@
 
 from msgspec import Meta, Struct
 
+from firvane.address import parse_address
+from firvane.config.node import MOST_VOTERS, PolicyTold
+
 OCTET = "(25[0-5]|2[0-4][0-9]|1?[0-9]?[0-9])"
 PORT = "([0-9]{1,4}|[1-5][0-9]{4}|6[0-4][0-9]{3}|65[0-4][0-9]{2}|655[0-2][0-9]|6553[0-5])"
 NUMERIC = rf"^({OCTET}\.){{3}}{OCTET}:{PORT}$"
@@ -165,6 +168,41 @@
     snapshot_every_s: Annotated[float, says("from one writing to the next", ge=0.1, le=3600)] = 5.0
 
 
+Voters = Annotated[
+    tuple[Count, ...],
+    says("numbers of the proxies that decide, ascending", min_length=1, max_length=MOST_VOTERS),
+]
+
+
+class PolicyTable(Part, frozen=True, kw_only=True):
+    """One policy for the whole tier, in force everywhere or nowhere. All its proxies have this, or none."""
+
+    folder: Annotated[Name, says("keeps a voter's votes and the policies' texts; it must last")]
+    doors: Annotated[
+        tuple[Address, ...],
+        says("ops of each proxy, in the order of peers.addresses", min_length=1, max_length=1000),
+    ]
+    voters: Voters = (0, 1, 2)
+    without_lease: Annotated[
+        Literal["refuse", "serve"],
+        says("while no majority of the voters is heard: refuse requests, or serve by the policy it had"),
+    ] = "refuse"
+    lease_s: Annotated[float, says("a majority's word may be acted on for so long", ge=0.5, le=60)] = 3.0
+    trip_ms: Annotated[float, says("the longest way there and back that counts", gt=0, le=15_000)] = 200.0
+    tell: Annotated[bool, says("answers carry X-Policy-Epoch")] = False
+
+    def told(self) -> PolicyTold:
+        return PolicyTold(
+            folder=self.folder,
+            voters=self.voters,
+            doors=tuple(map(parse_address, self.doors)),
+            serve_without=self.without_lease == "serve",
+            lease=self.lease_s,
+            trip=self.trip_ms / 1000,
+            tell=self.tell,
+        )
+
+
 class Log(Part, frozen=True, kw_only=True):
     """What is told on standard error."""
 
@@ -194,4 +232,5 @@
     peers: Peers | None = None
     control: Control | None = None
     recovery: Annotated[Recovery | None, says("off where missing")] = None
+    policy: Annotated[PolicyTable | None, says("off where missing: this file alone decides")] = None
     log: Log = Log()
--- a/firvane/config/platform.py
+++ b/firvane/config/platform.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import fields, replace
 from typing import Any
 
 from firvane import interface as api
 from firvane.address import Address, parse_address
-from firvane.config.node import Config
+from firvane.config.node import Config, PolicyTold
 from firvane.limits.costs import derive
 from firvane.logs import FORMATS, LEVELS
 from firvane.settings import is_number, parse_settings, shape
@@ -72,6 +72,13 @@
         tier = tuple(map(parse_address, peers))
     except ValueError as error:
         raise ValueError(f"seed or peers: {error}") from None
+    ops = address("ops", "NODE_OPS") if data.get("ops") or environment.get("NODE_OPS") else None
+    policy = _policy(data.get("policy"))
+    if policy:
+        if ops is None or not tier or not data.get("peer_listen"):
+            raise ValueError("policy needs ops, peers and peer_listen")
+        for key, why in policy.misfits(len(tier)):
+            raise ValueError(f"policy.{key} {why}")
     inherited = environment.get("NODE_SOCKET_FD") or None
     if inherited is not None and not (inherited.isdecimal() and len(inherited) < 8):
         raise ValueError(f"NODE_SOCKET_FD is {inherited!r}, not the number of a descriptor")
@@ -93,7 +100,8 @@
         snapshot=kept.get("snapshot"),
         snapshot_every=kept.get("snapshot_every", Config.snapshot_every),
         shape=shape(raw),
-        ops=address("ops", "NODE_OPS") if data.get("ops") or environment.get("NODE_OPS") else None,
+        policy=policy,
+        ops=ops,
         inherited=None if inherited is None else int(inherited),
         log_level=log["level"],
         log_format=log["format"],
@@ -117,6 +125,44 @@
     return api.Recovery(**{key: given[key] for key in given if wanted[key] is bool})
 
 
+def _policy(given: Any) -> PolicyTold | None:
+    """The platform never says it; `ValueError` for a key that there is not, or of no use."""
+    if given is None:
+        return None
+    if not isinstance(given, dict):
+        raise ValueError("policy is not an object")
+    well: dict[str, Callable[[Any], bool]] = {
+        "folder": lambda value: isinstance(value, str) and bool(value),
+        "doors": lambda value: isinstance(value, list),
+        "voters": lambda value: isinstance(value, list) and all(type(one) is int for one in value),
+        "without_lease": lambda value: value in ("refuse", "serve"),
+        "lease_s": lambda value: is_number(value) and 0.5 <= value <= 60,
+        "trip_ms": is_number,
+        "tell": lambda value: isinstance(value, bool),
+    }
+    for key, value in given.items():
+        if key not in well:
+            raise ValueError(f"policy.{key} is not one of {', '.join(sorted(well))}")
+        if not well[key](value):
+            raise ValueError(f"policy.{key} is {value!r}")
+    for key in ("folder", "doors"):
+        if key not in given:
+            raise ValueError(f"policy.{key} is missing")
+    try:
+        doors = tuple(map(parse_address, given["doors"]))
+    except ValueError as error:
+        raise ValueError(f"policy.doors: {error}") from None
+    return PolicyTold(
+        folder=given["folder"],
+        voters=tuple(given.get("voters", (0, 1, 2))),
+        doors=doors,
+        serve_without=given.get("without_lease") == "serve",
+        lease=float(given.get("lease_s", PolicyTold.lease)),
+        trip=given.get("trip_ms", 1000 * PolicyTold.trip) / 1000,
+        tell=given.get("tell", PolicyTold.tell),
+    )
+
+
 def _log(environment: Mapping[str, str], given: Any) -> dict[str, str]:
     """How to log: as the file says, or else the environment; `ValueError` for what there is not."""
     told = {}
--- a/tests/cli/test_command.py
+++ b/tests/cli/test_command.py
@@ -73,15 +73,19 @@
         "c": '{"settings": {}}',
         "d": "at = 1",
         "e": SCENARIO + "[boxes]\ncount = 0",
+        "f": "[limits]\nattempts = 2",
+        "g": "[limits]\nattempts = 0\n[rulez]",
     }
     for name, text in files.items():
         (tmp_path / name).write_text(text)
     code, out, err = told(capsys, "check", *(str(tmp_path / name) for name in files))
     assert code == 2
-    assert "a: configuration of" in out and "b: scenario short" in out and out.count("\n") == 2
+    assert "a: configuration of" in out and "b: scenario short" in out and out.count("\n") == 3
+    assert "f: policy that says limits" in out
     assert "c: settings: obligations is missing" in err[0]
     assert [line for line in err if "d: listen: is missing" in line]
-    assert err[-1].endswith("e: boxes.count: is 0, below 1")
+    assert err[-3].endswith("e: boxes.count: is 0, below 1")
+    assert "g: limits.attempts: must be" in err[-2] and "did you mean rules?" in err[-1]
 
 
 def test_the_examples_and_the_scenarios_that_come_along_have_no_fault(
--- a/tests/config/test_file.py
+++ b/tests/config/test_file.py
@@ -57,19 +57,19 @@
 
 def test_each_default_that_the_example_shows_is_the_one_that_holds() -> None:
     # Lines of the form `# key = value` belong to the table above them; those of whole tables are left out.
-    shown = re.sub(r"^# (\w+ = |\[recovery\])", r"\1", EXAMPLE, flags=re.MULTILINE)
+    shown = re.sub(r"^# (\w+ = |\[recovery\]|\[policy\])", r"\1", EXAMPLE, flags=re.MULTILINE)
     others = 'discovery|name = "lagos|share|quota_rps|listen = .*7946|me|everyone|addresses|seed'
     raw = tomllib.loads(re.sub(f"^({others}).*", "", shown, flags=re.MULTILINE))
-    with_all = CONFIG + "[recovery]\n"
-    default = msgspec.to_builtins(checked.build(checked.parse(with_all.encode(), "f"), File, "f"))
+    with_all = CONFIG + '[recovery]\n[policy]\nfolder = "x"\ndoors = ["127.0.0.1:1"]\n'
+    default = json.loads(msgspec.json.encode(checked.build(checked.parse(with_all.encode(), "f"), File, "f")))
     compared = 0
-    shown_otherwise = {"limits": ("second_copies",), "recovery": ("snapshot",)}
-    for table in ("rules", "log", "limits", "recovery"):
+    shown_otherwise = {"limits": ("second_copies",), "recovery": ("snapshot",), "policy": ("folder", "doors")}
+    for table in ("rules", "log", "limits", "recovery", "policy"):
         for key, value in raw[table].items():
             if key not in shown_otherwise.get(table, ()):
                 assert value == default[table][key], (table, key)
                 compared += 1
-    assert compared >= 23 and raw["remembers_keys"] is default["remembers_keys"]
+    assert compared >= 28 and raw["remembers_keys"] is default["remembers_keys"]
 
 
 @pytest.mark.parametrize(
