Read the operators' calls about policies, with their words, at the door

Change: ops/calls.py reads policy-status, -history, -put, -get, -propose, -outcome and -abort: `Line.feed` returns `Asked` with the call, its words and what they say; bad words are one -ERR that repeats nothing of them. The calls that there were, and the answer to an unknown one, are as before to the byte. A proxy answers the new ones with an -ERR: nothing is agreed on yet. Measured: tests of the door and the program pass; every cut of a call is a call or none.

--- a/firvane/ops/desk.py
+++ b/firvane/ops/desk.py
@@ -6,13 +6,13 @@
 from collections.abc import Callable
 from typing import cast
 
-from firvane.ops.calls import Call, Line, Useless, no
+from firvane.ops.calls import Asked, Line, Useless, no
 
 CALLERS = 16  # that may stand at once; one more, and the one that has stood longest without a call goes
 STAY = 5.0  # s that a caller may take for its line, or to read its answer
 DESCRIPTORS = CALLERS + 4  # kept for the door and for those that are accepted before the oldest has gone
 
-Answer = Callable[[Call], bytes]
+Answer = Callable[[Asked], bytes]
 
 
 class Desk:
@@ -59,12 +59,12 @@
         if self.done:
             return  # one line to a connection
         try:
-            call = self.line.feed(data)
+            asked = self.line.feed(data)
         except Useless as useless:
             self._say(no(str(useless)))
             return
-        if call:
-            self._say(self.desk.answer(call))
+        if asked:
+            self._say(self.desk.answer(asked))
 
     def eof_received(self) -> None:
         if not self.done:
--- a/firvane/proxy.py
+++ b/firvane/proxy.py
@@ -27,7 +27,7 @@
 from firvane.net.peers import Peers
 from firvane.net.targets import ListReader, TargetGroup
 from firvane.ops import calls
-from firvane.ops.calls import Call
+from firvane.ops.calls import Asked, Call
 from firvane.ops.desk import DESCRIPTORS, Desk
 from firvane.ops.figures import Figures, Loads
 from firvane.ops.states import Event, Life, State
@@ -225,7 +225,10 @@
             self.loads,
         )
 
-    def _answer(self, call: Call) -> bytes:
+    def _answer(self, asked: Asked) -> bytes:
+        call = asked.call
+        if call in calls.POLICY:
+            return calls.no("no policy is agreed on here: [policy] is not set")
         if call is Call.SHOW_STAT:
             return calls.lines(self.figures().text())
         if call is Call.READY:
--- a/tests/ops/test_calls.py
+++ b/tests/ops/test_calls.py
@@ -2,23 +2,146 @@
 
 from __future__ import annotations
 
+import contextlib
+
 import pytest
 from hypothesis import given
+from hypothesis import strategies as st
 
-from firvane.ops.calls import LONGEST, Call, Line, Useless
+from firvane.ops.calls import (
+    CALLS,
+    GOT,
+    LONGEST,
+    MOST_TEXT,
+    POLICY,
+    PUT,
+    Asked,
+    Call,
+    Get,
+    Given,
+    Line,
+    Named,
+    Propose,
+    Put,
+    Useless,
+    got,
+    no,
+    piece,
+    puts,
+)
+from firvane.quorum import words
 from tests.net_helpers import cut, garbage, places, seeded
 
+D = "00112233445566778899aabbccddeeff"
+DIGEST = bytes.fromhex(D)
+EXAMPLES: dict[str, Given | None] = {
+    "policy-status": None,
+    "policy-history": None,
+    f"policy-put {D} 9 7 eHk=": Put(DIGEST, 9, 7, b"xy"),
+    f"policy-get {D} 12000": Get(DIGEST, 12000),
+    f"policy-propose {D}": Propose(DIGEST, None),
+    f"policy-propose {D} 0,1,12": Propose(DIGEST, (0, 1, 12)),
+    f"policy-outcome {D}": Named(DIGEST),
+    f"policy-abort {D}": Named(DIGEST),
+}
+
 
 @seeded
 @given(places)
 def test_a_call_is_the_same_however_it_is_cut(where: list[int]) -> None:
     # Guards against a line that only works when it comes in one piece, and one that needs a carriage return.
     for call in Call:
-        for end in (b"\n", b"\r\n", b"\r\ndrain\n"):
-            line, found = Line(), None
-            for piece in cut(call.value.encode() + end, where):
-                found = found or line.feed(piece)
-            assert found is call
+        if call not in POLICY:
+            assert_found(call.value, where, Asked(call))
+    for line, given in EXAMPLES.items():
+        name, *rest = line.split()
+        assert_found(line, where, Asked(CALLS[name.encode()], tuple(rest), given))
+
+
+def assert_found(call: str, where: list[int], wanted: Asked) -> None:
+    for end in (b"\n", b"\r\n", b"\r\ndrain\n"):
+        line, found = Line(), None
+        for part in cut(call.encode() + end, where):
+            found = found or line.feed(part)
+        assert found == wanted
+
+
+@pytest.mark.parametrize("call", EXAMPLES)
+def test_a_call_that_was_cut_off_is_none(call: str) -> None:
+    # Guards against half of a proposal, or the voters 0 and 1 where 0, 1 and 12 were said.
+    for end in range(len(call) + 1):
+        assert Line().feed(call[:end].encode()) is None
+
+
+@pytest.mark.parametrize(
+    ("line", "why"),
+    [
+        ("policy-status now", "the call is policy-status"),
+        ("policy-stat", "unknown call: of a policy's there are policy-status, policy-history, policy-put"),
+        ("policy-get", "the call is policy-get DIGEST OFFSET"),
+        (f"policy-get {D.upper()} 0", "policy-get: the digest is not 32 digits"),
+        (f"policy-get {D}0 0", "policy-get: the digest is not"),
+        (f"policy-get {D} -1", "policy-get: the offset is not a whole number below 65536"),
+        (f"policy-get {D} 65536", "policy-get: the offset is not a whole number below 65536"),
+        (f"policy-get {D} \u0661", "policy-get: a word is not ASCII"),
+        (f"policy-get {D} 1_0", "policy-get: the offset is not"),
+        (f"policy-put {D} 65537 0 eA==", "policy-put: the length is not a whole number below 65537"),
+        (f"policy-put {D} 5 0 eA=", "policy-put: the piece is not base64"),
+        (f"policy-put {D} 5 0 e-_=", "policy-put: the piece is not base64"),
+        (f"policy-put {D} 5 0 =", "policy-put: the piece is"),
+        (f"policy-put {D} 5 5 eA==", "policy-put: the piece ends after the text"),
+        (f"policy-propose {D} 0,1, 2", "the call is policy-propose DIGEST [VOTER,VOTER,...]"),
+        (f"policy-propose {D} 0,,1", "policy-propose: the voter is not"),
+        (f"policy-propose {D} 1,0", "policy-propose: the voters are not in ascending order"),
+        (f"policy-propose {D} 1,1", "policy-propose: the voters are not in ascending order"),
+        ("policy-abort", "the call is policy-abort DIGEST"),
+    ],
+)
+def test_bad_words_are_turned_down_in_one_line(line: str, why: str) -> None:
+    with pytest.raises(Useless) as caught:
+        Line().feed(line.encode() + b"\n")
+    assert str(caught.value).startswith(why) and no(str(caught.value)).count(b"\n") == 1
+
+
+def test_the_answer_to_an_unknown_call_is_the_one_that_it_was() -> None:
+    with pytest.raises(Useless) as caught:
+        Line().feed(b"polic\n")
+    assert str(caught.value) == "unknown call: there are ready, show-stat, drain, resume, recovery"
+
+
+@seeded
+@given(st.binary(min_size=1, max_size=3 * PUT))
+def test_a_text_goes_through_the_door_in_pieces_and_comes_out_the_same(text: bytes) -> None:
+    digest, there = words.digest_of(text), bytearray(len(text))
+    for line in puts(digest, text):
+        found = Line().feed(line.encode() + b"\r\n")
+        assert found and isinstance(found.given, Put)
+        put = found.given
+        assert (put.digest, put.length) == (digest, len(text))
+        there[put.offset : put.offset + len(put.data)] = put.data
+    assert bytes(there) == text
+    back = b""
+    while len(back) < len(text):
+        length, more = got(piece(bytes(there), len(back)).decode())
+        assert length == len(text) and more
+        back += more
+    assert back == text
+
+
+def test_the_longest_text_fits_into_lines_and_answers() -> None:
+    text = bytes(MOST_TEXT)
+    assert max(len(line) for line in puts(words.digest_of(text), text)) < LONGEST
+    assert len(got(piece(text, 0).decode())[1]) == GOT
+    assert piece(text, MOST_TEXT).startswith(b"-ERR")
+    assert MOST_TEXT == words.MOST_TEXT
+
+
+@pytest.mark.parametrize(
+    "answer", ["", "-ERR gone", "+OK", "+OK 5", "+OK x eA==", "+OK 5 eA=", "eA==", "+OK 99999 eA=="]
+)
+def test_what_holds_no_piece_gives_none(answer: str) -> None:
+    with pytest.raises(ValueError):
+        got(answer + "\n")
 
 
 @pytest.mark.parametrize("data", [b"\n", b"\r\n", b"stop\n", b"DRAIN\n", b"ready now\n", b"\xff\x00\n"])
@@ -44,4 +167,13 @@
         found = line.feed(data)
     except Useless:
         return
-    assert isinstance(found, Call) or b"\n" not in data
+    assert isinstance(found, Asked) or b"\n" not in data
+
+
+@seeded
+@given(st.sampled_from(list(EXAMPLES)), st.integers(0, 200), garbage)
+def test_garbage_in_the_middle_of_a_call_is_a_call_or_useless(call: str, place: int, data: bytes) -> None:
+    line = call.encode()[:place] + data + call.encode()[place + len(data) :] + b"\n"
+    with contextlib.suppress(Useless):
+        found = Line().feed(line)
+        assert found and (found.given is not None or not found.words)
--- a/tests/ops/test_desk.py
+++ b/tests/ops/test_desk.py
@@ -44,6 +44,8 @@
         assert (await ask(at, b"rea", b"dy\r", b"\n")).startswith(b"+OK")
         assert (await ask(at, b"nonsense\n")).startswith(b"-ERR")
         assert (await ask(at, b"x" * 5000)).startswith(b"-ERR")
+        unset = b"-ERR no policy is agreed on here: [policy] is not set\n"
+        assert await ask(at, b"policy-sta", b"tus\n") == await ask(at, b"policy-history\r\n") == unset
         figures, end, rest = (await ask(at, b"show-stat\n")).split(b"\n")
         assert (end, rest) == (b".", b"")
         assert json.loads(figures)["known_backends"] == 1
