Propose, follow, compare and give up policies from the command, at any proxy's door

Change: firvane policy found, propose, status, history, diff and abort. Measured: tests against a stand-in door; an answer cut at each place is never a success, and the call as it was before is caught by the same cuts.

--- a/firvane/cli/__init__.py
+++ b/firvane/cli/__init__.py
@@ -1,7 +1,8 @@
 """The `firvane` command: a thin file for each subcommand, loaded when it is called.
 
-Exit codes: 0 well; 1 a broken rule, a worse result or a failure; 2 bad usage or a file of no use. Whatever
-is wrong with what was given is told in one line each, on standard error.
+Exit codes: 0 well; 1 a broken rule, a worse result or a failure; 2 bad usage or a file of no use; 3 nobody
+could say what has become of a policy. Whatever is wrong with what was given is told in one line each, on
+standard error.
 """
 
 from __future__ import annotations
@@ -25,6 +26,7 @@
     "report": "Show one result, or two side by side.",
     "scenarios": "List the scenarios that come along.",
     "recovery": "Ask a proxy where it is on its way back from a loss of power.",
+    "policy": "Change the policy of all proxies of a tier, and ask which is in force.",
     "snapshot": "Show or check what a proxy has kept on disk.",
     "config": "Tell about the configuration format.",
 }
--- /dev/null
+++ b/firvane/cli/policy.py
@@ -0,0 +1,354 @@
+"""`firvane policy`: one policy for all proxies of a tier, in force everywhere or nowhere.
+
+Exit codes: 0 in force, or well; 1 failed, or turned down; 2 bad usage or a file of no use; 3 nobody could say
+what has become of it, and one sentence says how to ask again.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterator, Mapping
+from typing import TYPE_CHECKING, Any, NoReturn
+
+import click
+
+from firvane.address import Address
+from firvane.cli import Bad
+from firvane.text import plain
+
+if TYPE_CHECKING:
+    from firvane.config.node import Config
+    from firvane.config.policy import Policy
+
+ENDS = {"in force": 0, "failed": 1}  # an outcome that stays, and the exit code
+LOOK_S = 0.1  # from one question for the outcome to the next
+OWN = "what each proxy's own file says"
+AT = click.option("--at", required=True, metavar="ADDRESS", help="the `ops` of any proxy of the tier")
+
+
+@click.group("policy", context_settings={"help_option_names": ["-h", "--help"]})
+def command() -> None:
+    """Change the policy (classes, tenants, rules, limits of requests) of all proxies of a tier at once.
+
+    It is in force everywhere or nowhere, also while some proxies are down: [policy] in firvane.toml.
+
+    \b
+    Examples:
+      firvane policy found firvane.toml first.toml           once on each voter, before the first start
+      firvane policy propose next.toml --at 127.0.0.1:9100   waits: in force, failed or unknown
+      firvane policy status 127.0.0.1:9100 127.0.0.1:9101
+      firvane policy diff next.toml 127.0.0.1:9100
+    """
+
+
+@command.command("found")
+@click.argument("config", type=click.Path())
+@click.argument("policy", type=click.Path())
+def found(config: str, policy: str) -> None:
+    """Begin: make the votes of epoch 1, with POLICY in force, in the folder that CONFIG's [policy] names.
+
+    Once on each voter, with the same POLICY on all, before the tier starts for the first time. A voter that
+    has lost its folder is not founded again: it starts without it and learns from the others. Exit code 1
+    where there are votes already.
+    """
+    from firvane.config.policy import settings
+    from firvane.quorum.words import digest_of
+
+    read = _config(config)
+    if read.policy is None:
+        raise Bad(f"{config}: policy: is missing: it names the folder in which votes are kept")
+    text, said = _policy(policy)
+    settings(said, read.settings, policy)
+    voters, me, folder = said.voters or read.policy.voters, read.settings.me, read.policy.folder
+    if me not in voters:
+        known = ", ".join(map(str, voters))
+        raise Bad(f"{config}: is proxy {me}, and only the voters ({known}) keep votes: it needs no founding")
+    try:
+        _found(folder, text, voters)
+    except FileExistsError:
+        raise FileExistsError(f"{folder}: holds votes already, which founding again would forget") from None
+    click.echo(f"{folder}: epoch 1 is {digest_of(text).hex()}, voted on by {', '.join(map(str, voters))}")
+
+
+def _found(folder: str, text: bytes, voters: tuple[int, ...]) -> None:
+    from importlib import import_module
+
+    try:
+        store = import_module("firvane.quorum.store")
+    except ModuleNotFoundError:
+        raise Bad("votes need more than a proxy does: pip install 'firvane[snapshots]'") from None
+    store.found(folder, text, voters)
+
+
+def _config(file: str) -> Config:
+    import os
+
+    from firvane import checked
+    from firvane.cli.files import form_of
+    from firvane.config.file import read_file
+    from firvane.config.platform import read_config
+
+    if form_of(checked.load(file)) != "platform":
+        return read_file(file)
+    try:
+        return read_config({**os.environ, "NODE_CONFIG": file})
+    except ValueError as error:
+        raise Bad(f"{file}: {error}") from None
+
+
+@command.command("propose")
+@click.argument("file", type=click.Path())
+@AT
+@click.option("--voters", metavar="N,N,...", help="who votes from then on; else as FILE says, or as before")
+@click.option(
+    "--timeout", type=click.FloatRange(0, 86_400), default=60.0, show_default=True, help="s to wait"
+)
+@click.pass_context
+def propose(ctx: click.Context, file: str, at: str, voters: str | None, timeout: float) -> None:
+    """Put the policy in FILE in force on all proxies, and wait until that is done or has failed.
+
+    Exit code 0: it is in force. 1: it has failed, and is in force nowhere. 3: not known yet; the same FILE
+    proposed again is the same change and not a second one. 2: FILE is of no use.
+    """
+    import time
+
+    from firvane.cli import door
+    from firvane.config.node import misfits
+    from firvane.ops import calls
+    from firvane.quorum.words import digest_of
+
+    (address,) = door.addresses("policy propose", [at])
+    text, said = _policy(file)
+    digest = digest_of(text)
+    if voters is None and said.voters:
+        voters = ",".join(map(str, said.voters))
+    line = f"{calls.Call.POLICY_PROPOSE.value} {digest.hex()}" + (f" {voters}" if voters is not None else "")
+    try:
+        given = calls.asked(line.encode()).given
+    except calls.Useless as useless:
+        raise Bad(f"policy propose: --voters: {useless}") from None
+    if voters is not None and isinstance(given, calls.Propose):
+        if given.voters is None:
+            raise Bad("policy propose: --voters: names none")
+        for _, why in misfits(given.voters, max(given.voters) + 1):
+            raise Bad(f"policy propose: --voters: {why}")
+    again = f"ask again: firvane policy propose {file} --at {at} (the same text is the same change)"
+    until, last = time.monotonic() + timeout, ""
+    try:
+        for one in (*calls.puts(digest, text), line):
+            answer = _asked(address, one, until if last else 0.0)
+            last = one
+            if not answer.startswith("+OK"):
+                _end(ctx, 1, f"{file}: not proposed: {_why(answer)}")
+        while True:
+            answer = _asked(address, f"{calls.Call.POLICY_OUTCOME.value} {digest.hex()}", until)
+            word, _, why = _why(answer).partition(": ")
+            if answer.startswith("+OK") and word in ENDS:
+                _end(ctx, ENDS[word], f"{file}: {word}: {why}")
+            if not answer.startswith("+OK"):  # it knows nothing of it any more
+                _end(ctx, 3, f"{file}: unknown: {_why(answer)}; {again}")
+            if time.monotonic() >= until:
+                _end(ctx, 3, f"{file}: unknown: {why or word}; {again}")
+            if answer != last:
+                click.echo(plain(f"{file}: {_why(answer)}"), err=True)
+                last = answer
+            time.sleep(LOOK_S)
+    except OSError as error:
+        _end(ctx, 3, f"{file}: unknown: {at} does not answer: {error.strerror or error}; {again}")
+    except KeyboardInterrupt:  # nobody has said that it failed
+        _end(ctx, 3, f"{file}: unknown: interrupted; {again}")
+
+
+def _asked(address: Address, line: str, until: float) -> str:
+    """The answer to a line that may be said twice; tried again up to a time, then `OSError`."""
+    import time
+
+    from firvane.cli import door
+
+    while True:
+        try:
+            return door.call(address, line)
+        except OSError:
+            if time.monotonic() >= until:
+                raise
+        time.sleep(LOOK_S)
+
+
+def _why(answer: str) -> str:
+    """What an answer of one line says."""
+    return answer.removeprefix("+OK").removeprefix("-ERR").strip()
+
+
+def _end(ctx: click.Context, code: int, line: str) -> NoReturn:
+    click.echo(plain(line), err=code != 0)
+    ctx.exit(code)
+
+
+@command.command("abort")
+@click.argument("change", metavar="FILE|DIGEST")
+@AT
+@click.pass_context
+def abort(ctx: click.Context, change: str, at: str) -> None:
+    """Give up the change to the policy in FILE, or with DIGEST, that was proposed at ADDRESS.
+
+    Exit code 1 where it can no longer be stopped, or there is none; 3 where nobody answers.
+    """
+    from pathlib import Path
+
+    from firvane.cli import door
+    from firvane.ops.calls import Call
+    from firvane.quorum.words import digest_of
+
+    (address,) = door.addresses("policy abort", [at])
+    digest = change
+    if Path(change).exists() or not re.fullmatch("[0-9a-f]{32}", change):
+        digest = digest_of(_text(change)).hex()
+    try:
+        answer = door.call(address, f"{Call.POLICY_ABORT.value} {digest}")
+    except OSError as error:
+        why = f"{at} does not answer: {error.strerror or error}"
+        _end(ctx, 3, f"{change}: unknown: {why}; ask again: firvane policy abort {digest} --at {at}")
+    if not answer.startswith("+OK"):
+        _end(ctx, 1, f"{change}: not given up: {_why(answer)}")
+    _end(ctx, 0, f"{change}: given up: {_why(answer)}".removesuffix(": "))
+
+
+@command.command("status")
+@click.argument("doors", nargs=-1, required=True, metavar="ADDRESS...")
+@click.pass_context
+def status(ctx: click.Context, doors: tuple[str, ...]) -> None:
+    """Which policy is in force, who votes, who is awaited and until when, as the proxy at ADDRESS knows it.
+
+    Exit code 1 where a proxy does not answer or has no [policy].
+    """
+    from firvane.cli import door
+
+    ctx.exit(door.show("policy status", doors, "policy-status"))
+
+
+@command.command("history")
+@click.argument("address")
+@click.pass_context
+def history(ctx: click.Context, address: str) -> None:
+    """The policies that have been in force, as the proxy at ADDRESS has learnt of them."""
+    from firvane.cli import door
+
+    ctx.exit(door.show("policy history", [address], "policy-history"))
+
+
+@command.command("diff")
+@click.argument("a")
+@click.argument("b")
+def diff(a: str, b: str) -> None:
+    """What differs between the policies A and B, key by key: files, or an ADDRESS: the one in force there."""
+    before, after = _either(a), _either(b)
+    for line in list(differences(before, after)) or ["the same"]:
+        click.echo(plain(line))
+
+
+def _either(given: str) -> Policy:
+    """The policy in a file, or in force at a door."""
+    from pathlib import Path
+
+    from firvane.address import parse_address
+    from firvane.config.policy import parse
+
+    try:
+        address = parse_address(given)
+    except ValueError:
+        return _policy(given)[1]
+    if Path(given).exists():
+        return _policy(given)[1]
+    try:
+        return parse(_in_force(address), given)
+    except OSError as error:
+        raise OSError(f"{given}: tells no policy: {error.strerror or error}") from None
+
+
+def _in_force(address: Address) -> bytes:
+    """The text in force at a door: the first digest that its status names; `OSError` where it gives none."""
+    from firvane.cli import door
+    from firvane.ops.calls import Call, got
+    from firvane.quorum.words import digest_of
+
+    answer = door.call(address, Call.POLICY_STATUS.value)
+    digest = re.search(r"\b[0-9a-f]{32}\b", answer)
+    if answer.startswith("-") or digest is None:
+        raise OSError(_why(answer) if answer.startswith("-") else "its status names no digest")
+    text, length = b"", 1
+    while len(text) < length:
+        try:
+            length, piece = got(door.call(address, f"{Call.POLICY_GET.value} {digest[0]} {len(text)}"))
+        except ValueError as error:
+            raise OSError(str(error)) from None
+        text += piece
+    if digest_of(text).hex() != digest[0]:
+        raise OSError("the text is not the one that its digest names")
+    return text
+
+
+def differences(a: Policy, b: Policy) -> Iterator[str]:
+    """A line for each key that differs."""
+    before, after = _flat(a), _flat(b)
+    for key in [*before, *(key for key in after if key not in before)]:
+        old, new = before.get(key), after.get(key)
+        if isinstance(old, dict) and isinstance(new, dict):
+            for name in [*old, *(name for name in new if name not in old)]:
+                yield from _listed(f"{key}.{name}", old.get(name), new.get(name))
+        elif old != new:
+            yield f"{key}: {_shown(old)} becomes {_shown(new)}"
+
+
+def _listed(key: str, old: Mapping[str, Any] | None, new: Mapping[str, Any] | None) -> Iterator[str]:
+    """What differs in a class or a tenant, which may be in one of the two alone."""
+    if new is None:
+        yield f"{key}: is gone"
+    elif old is None:
+        yield f"{key}: is new: " + ", ".join(f"{name} {_shown(new[name])}" for name in new if name != "name")
+    else:
+        yield from (f"{key}.{n}: {_shown(old[n])} becomes {_shown(new[n])}" for n in new if old[n] != new[n])
+
+
+def _flat(policy: Policy) -> dict[str, Any]:
+    """What a policy says: lists by their names, and the keys of parts by their paths."""
+    import msgspec
+
+    told: dict[str, Any] = {}
+    for key, value in msgspec.to_builtins(policy).items():
+        if key in ("rules", "limits"):
+            told.update({f"{key}.{name}": one for name, one in (value or {}).items()})
+        elif key in ("classes", "tenants") and value is not None:
+            told[key] = {one["name"]: one for one in value}
+        else:
+            told[key] = value
+    return told
+
+
+def _shown(value: Any) -> str:
+    from firvane.checked import shown
+
+    if value is None:
+        return OWN
+    if isinstance(value, list | tuple):
+        return ", ".join(map(str, value))
+    if isinstance(value, dict):
+        return ", ".join(value) or "none"
+    return f"{value:.10g}" if isinstance(value, float) else shown(value)
+
+
+def _policy(file: str) -> tuple[bytes, Policy]:
+    """The text in a file, and what it says; raises `Faults` or `Bad`."""
+    from firvane.config.policy import parse
+
+    text = _text(file)
+    return text, parse(text, file)
+
+
+def _text(file: str) -> bytes:
+    from firvane.quorum.words import MOST_TEXT
+
+    try:
+        with open(file, "rb") as opened:
+            return opened.read(MOST_TEXT + 1)
+    except (OSError, ValueError) as error:  # ValueError: a name with a zero byte in it
+        raise Bad(f"{file}: cannot be read: {getattr(error, 'strerror', None) or error}") from None
--- /dev/null
+++ b/tests/cli/test_policy.py
@@ -0,0 +1,317 @@
+"""`firvane policy` against a small stand-in for a proxy's door: what it says there, and makes of answers."""
+
+from __future__ import annotations
+
+import socket
+import sys
+import threading
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from types import ModuleType
+from typing import Any
+
+import pytest
+
+from firvane.cli import door as doors
+from firvane.cli import policy as module
+from firvane.ops import calls
+from firvane.ops.calls import Asked, Call, Line, Put, Useless
+from firvane.quorum.words import digest_of
+from tests.cli.test_command import told
+from tests.config.test_policy import TIER
+
+BASE = 'voters = [0, 2]\n[limits]\nattempts = 2\n[[tenants]]\nname = "a"\nshare = 0.5\nquota_rps = 10\n'
+NEXT = '[limits]\nattempts = 3\nprobes = true\n[[tenants]]\nname = "a"\nshare = 0.25\n[[tenants]]\nname = "b"'
+BAD = "[limits]\nattempts = 0\nsocket = 1"
+FORCE = digest_of(BASE.encode())
+DONE = calls.yes("in force: epoch 4")
+
+
+class StandIn:
+    """A door that holds texts, and says of a proposal what it is told, the last of it time and again."""
+
+    def __init__(self) -> None:
+        self.socket = socket.create_server(("127.0.0.1", 0))
+        self.at = "{}:{}".format(*self.socket.getsockname())
+        self.texts = {FORCE: bytearray(BASE.encode())}
+        self.heard: list[Asked] = []
+        self.outcomes = [DONE]
+        self.says: dict[Call, bytes] = {Call.POLICY_STATUS: calls.lines(f"epoch 3\nin_force {FORCE.hex()}")}
+        self.thread = threading.Thread(target=self._serve, daemon=True)
+        self.thread.start()
+
+    def _serve(self) -> None:
+        while True:
+            try:
+                caller, _ = self.socket.accept()
+            except OSError:
+                return
+            with caller:
+                line, asked = Line(), None
+                try:
+                    while asked is None and (data := caller.recv(4096)):
+                        asked = line.feed(data)
+                    if asked:
+                        self.heard.append(asked)
+                        caller.sendall(self._answer(asked))
+                except Useless as useless:
+                    caller.sendall(calls.no(str(useless)))
+
+    def _answer(self, asked: Asked) -> bytes:
+        given = asked.given
+        if asked.call in self.says:
+            return self.says[asked.call]
+        if isinstance(given, Put):
+            text = self.texts.setdefault(given.digest, bytearray(given.length))
+            text[given.offset : given.offset + len(given.data)] = given.data
+            return calls.yes()
+        if isinstance(given, calls.Get):
+            return calls.piece(bytes(self.texts[given.digest]), given.offset)
+        if isinstance(given, calls.Propose):
+            return calls.yes("open") if given.digest in self.texts else calls.no("its text is not here")
+        if asked.call is Call.POLICY_OUTCOME:
+            return self.outcomes.pop(0) if len(self.outcomes) > 1 else self.outcomes[0]
+        return calls.yes()
+
+    def close(self) -> None:
+        self.socket.shutdown(socket.SHUT_RDWR)
+        self.socket.close()
+        self.thread.join(5)
+
+
+@pytest.fixture
+def at() -> Iterator[StandIn]:
+    stand_in = StandIn()
+    yield stand_in
+    stand_in.close()
+
+
+@pytest.fixture
+def files(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Path:
+    monkeypatch.chdir(tmp_path)
+    monkeypatch.setattr(module, "LOOK_S", 0.0)
+    for name, text in (("base.toml", BASE), ("next.toml", NEXT), ("bad.toml", BAD)):
+        Path(name).write_text(text)
+    return tmp_path
+
+
+Capture = pytest.CaptureFixture[str]
+
+
+def test_a_proposal_is_put_proposed_and_waited_for(at: StandIn, files: Path, capsys: Capture) -> None:
+    at.outcomes = [calls.yes("open: awaits proxy 2"), calls.yes("unknown: nobody says"), DONE]
+    code, out, err = told(capsys, "policy", "propose", "next.toml", "--at", at.at)
+    assert (code, out) == (0, "next.toml: in force: epoch 4\n")
+    assert err == ["next.toml: open: awaits proxy 2", "next.toml: unknown: nobody says"]
+    digest = digest_of(NEXT.encode())
+    assert at.texts[digest] == NEXT.encode()
+    asked = [one.given for one in at.heard if one.call is Call.POLICY_PROPOSE]
+    assert asked == [calls.Propose(digest, None)]
+
+
+@pytest.mark.parametrize(("options", "voters"), [((), (0, 2)), (("--voters", "0,1,2"), (0, 1, 2))])
+def test_voters_are_those_of_the_option_or_of_the_file(
+    options: tuple[str, ...], voters: tuple[int, ...], at: StandIn, files: Path, capsys: Capture
+) -> None:
+    assert told(capsys, "policy", "propose", "base.toml", "--at", at.at, *options)[0] == 0
+    assert calls.Propose(FORCE, voters) in [one.given for one in at.heard]
+
+
+@pytest.mark.parametrize(
+    ("outcome", "code", "words"),
+    [
+        (calls.yes("failed: proxy 2: limits.attempts: is 3"), 1, "failed: proxy 2: limits.attempts: is 3"),
+        (calls.yes("open: awaits proxy 2"), 3, "unknown: awaits proxy 2; ask again: firvane policy propose"),
+        (calls.yes("unknown: no majority"), 3, "unknown: no majority; ask again: firvane policy propose"),
+        (calls.no("no such proposal here"), 3, "unknown: no such proposal here; ask again: firvane policy"),
+        (calls.yes("in forced: epoch 4"), 3, "unknown"),
+        (b"-ERR in force: epoch 4\n", 3, "unknown"),
+        (b"\xff\x1b[2J\x00\n", 3, "does not answer: the answer was cut off; ask again"),
+        (b"in force: epoch 4\n.\n", 3, "unknown"),
+        (b"", 3, "the call was closed"),
+    ],
+)
+def test_each_outcome_has_its_code_and_a_sentence(
+    outcome: bytes, code: int, words: str, at: StandIn, files: Path, capsys: Capture
+) -> None:
+    at.outcomes = [outcome]
+    found, out, err = told(capsys, "policy", "propose", "next.toml", "--at", at.at, "--timeout", "0")
+    assert found == code and not out and len(err) == 1 and words in err[0]
+    assert err[0].isprintable()
+
+
+def cuts(at: StandIn, capsys: Capture) -> list[int]:
+    """The exit codes where the answer ends early, at each place."""
+    codes = []
+    for end in range(len(DONE)):
+        at.outcomes = [DONE[:end]]
+        codes.append(told(capsys, "policy", "propose", "next.toml", "--at", at.at, "--timeout", "0")[0])
+    return codes
+
+
+def test_an_answer_that_is_cut_anywhere_is_no_success(at: StandIn, files: Path, capsys: Capture) -> None:
+    assert set(cuts(at, capsys)) == {3}
+
+
+def test_a_door_that_believes_half_an_answer_is_caught(
+    at: StandIn, files: Path, capsys: Capture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def hasty(address: tuple[str, int], line: str) -> str:
+        with socket.create_connection(address, 5) as door:
+            door.sendall(line.encode() + b"\n")
+            return b"".join(iter(lambda: door.recv(4096), b"")).decode()
+
+    monkeypatch.setattr(doors, "call", hasty)
+    assert 0 in cuts(at, capsys)
+
+
+def test_an_answer_that_is_lost_is_asked_for_again(at: StandIn, files: Path, capsys: Capture) -> None:
+    at.outcomes = [b"", b"+OK in fo", DONE]
+    assert told(capsys, "policy", "propose", "next.toml", "--at", at.at)[0] == 0
+
+
+@pytest.mark.parametrize("call", [Call.POLICY_PUT, Call.POLICY_PROPOSE])
+def test_a_door_that_says_no_proposes_nothing(call: Call, at: StandIn, files: Path, capsys: Capture) -> None:
+    at.says[call] = calls.no("another change is open")
+    code, _, err = told(capsys, "policy", "propose", "next.toml", "--at", at.at)
+    assert code == 1 and err == ["next.toml: not proposed: another change is open"]
+
+
+def test_an_interrupted_wait_is_no_failure(
+    at: StandIn, files: Path, capsys: Capture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def interrupted(*_: Any) -> str:
+        raise KeyboardInterrupt
+
+    monkeypatch.setattr(doors, "call", interrupted)
+    code, _, err = told(capsys, "policy", "propose", "next.toml", "--at", at.at)
+    assert code == 3 and "unknown: interrupted; ask again" in err[0]
+
+
+@pytest.mark.parametrize(
+    ("args", "code", "count"),
+    [
+        (["propose", "bad.toml", "--at", "AT"], 2, 2),
+        (["propose", "nowhere.toml", "--at", "AT"], 2, 1),
+        (["propose", "next.toml", "--at", "here"], 2, 1),
+        (["propose", "next.toml"], 2, 1),
+        (["propose", "next.toml", "--at", "AT", "--voters", "1,0"], 2, 1),
+        (["propose", "next.toml", "--at", "AT", "--voters", "0,1,2,3,4,5"], 2, 1),
+        (["propose", "next.toml", "--at", "AT", "--voters", "0 1"], 2, 1),
+        (["propose", "next.toml", "--at", "AT", "--voters", ""], 2, 1),
+        (["propose", "next.toml", "--at", "127.0.0.1:1"], 3, 1),
+        (["abort", "next.toml", "--at", "127.0.0.1:1"], 3, 1),
+        (["abort", "nowhere", "--at", "AT"], 2, 1),
+        (["status", "here"], 2, 1),
+        (["status", "127.0.0.1:1"], 1, 1),
+        (["history", "127.0.0.1:1"], 1, 1),
+        (["diff", "next.toml", "127.0.0.1:1"], 1, 1),
+        (["diff", "next.toml", "bad.toml"], 2, 2),
+    ],
+)
+def test_what_is_of_no_use_is_told_and_nothing_is_asked(
+    args: list[str], code: int, count: int, at: StandIn, files: Path, capsys: Capture
+) -> None:
+    found, out, err = told(capsys, "policy", *(at.at if arg == "AT" else arg for arg in args))
+    assert (found, len(err), out, at.heard) == (code, count, "", [])
+
+
+def test_status_and_history_are_what_the_doors_say(at: StandIn, files: Path, capsys: Capture) -> None:
+    at.says[Call.POLICY_HISTORY] = calls.no("no policy is agreed on here: [policy] is not set")
+    code, out, _ = told(capsys, "policy", "status", at.at)
+    assert (code, out) == (0, f"{at.at}\n  epoch 3\n  in_force {FORCE.hex()}\n")
+    code, _, err = told(capsys, "policy", "history", at.at)
+    assert code == 1 and "[policy] is not set" in err[0]
+    at.says[Call.POLICY_STATUS] = calls.lines("epoch 3")[:-2]  # cut between two lines
+    assert told(capsys, "policy", "status", at.at)[0] == 1
+
+
+@pytest.mark.parametrize("change", ["next.toml", digest_of(NEXT.encode()).hex()])
+def test_a_change_is_given_up_by_its_file_or_its_digest(
+    change: str, at: StandIn, files: Path, capsys: Capture
+) -> None:
+    assert told(capsys, "policy", "abort", change, "--at", at.at) == (0, f"{change}: given up\n", [])
+    assert at.heard[-1].given == calls.Named(digest_of(NEXT.encode()))
+    at.says[Call.POLICY_ABORT] = calls.no("too late: its moment is agreed on")
+    assert told(capsys, "policy", "abort", change, "--at", at.at)[0] == 1
+
+
+DIFFERENCE = f"""\
+tenants.a.share: 0.5 becomes 0.25
+tenants.a.quota_rps: 10 becomes 0
+tenants.b: is new: share 0, quota_rps 0
+limits.attempts: 2 becomes 3
+limits.probes: {module.OWN} becomes true
+voters: 0, 2 becomes {module.OWN}
+"""
+
+
+def test_a_difference_is_told_key_by_key_of_files_and_of_what_is_in_force(
+    at: StandIn, files: Path, capsys: Capture
+) -> None:
+    assert told(capsys, "policy", "diff", "base.toml", "next.toml") == (0, DIFFERENCE, [])
+    assert told(capsys, "policy", "diff", at.at, "next.toml") == (0, DIFFERENCE, [])
+    assert told(capsys, "policy", "diff", "base.toml", at.at) == (0, "the same\n", [])
+    assert "tenants.b: is gone" in told(capsys, "policy", "diff", "next.toml", at.at)[1]
+    at.texts[FORCE][0] ^= 1
+    code, _, err = told(capsys, "policy", "diff", "next.toml", at.at)
+    assert code == 1 and "not the one that its digest names" in err[0]
+
+
+@pytest.mark.parametrize(
+    "answer", [b"+OK 5 \n", b"+OK 99999999 eA==\n", b"+OK 5 eA\n", b"-ERR gone\n", b"\xff\n"]
+)
+def test_a_door_that_gives_no_text_is_told(answer: bytes, at: StandIn, files: Path, capsys: Capture) -> None:
+    at.says[Call.POLICY_GET] = answer
+    code, _, err = told(capsys, "policy", "diff", "next.toml", at.at)
+    assert code == 1 and len(err) == 1 and "tells no policy" in err[0]
+
+
+# Founding
+
+Founded = list[tuple[str, bytes, tuple[int, ...]]]
+
+
+@pytest.fixture
+def founded(monkeypatch: pytest.MonkeyPatch) -> Founded:
+    made: Founded = []
+
+    def found(folder: str, text: bytes, voters: tuple[int, ...]) -> None:
+        if made:
+            raise FileExistsError(17, "File exists")
+        made.append((folder, text, voters))
+
+    store = ModuleType("firvane.quorum.store")
+    store.found = found  # type: ignore[attr-defined]
+    monkeypatch.setitem(sys.modules, "firvane.quorum.store", store)
+    return made
+
+
+def test_founding_makes_the_first_votes_and_none_a_second_time(
+    files: Path, capsys: Capture, founded: Founded
+) -> None:
+    Path("tier.toml").write_text(TIER)
+    code, out, _ = told(capsys, "policy", "found", "tier.toml", "next.toml")
+    assert code == 0 and digest_of(NEXT.encode()).hex() in out and "0, 1, 2" in out
+    assert founded == [(".", NEXT.encode(), (0, 1, 2))]
+    code, out, err = told(capsys, "policy", "found", "tier.toml", "base.toml")
+    assert code == 1 and not out and len(founded) == 1 and "holds votes already" in err[0]
+
+
+@pytest.mark.parametrize(
+    ("change", "policy", "words"),
+    [
+        (lambda text: text[: text.index("[policy]")], NEXT, "policy: is missing"),
+        (lambda text: text + "voters = [1, 2]\n", NEXT, "is proxy 0, and only the voters (1, 2)"),
+        (lambda text: text, "voters = [0, 3]", "voters: names proxy 3, and there are 3"),
+        (lambda text: text, "voters = [1]", "only the voters (1) keep votes"),
+        (lambda text: text, "", "says nothing"),
+    ],
+)
+def test_what_cannot_be_founded_is_told(
+    change: Callable[[str], str], policy: str, words: str, files: Path, capsys: Capture, founded: Founded
+) -> None:
+    Path("tier.toml").write_text(change(TIER))
+    Path("first.toml").write_text(policy)
+    code, _, err = told(capsys, "policy", "found", "tier.toml", "first.toml")
+    assert code == 2 and len(err) == 1 and words in err[0] and not founded
--- a/tests/ops/test_calls.py
+++ b/tests/ops/test_calls.py
@@ -53,9 +53,9 @@
     for call in Call:
         if call not in POLICY:
             assert_found(call.value, where, Asked(call))
-    for line, given in EXAMPLES.items():
+    for line, said in EXAMPLES.items():
         name, *rest = line.split()
-        assert_found(line, where, Asked(CALLS[name.encode()], tuple(rest), given))
+        assert_found(line, where, Asked(CALLS[name.encode()], tuple(rest), said))
 
 
 def assert_found(call: str, where: list[int], wanted: Asked) -> None:
--- a/tests/together/harness.py
+++ b/tests/together/harness.py
@@ -18,7 +18,7 @@
 from pathlib import Path
 from typing import Any
 
-from firvane.cli.recovery import call
+from firvane.cli.door import call
 from firvane.fleet.network import seats
 from firvane.fleet.records import Answered, BoxState, Record
 from firvane.fleet.scenario import Boxes, Kind, Load, Network, Proxies, Retries, Scenario
