Finish others' votes only for the epoch after the one that is known, not for that epoch again

A trace of windows showed voter 2 taking epoch 2 for settled while its swap was 1.3 s away. Cause: Member._votes, called before _sync, finished the vote for epoch 2 when epoch 2 had just been heard of as decided, and its Prepare said that epoch 2 was settled. Ruled out: the recovery of voter 0, and Told. Change: what is known is brought together before the votes are looked at, and Ballots refuses to be made for another epoch than the next.

--- a/firvane/quorum/member.py
+++ b/firvane/quorum/member.py
@@ -242,6 +242,7 @@
         return len(self.voters) // 2 + 1
 
     def _advance(self, now: float) -> None:
+        self._sync(now)
         self._votes(now)
         self._sync(now)
         unanswered = self.lease.told < self.asked_at <= now - 2 * self.times.trip
--- a/firvane/quorum/proposing.py
+++ b/firvane/quorum/proposing.py
@@ -66,6 +66,10 @@
     yes: dict[int, Accepted] = field(default_factory=dict)
     no: set[int] = field(default_factory=set)
 
+    def __post_init__(self) -> None:
+        # Voters take its word that `decided` is settled: a ballot for that very epoch would say so early.
+        assert self.wanted.epoch == self.decided.epoch + 1
+
     @property
     def voters(self) -> tuple[int, ...]:
         return self.decided.voters
