--- a/firvane/snapshots/format.py
+++ b/firvane/snapshots/format.py
@@ -1,49 +1,34 @@
-"""A snapshot as bytes: a head with version, length and checksum, and the words as MessagePack.
+"""A snapshot as bytes: under a seal (`sealed`), the words as MessagePack.
 
 Rules that hold here and nowhere else:
 
 1. A version that is newer than `words.FORMAT` is refused; older ones are read, each by its own step.
-2. What is cut, longer than it says, or of another checksum is refused whole: no field of it is read.
-3. Every refusal is one `Damaged` with a reason in plain words.
+2. Every refusal is one `Damaged` with a reason in plain words.
 """
 
 from __future__ import annotations
 
-import struct
 from math import isfinite
 from typing import Any
 
-import google_crc32c
 import msgspec
 
+from firvane.sealed import HEAD as HEAD
+from firvane.sealed import Damaged as Damaged
+from firvane.sealed import opened, seal
 from firvane.snapshots.words import FORMAT, Snapshot
 
 MAGIC = b"FVSN"
-HEAD = struct.Struct("<4sHIxxI")  # magic, version, bytes that follow, their CRC-32C
 MOST = 16 << 20  # bytes that are read
 
 
-class Damaged(ValueError):  # noqa: N818 - says what it is
-    """No snapshot can be read from it; the reason is one line."""
-
-
 def pack(snapshot: Snapshot) -> bytes:
-    body = msgspec.msgpack.encode(snapshot)
-    return HEAD.pack(MAGIC, FORMAT, len(body), google_crc32c.value(body)) + body
+    return seal(MAGIC, FORMAT, msgspec.msgpack.encode(snapshot))
 
 
 def unpack(data: bytes) -> Snapshot:
     """The snapshot; `Damaged` where there is none."""
-    if len(data) < HEAD.size or data[:4] != MAGIC:
-        raise Damaged("it is no snapshot")
-    _, version, length, checksum = HEAD.unpack_from(data)
-    body = data[HEAD.size :]
-    if not 1 <= version <= FORMAT:
-        raise Damaged(f"it is of format {version}, and this program reads up to {FORMAT}")
-    if len(body) != length:
-        raise Damaged(f"it has {len(body)} bytes of {length}")
-    if google_crc32c.value(body) != checksum:
-        raise Damaged("its checksum does not match")
+    version, body = opened(data, MAGIC, FORMAT, "snapshot")
     try:
         raw: Any = msgspec.msgpack.decode(body)
         if version == 1:
