Keep votes, texts of policies and their history on disk, one process to a folder

A vote must be on disk before it is said, also on a full disk and through kills. Writes run in order in a thread of their own and are followed on the loop only when synced; of votes that wait the last one says all. What is torn, of a newer format or of another digest is refused in one line; a voter then has lost its memory.

--- /dev/null
+++ b/tests/quorum/test_store.py
@@ -0,0 +1,179 @@
+"""What is kept of policies: on disk before it is said, whole or refused, in order, and one process's."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from firvane.quorum import store as module
+from firvane.quorum.store import FORMAT, MAGIC_VOTES, REMEMBERED, Past, Store, found
+from firvane.quorum.words import MOST_TEXT, Ballot, Kept, Value, digest_of
+from firvane.sealed import Damaged, opened, seal
+
+TEXT = b"retry_after = true\n"
+NEXT = Value(2, digest_of(b"next"), (0, 1, 2))
+HIGH = Ballot(4, 1, 9)
+VOTED = Kept(3, Value(1, digest_of(TEXT), (0, 1, 2)), True, HIGH, (HIGH, NEXT), ((1, 2),))
+
+
+class Lines:
+    """A log that keeps what is told."""
+
+    def __init__(self) -> None:
+        self.told: list[str] = []
+
+    def info(self, event: str, **fields: Any) -> None:
+        self.told.append(event)
+        assert "\n" not in f"{fields}"
+
+    warning = error = info
+
+
+class Folder:
+    """A store whose writes wait until they are let go."""
+
+    def __init__(self, path: Path) -> None:
+        self.log, self.works, self.backs = Lines(), list[Callable[[], None]](), list[Callable[[], None]]()
+        self.store = Store(path, self.log, self.backs.append, aside=self.works.append)  # type: ignore
+
+    def run(self, most: int = 100) -> None:
+        for _ in range(most):
+            if not (self.works or self.backs):
+                return
+            (self.works or self.backs).pop(0)()
+
+
+def test_what_is_founded_is_found_once_by_a_start_and_the_next(tmp_path: Path) -> None:
+    value = found(tmp_path / "f", TEXT, (2, 0, 1))
+    assert value == Value(1, digest_of(TEXT), (0, 1, 2))
+    for _ in range(2):
+        kept, texts, history = Folder(tmp_path / "f").store.read()
+        assert kept and (kept.decided, kept.settled, kept.accepted) == (value, True, None)
+        assert texts == {value.digest: TEXT} and history == ()
+    with pytest.raises(FileExistsError):
+        found(tmp_path / "f", b"other", (0,))
+    for text, voters in ((b"x" * (MOST_TEXT + 1), (0,)), (TEXT, ()), (TEXT, (1, 1)), (TEXT, range(6))):
+        with pytest.raises(ValueError, match=r"at the most|each once"):
+            found(tmp_path / "g", text, voters)
+    assert not (tmp_path / "g" / "votes").exists()
+
+
+def test_a_vote_is_said_when_it_is_on_disk_and_the_last_of_those_that_wait_says_all(tmp_path: Path) -> None:
+    folder, said = Folder(tmp_path), list[int]()
+    for n in range(4):
+        folder.store.votes(VOTED._replace(incarnation=n), lambda n=n: said.append(n))
+    assert not said and not (tmp_path / "votes").exists()
+    folder.works.pop(0)()
+    assert not said and Folder(tmp_path).store.read().kept == VOTED._replace(incarnation=0)
+    folder.run()
+    assert said == [0, 1, 2, 3] and folder.store.written == 2
+    assert Folder(tmp_path).store.read().kept == VOTED._replace(incarnation=3)
+
+
+@pytest.mark.parametrize("call", ["fsync", "replace"])
+def test_a_full_disk_is_one_line_and_its_votes_are_never_said(
+    call: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    folder, said, failed = Folder(tmp_path), list[str](), list[str]()
+    folder.store.votes(VOTED, lambda: said.append("first"))
+    folder.run()
+
+    def full(*args: Any, **more: Any) -> None:
+        raise OSError(28, os.strerror(28))
+
+    with monkeypatch.context() as patch:
+        patch.setattr(os, call, full)
+        for n in (7, 8):
+            folder.store.votes(VOTED._replace(incarnation=n), lambda: said.append("lost"))
+            folder.run()
+        folder.store.text(TEXT, lambda: said.append("lost"), failed.append)
+        folder.run()
+    assert said == ["first"] and failed == [os.strerror(28)] and folder.log.told == ["policy_unwritten"]
+    assert Folder(tmp_path).store.read() == (VOTED, {}, ()) and os.listdir(tmp_path) == ["votes"]
+    folder.store.votes(VOTED._replace(incarnation=9), lambda: said.append("again"))
+    folder.run()
+    assert said == ["first", "again"]
+
+
+BODY = msgspec.msgpack.encode(VOTED)
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(st.data())
+def test_whatever_is_cut_flipped_or_added_is_refused_in_one_line(data: st.DataObject) -> None:
+    whole = bytearray(seal(MAGIC_VOTES, FORMAT, BODY))
+    place = data.draw(st.integers(0, len(whole) - 1))
+    match data.draw(st.sampled_from(["cut", "flip", "more", "noise"])):
+        case "cut":
+            del whole[place:]
+        case "flip":
+            if place in (10, 11):  # of the head, and without a meaning
+                return
+            whole[place] ^= 1 << data.draw(st.integers(0, 7))
+        case "more":
+            whole += data.draw(st.binary(min_size=1, max_size=50))
+        case _:
+            whole = bytearray(data.draw(st.binary(max_size=300)))
+    with pytest.raises(Damaged) as refused:
+        opened(bytes(whole), MAGIC_VOTES, FORMAT, "votes")
+    assert "\n" not in str(refused.value)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        seal(MAGIC_VOTES, FORMAT, BODY)[:-1],
+        seal(MAGIC_VOTES, FORMAT + 1, BODY),
+        seal(b"FVSN", FORMAT, BODY),
+        seal(MAGIC_VOTES, FORMAT, msgspec.msgpack.encode([1, 2])),
+        seal(MAGIC_VOTES, FORMAT, msgspec.msgpack.encode(VOTED._replace(decided=NEXT._replace(voters=())))),
+        b"x" * (module.MOST + 1),
+        None,
+    ],
+    ids=["torn", "newer", "a snapshot", "other words", "no voters", "long", "a folder"],
+)
+def test_votes_of_no_use_are_lost_memory_in_one_line_and_the_texts_stay(
+    data: bytes | None, tmp_path: Path
+) -> None:
+    found(tmp_path, TEXT, (0, 1, 2))
+    (tmp_path / "votes").unlink()
+    (tmp_path / "votes").mkdir() if data is None else (tmp_path / "votes").write_bytes(data)
+    (tmp_path / f"text-{'0' * 32}").write_bytes(b"of another digest")
+    (tmp_path / ".votes.killed").touch()
+    folder = Folder(tmp_path)
+    assert folder.store.read() == (None, {digest_of(TEXT): TEXT}, ())
+    assert folder.log.told == ["policy_file_useless"] * 2 and not (tmp_path / ".votes.killed").exists()
+
+
+def test_the_history_has_the_last_values_and_a_dropped_text_is_gone(tmp_path: Path) -> None:
+    folder = Folder(tmp_path)
+    past = [Past(NEXT._replace(epoch=n), 1e9 + n) for n in range(1, REMEMBERED + 11)]
+    folder.store.history(past)
+    folder.store.text(TEXT, lambda: None, lambda why: None)
+    folder.run()
+    assert Folder(tmp_path).store.read() == (None, {digest_of(TEXT): TEXT}, tuple(past[-REMEMBERED:]))
+    folder.store.drop(digest_of(TEXT))
+    folder.run()
+    assert Folder(tmp_path).store.read().texts == {}
+
+
+def test_one_process_at_a_time_has_a_folder_and_its_end_waits_for_what_was_asked(tmp_path: Path) -> None:
+    backs: list[Callable[[], None]] = []
+    one, two = (Store(tmp_path, Lines(), backs.append) for _ in range(2))  # type: ignore[arg-type]
+    one.read()
+    with pytest.raises(OSError, match="another process's"):
+        two.read()
+    for n in range(20):
+        one.text(b"%d" % n, lambda: pytest.fail("called after the end"), pytest.fail)
+    one.close()
+    for back in backs:
+        back()
+    assert len(two.read().texts) == 20
+    two.close()
