--- a/firvane/quorum/store.py
+++ b/firvane/quorum/store.py
@@ -3,7 +3,7 @@
 Rules that hold here and nowhere else:
 
 1. A vote is on disk before it is said: what is to follow a write is called back only when the write and its
-   folder have been synced, and never where it failed.
+   folder have been synced. Where it failed, what was asked for after it has failed with it.
 2. Writes run in a thread of their own, one after the other, in the order in which they were asked for. Of
    votes that wait only the last is written: it says all that the earlier ones say.
 3. Each file is whole or the one before it. What cannot be read, is damaged, or of a newer format is refused
@@ -90,7 +90,8 @@
         self.lock: IO[bytes] | None = None
         self.failed = self.closed = False
         self.written = 0
-        self.waiting: list[tuple[Kept, Callable[[], None]]] = []  # votes that are not being written yet
+        # Votes that are not being written yet, and what follows where they are on disk, and where not.
+        self.waiting: list[tuple[Kept, Callable[[], None], Callable[[str], None]]] = []
         self.voting = False
 
     def read(self) -> Found:
@@ -115,9 +116,10 @@
         history = self._look(HISTORY, MAGIC_HISTORY, tuple[Past, ...])
         return Found(kept, dict(self._texts()), history or ())
 
-    def votes(self, kept: Kept, done: Callable[[], None]) -> None:
-        """Write it; `done` is called on the loop when it is on disk, never where it could not be written."""
-        self.waiting.append((kept, done))
+    def votes(self, kept: Kept, done: Callable[[], None], failed: Callable[[str], None]) -> None:
+        """Write it; then one of the two is called on the loop: `done` where it is on disk, the other where it
+        could not be written, and for all that has been asked for since."""
+        self.waiting.append((kept, done, failed))
         if not self.voting:
             self._vote()
 
@@ -125,17 +127,20 @@
         batch, self.waiting = self.waiting, []
         self.voting = True
 
-        def end() -> None:
+        def well() -> None:
             self.voting = False
-            if self.waiting and not self.closed:
+            for _, done, _ in batch:
+                done()
+            if self.waiting and not self.voting:
                 self._vote()
 
-        def well() -> None:
-            for _, done in batch:
-                done()
-            end()
+        def badly(why: str) -> None:
+            lost, self.waiting = batch + self.waiting, []
+            self.voting = False
+            for _, _, failed in lost:
+                failed(why)
 
-        self._write(VOTES, _packed(MAGIC_VOTES, batch[-1][0]), well, lambda why: end())
+        self._write(VOTES, _packed(MAGIC_VOTES, batch[-1][0]), well, badly)
 
     def text(self, text: bytes, done: Callable[[], None], failed: Callable[[str], None]) -> None:
         """Keep a policy's text; then one of the two is called on the loop, the other one with the reason."""
--- /dev/null
+++ b/tests/quorum/test_fetch.py
@@ -0,0 +1,172 @@
+"""Texts of policies on their way: put in pieces, got in pieces from whoever has them, never a wrong one."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from firvane.net.dial import SocketDialer
+from firvane.net.hands import Hands
+from firvane.ops import calls
+from firvane.quorum.fetch import PATIENCE, Fetching
+from firvane.quorum.puts import KEPT, MOST_PUTS, Puts, Useless
+from firvane.quorum.words import MOST_TEXT, digest_of
+from firvane.rehearsal.process import Process
+from firvane.rehearsal.virtual import VirtualLoop
+from firvane.rehearsal.virtual_proxy import MemoryDialer
+from tests.net_helpers import run
+from tests.rehearsal.virtual_helpers import Net, Noted, virtual
+
+TEXT = random.Random(1).randbytes(MOST_TEXT)
+DIGEST = digest_of(TEXT)
+Answer = Callable[[int], bytes]
+
+
+def well(offset: int) -> bytes:
+    return calls.piece(TEXT, offset)
+
+
+def other(offset: int) -> bytes:
+    return calls.piece(TEXT[:-1] + bytes((TEXT[-1] ^ 1,)), offset)
+
+
+class Door(Noted):
+    """An operators' door that has one text."""
+
+    def __init__(self, answer: Answer) -> None:
+        super().__init__()
+        self.answer = answer
+
+    def data_received(self, data: bytes) -> None:
+        asked = calls.asked(data.strip())
+        assert isinstance(asked.given, calls.Get) and asked.given.digest == DIGEST
+        if answer := self.answer(asked.given.offset):
+            self.transport.write(answer)
+            self.transport.write_eof()
+
+
+# What the first holder does, and for how many seconds it may hold things up.
+HOLDERS: dict[str, tuple[Answer | None, float]] = {
+    "gone": (None, 0.1),
+    "silent": (lambda offset: b"", PATIENCE + 0.1),
+    "has none": (lambda offset: calls.no("its text is not here"), 0.1),
+    "has another": (other, 1.0),
+    "goes on and on": (lambda offset: b"x" * 100_000, 0.1),
+    "changes its length": (lambda offset: calls.piece(TEXT[: MOST_TEXT - offset // 2], offset), 0.2),
+    "drips": (lambda offset: calls.yes(f"{len(TEXT)} AAAA"), 1.0),
+    "dies half way": (lambda offset: calls.piece(TEXT, offset) if offset < 20_000 else b"", PATIENCE + 0.3),
+}
+
+
+@pytest.mark.parametrize("first", HOLDERS)
+@virtual
+async def test_a_holder_that_is_of_no_use_is_passed_over(loop: VirtualLoop, net: Net, first: str) -> None:
+    answer, most = HOLDERS[first]
+    for host, does in (("10.0.0.1", answer), ("10.0.1.1", well)):
+        if does:
+            Process(loop, host, host).call(loop.memory.listen, (host, 9100), lambda does=does: Door(does))
+    over: list[tuple[bytes | None, str]] = []
+    doors = [("10.0.0.1", 9100), ("10.0.1.1", 9100)]
+
+    def start(holders: tuple[int, ...]) -> Fetching:
+        dialer = MemoryDialer(loop.memory, "10.0.2.1")
+        return Fetching(loop, dialer, doors, DIGEST, holders, lambda *told: over.append(told))
+
+    began = loop.time()
+    fetching = start((0,))
+    fetching.more((0, 1, 7))  # nobody twice, and nobody that there is not
+    await asyncio.sleep(most + 0.5)
+    assert over == [(TEXT, "")] and loop.time() - began < most + 0.6
+    start((0,))
+    await asyncio.sleep(most + 0.5)
+    assert over[1:] and over[1][0] is None and over[1][1].startswith("proxy 0: ")
+    start((0, 1)).close()
+    await asyncio.sleep(most + 0.5)
+    assert len(over) == 2
+
+
+def test_a_wrong_text_would_pass_if_nobody_looked_at_its_digest(monkeypatch: pytest.MonkeyPatch) -> None:
+    # The mutant for "has another": the test above sees it.
+    monkeypatch.setattr("firvane.quorum.puts.digest_of", lambda text: DIGEST)
+    with pytest.raises(AssertionError):
+        test_a_holder_that_is_of_no_use_is_passed_over("has another")
+
+
+def test_a_text_is_got_over_sockets() -> None:
+    async def work() -> None:
+        loop = asyncio.get_running_loop()
+
+        class Real(Door):
+            def note(self, what: object) -> None: ...
+
+        server = await loop.create_server(lambda: Real(well), "127.0.0.1", 0)
+        hands = Hands(loop)
+        hands.start()
+        told: asyncio.Future[tuple[bytes | None, str]] = loop.create_future()
+        doors = [server.sockets[0].getsockname()]
+        dialer = SocketDialer(loop, hands)
+        Fetching(loop, dialer, doors, DIGEST, (0,), lambda *what: told.set_result(what))
+        assert await told == (TEXT, "")
+        hands.close()
+        server.close()
+
+    run(work())
+
+
+@settings(derandomize=True, max_examples=50, deadline=None)
+@given(st.binary(min_size=1, max_size=200), st.data())
+def test_pieces_in_any_order_make_the_text_or_nothing(text: bytes, data: st.DataObject) -> None:
+    puts, its = Puts(), digest_of(text)
+    held = 0
+    while held < len(text):
+        offset, size = data.draw(st.integers(0, len(text) - 1)), data.draw(st.integers(1, 90))
+        piece = text[offset : offset + size]
+        if offset > held:
+            with pytest.raises(Useless, match=f"from {held} on"):
+                puts.put(its, len(text), offset, piece, 0.0)
+            offset, piece = held, text[held : held + size]
+        held = max(held, offset + len(piece))
+        assert puts.put(its, len(text), offset, piece, 0.0) is (held == len(text))
+    assert puts.get(its) == text and puts.put(its, len(text), 0, b"again", 0.0)
+
+
+@pytest.mark.parametrize(
+    ("length", "offset", "data", "why"),
+    [
+        (0, 0, b"x", "1 to"),
+        (MOST_TEXT + 1, 0, b"x", "1 to"),
+        (9, 0, b"", "empty"),
+        (9, 8, b"xx", "from 4 on"),
+        (9, 4, b"xxxxxx", "beyond"),
+        (8, 4, b"x", "9 before"),
+        (9, 4, b"xxxxx", "not of that digest"),
+    ],
+)
+def test_what_is_no_piece_of_it_is_turned_down(length: int, offset: int, data: bytes, why: str) -> None:
+    text, puts = b"some text", Puts()
+    puts.put(digest_of(text), 9, 0, text[:4], 0.0)
+    with pytest.raises(Useless, match=why):
+        puts.put(digest_of(text), length, offset, data, 0.0)
+    assert puts.get(digest_of(text)) is None
+    begun = 0 if "digest" in why else 4
+    assert puts.put(digest_of(text), 9, begun, text[begun:], 0.0)
+
+
+def test_what_is_held_of_texts_that_nobody_proposes_is_bounded() -> None:
+    puts, texts = Puts(), [b"text %d" % n for n in range(3 * MOST_PUTS)]
+    for text in texts:
+        puts.put(digest_of(text), len(text), 0, text[:3], 0.0)
+    assert len(puts.coming) == MOST_PUTS
+    for text in texts:
+        puts.put(digest_of(text), len(text), 0, text, 1.0)
+    assert len(puts.whole) == MOST_PUTS and puts.get(digest_of(texts[-1])) == texts[-1]
+    puts.put(digest_of(b"late"), 4, 0, b"l", 2.0)
+    puts.sweep(1.0 + KEPT)
+    assert not puts.whole and len(puts.coming) == 1
+    puts.sweep(2.0 + KEPT)
+    assert not puts.coming
--- a/tests/quorum/test_store.py
+++ b/tests/quorum/test_store.py
@@ -68,7 +68,7 @@
 def test_a_vote_is_said_when_it_is_on_disk_and_the_last_of_those_that_wait_says_all(tmp_path: Path) -> None:
     folder, said = Folder(tmp_path), list[int]()
     for n in range(4):
-        folder.store.votes(VOTED._replace(incarnation=n), lambda n=n: said.append(n))
+        folder.store.votes(VOTED._replace(incarnation=n), lambda n=n: said.append(n), pytest.fail)
     assert not said and not (tmp_path / "votes").exists()
     folder.works.pop(0)()
     assert not said and Folder(tmp_path).store.read().kept == VOTED._replace(incarnation=0)
@@ -82,7 +82,7 @@
     call: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     folder, said, failed = Folder(tmp_path), list[str](), list[str]()
-    folder.store.votes(VOTED, lambda: said.append("first"))
+    folder.store.votes(VOTED, lambda: said.append("first"), failed.append)
     folder.run()
 
     def full(*args: Any, **more: Any) -> None:
@@ -91,13 +91,13 @@
     with monkeypatch.context() as patch:
         patch.setattr(os, call, full)
         for n in (7, 8):
-            folder.store.votes(VOTED._replace(incarnation=n), lambda: said.append("lost"))
-            folder.run()
+            folder.store.votes(VOTED._replace(incarnation=n), lambda: said.append("lost"), failed.append)
+        folder.run()
         folder.store.text(TEXT, lambda: said.append("lost"), failed.append)
         folder.run()
-    assert said == ["first"] and failed == [os.strerror(28)] and folder.log.told == ["policy_unwritten"]
+    assert said == ["first"] and failed == [os.strerror(28)] * 3 and folder.log.told == ["policy_unwritten"]
     assert Folder(tmp_path).store.read() == (VOTED, {}, ()) and os.listdir(tmp_path) == ["votes"]
-    folder.store.votes(VOTED._replace(incarnation=9), lambda: said.append("again"))
+    folder.store.votes(VOTED._replace(incarnation=9), lambda: said.append("again"), failed.append)
     folder.run()
     assert said == ["first", "again"]
 
