Let one policy for all proxies decide in each of them, where [policy] is set

A proxy learns which policy is in force before it says ready, refuses at once with Retry-After while it has no lease, swaps in one call and can put the epoch on its answers; a file read anew overrules nothing. Without [policy] nothing of it is imported and a request costs one look more.

--- a/firvane/__main__.py
+++ b/firvane/__main__.py
@@ -22,15 +22,22 @@
 from firvane.config.node import Config
 from firvane.config.platform import read_config
 from firvane.logs import Bridge, Log
-from firvane.proxy import Keeper, Proxy
+from firvane.proxy import Agreement, Keeper, Proxy
 
 MakeKeeper = Callable[[Log], Keeper]
+MakeAgreement = Callable[[Proxy], Agreement]
 
 
-async def run(config: Config, read_again: Callable[[], Config], keeper: MakeKeeper | None) -> None:
+async def run(
+    config: Config,
+    read_again: Callable[[], Config],
+    keeper: MakeKeeper | None,
+    agreement: MakeAgreement | None,
+) -> None:
     """One proxy from its start to its end, by signals."""
     loop = asyncio.get_running_loop()
-    proxy = Proxy(loop, config, keeper=keeper)  # `OSError` where what it is to inherit is not there
+    # `OSError` where what it is to inherit is not there.
+    proxy = Proxy(loop, config, keeper=keeper, agreement=agreement)
     logging.getLogger().addHandler(Bridge(proxy.log))
     proxy.log.info("native", **native.state()._asdict())
     told = asyncio.Event()
@@ -51,12 +58,17 @@
     await proxy.drain()
 
 
-def serve(config: Config, read_again: Callable[[], Config], keeper: MakeKeeper | None = None) -> int:
+def serve(
+    config: Config,
+    read_again: Callable[[], Config],
+    keeper: MakeKeeper | None = None,
+    agreement: MakeAgreement | None = None,
+) -> int:
     """One proxy until a signal ends it; the exit code. `read_again` is called for each SIGHUP, `keeper` makes
-    what keeps its snapshots."""
+    what keeps its snapshots, `agreement` its part in the agreement on one policy."""
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(run(config, read_again, keeper))
+            runner.run(run(config, read_again, keeper, agreement))
     except OSError as error:
         print(f"firvane: cannot start: {error}", file=sys.stderr)
         return 2
@@ -73,7 +85,8 @@
     if config.snapshot:  # by name: the platform sets no such key, and its processes load no tool
         kept = importlib.import_module("firvane.snapshots.file")
         keeper = partial(kept.Keeper, config.snapshot, config.name)
-    return serve(config, partial(read_config, os.environ, again=True), keeper)
+    agreement = importlib.import_module("firvane.quorum.driver").Policies if config.policy else None
+    return serve(config, partial(read_config, os.environ, again=True), keeper, agreement)
 
 
 if __name__ == "__main__":
--- a/firvane/cli/serve.py
+++ b/firvane/cli/serve.py
@@ -37,4 +37,9 @@
         from firvane.snapshots.file import Keeper
 
         keeper = partial(Keeper, config.snapshot, config.name)
-    ctx.exit(serve(config, partial(read_file, file), keeper))
+    agreement = None
+    if config.policy:
+        from firvane.quorum.driver import Policies
+
+        agreement = Policies
+    ctx.exit(serve(config, partial(read_file, file), keeper, agreement))
--- a/firvane/net/front.py
+++ b/firvane/net/front.py
@@ -6,6 +6,7 @@
 import heapq
 import itertools
 from collections.abc import Callable, Sequence
+from typing import Protocol
 
 import httptools
 
@@ -29,9 +30,19 @@
 # Of the places, the part that is made free at once where all are taken; s from one time to the next.
 ROOM, ROOM_EVERY = 1 / 32, 0.02
 FIRST = 0.5  # s after connecting in which a first request is waited for also where clients are to leave
+# s after which clients of a proxy that may decide nothing come back, spread: its next lease may be near.
+PAUSES = tuple(0.25 + step / 16 for step in (3, 11, 7, 15, 1, 9, 5, 13, 0, 8, 4, 12, 2, 10, 6, 14))
 GREEDY = 4.0  # times as often as others, and four times more, is far more than they ask
 
 
+class Agreement(Protocol):
+    """Whether requests may be decided here at all, and by which policy; as the proxy has it."""
+
+    stamp: bytes  # a header line for each answer, or none
+
+    def may(self) -> bool: ...
+
+
 def method(cls: api.RequestClass) -> bytes:
     """That of its requests."""
     return b"GET" if cls.repeat is api.Repeat.SAFE else b"POST"
@@ -60,6 +71,8 @@
         self.retune(settings, tuple(range(len(settings.classes))))
         guard.counts = lambda: (self.gate.wished, self.gate.overflowed, self.gate.told())
         self.refusals = itertools.cycle(refusals(0.0, 0.0))
+        self.agreement: Agreement | None = None  # where there is one on the policy for all proxies
+        self.pauses = itertools.cycle(PAUSES)
         self.door: Callable[[bool], None] = lambda opened: None  # opens or shuts the way for new connections
         self.shut_out = False  # it is shut
         self.crowded = False  # more are here than there are places
@@ -154,6 +167,15 @@
         pause = retry_after if limits.retry_after else 0.0
         self.refusals = itertools.cycle(refusals(pause, limits.max_retry_after))
 
+    def count_refused(self, message: Message) -> float:
+        """Whatever it asks for, nobody may decide on it now; for how many seconds its client should wait."""
+        name = message.url.split(b"?", 1)[0].split(b"/", 2)[1:2]
+        if counts := self.counts.get(name[0] if name else b""):
+            counts.dropped += 1
+        self.engine.endings["no lease on the policy"] += 1
+        limits = self.settings.limits
+        return min(limits.max_retry_after, next(self.pauses)) if limits.retry_after else 0.0
+
     def sweep(self) -> None:
         """End what has stood unused, or has kept a request half sent, for too long."""
         now = self.loop.time()
--- a/firvane/net/listener.py
+++ b/firvane/net/listener.py
@@ -73,6 +73,7 @@
         self.unleased = False  # its body has grown large, and waits for a lease
         self.queued = False  # waits for its turn
         self.behind = False  # what is here was sent behind a request that has been taken up
+        self.stamp = b""  # a header line for the answer, which says by which policy it was decided
         self.second, self.recent = 0, 0  # the last second in which it asked, and how often
         self.head_at = 0.0  # when the head of what is being read was here
         self.upload: Stream | None = None  # the rest of the flow's request, which is still coming
@@ -353,6 +354,13 @@
         if message.url == READY_PATH:
             self._ready(message)
             return
+        # Asked before anything of the request is decided; a process may have stood still since it was read.
+        agreement = self.front.agreement
+        if agreement is not None and self.front.ready:
+            if not agreement.may():
+                self.refused(self.front.count_refused(message))
+                return
+            self.stamp = agreement.stamp
         try:
             request, left = self.front.read(message)
         except Fault as fault:
@@ -389,7 +397,9 @@
         if message.method != b"GET":
             self._reply(405)
         else:
-            self._reply(200 if self.front.ready and not self.front.draining else 503)
+            front = self.front
+            up = front.ready and not front.draining and (front.agreement is None or front.agreement.may())
+            self._reply(200 if up else 503)
 
     # Answers
 
@@ -403,7 +413,10 @@
         self.closes = self._is_last() or (length is None and not self.chunked)
         self.charged += WINDOW
         front.account.charge(Held.FLOWS, WINDOW)
-        self.transport.writelines(answer_head(answer, self.chunked, self.closes))
+        head = answer_head(answer, self.chunked, self.closes)
+        if self.stamp:
+            head.insert(1, self.stamp)
+        self.transport.writelines(head)
         self.pouring = stream
         self.expires = front.loop.time() + STALLED
         stream.pour(self)
@@ -448,6 +461,8 @@
 
     def _finish(self, status: int, body: list[Piece], size: int, headers: list[bytes]) -> None:
         close = self._is_last()
+        if self.stamp:
+            headers = [self.stamp, *headers]
         self.transport.writelines(answer(status, body, size, close, headers))
         self._over(close, LINGER)
 
@@ -459,6 +474,7 @@
     def _over(self, close: bool, patience: float) -> None:
         """The answer is written, at the most it has yet to be read."""
         front = self.front
+        self.stamp = b""
         if self.upload:
             self.lost = True
         self.upload, self.held = None, False
--- a/firvane/proxy.py
+++ b/firvane/proxy.py
@@ -14,7 +14,7 @@
 from firvane.config.node import Config
 from firvane.engine import Engine
 from firvane.limits.account import Held
-from firvane.limits.costs import BOX, MB
+from firvane.limits.costs import BOX, FLOW, MB
 from firvane.limits.descriptors import Use
 from firvane.limits.pauses import Pauses
 from firvane.net.dial import Dialer, SocketDialer
@@ -39,6 +39,7 @@
 SWEEP = 0.1  # s from one look for what has stood for too long to the next
 GRACE = 5.0  # s after SIGHUP in which requests may still come by the settings of before
 REPORT = 5.0  # s from one line of figures in the log to the next
+AGREEING = 4  # descriptors kept for texts of policies, where there is an agreement on one
 
 
 class Keeper(Protocol):
@@ -54,6 +55,28 @@
         """Keep it for the last time."""
 
 
+class Agreement(Protocol):
+    """This proxy's part in the agreement on one policy for all proxies (`quorum.driver`)."""
+
+    epoch: int  # of the policy in use; 0: none has been
+    stamp: bytes  # the header line that answers carry, or none
+
+    async def start(self) -> None:
+        """Returns when the policy in force is in use here."""
+
+    def heard(self, sender: int, payload: bytes) -> bool:
+        """Whether a peer's datagram was for it."""
+
+    def may(self) -> bool:
+        """Whether a new request may be decided now; asked at each of them."""
+
+    def call(self, asked: Asked) -> bytes:
+        """The answer to an operators' call."""
+
+    def close(self) -> None:
+        """Take no part any more."""
+
+
 class Proxy:
     """All parts of one proxy, wired."""
 
@@ -67,9 +90,11 @@
         usage: Callable[[], Usage] | None = None,
         log: logs.Log | None = None,
         keeper: Callable[[logs.Log], Keeper] | None = None,
+        agreement: Callable[[Proxy], Agreement] | None = None,
     ) -> None:
-        """`keeper` makes what keeps what was learnt, where anything does. `wall` tells Unix time in
-        seconds; without a dialer connections to targets are sockets.
+        """`keeper` makes what keeps what was learnt, where anything does, `agreement` this proxy's part in
+        the agreement on one policy, where there is one. `wall` tells Unix time in seconds; without a dialer
+        connections to targets are sockets.
 
         `usage` tells what the proxy has used; without it, what this process has. Without a log it makes its
         own on standard error, as its configuration says.
@@ -85,7 +110,9 @@
             settings,
             cores=config.cores,
             memory_mb=config.memory_mb,
-            sockets=config.sockets - (DESCRIPTORS if config.ops else 0),
+            sockets=config.sockets
+            - (DESCRIPTORS if config.ops else 0)
+            - (AGREEING if agreement else 0),
             usage=usage or OwnUsage(),
             log=self.log,
         )
@@ -115,6 +142,7 @@
         self.life, self.loads = Life(), Loads()
         self.desk, self.desk_hands = Desk(loop, self._answer), Hands(loop)
         self.ops: Door = LoopDoor(loop) if dialer else SocketDoor(loop, self.desk_hands, self.log)
+        self.agreement = self.front.agreement = agreement(self) if agreement else None
 
     def _listed(self, news: api.ServerList) -> None:
         tables = BOX * len(self.group.servers)
@@ -123,6 +151,8 @@
         self.engine.listed(news)
 
     def _heard(self, sender: int, payload: bytes) -> None:
+        if self.agreement and self.agreement.heard(sender, payload):
+            return
         self.engine.give(api.PeerMessage(sender, payload))
 
     async def start(self) -> None:
@@ -141,6 +171,8 @@
         self.hands.start()
         if config.inherited is None:
             await self.door.open(config.listen, self.front.accept)
+        if self.agreement:  # what is learnt, recovered and served from here on is by the policy in force
+            await self.agreement.start()
         self.engine.start()
         config = self._recall(config)
         if config.known:
@@ -228,11 +260,15 @@
     def _answer(self, asked: Asked) -> bytes:
         call = asked.call
         if call in calls.POLICY:
-            return calls.no("no policy is agreed on here: [policy] is not set")
+            if self.agreement is None:
+                return calls.no("no policy is agreed on here: [policy] is not set")
+            return self.agreement.call(asked)
         if call is Call.SHOW_STAT:
             return calls.lines(self.figures().text())
         if call is Call.READY:
             state = self.life.state.value
+            if self.agreement and self.life.meaning().takes and not self.agreement.may():
+                return calls.no(f"{state}, and refuses: it has no lease on the policy in force")
             return calls.yes(state) if self.life.meaning().takes else calls.no(f"{state}: no clients yet")
         if call is Call.RECOVERY:
             recovery = self.engine.balancer.recovery
@@ -297,10 +333,30 @@
             waiting.append("kind of list")
         if waiting:
             self.log.warning("config_waits", text="the next start is needed for " + ", ".join(waiting))
+        if self.agreement:
+            if config.settings != old.settings:
+                text = "what a policy may say was not taken over from the file: firvane policy propose"
+                self.log.warning("policy_overrules", epoch=self.agreement.epoch, text=text)
+            self.config = replace(old, shape=config.shape)
+            return
         if config.settings != old.settings:
             self._retune(config.settings)
         self.config = replace(old, settings=config.settings, shape=config.shape)
 
+    def fits(self, settings: api.Settings) -> str:
+        """Why a policy with these settings has no place here; "" where it has."""
+        most = max(self.config.settings.limits.max_open, self.guard.bounds.memory // FLOW)
+        if settings.limits.max_open > most:
+            given = settings.limits.max_open
+            return f"limits.open_flows: is {given}, and memory here is for {most}: lower it"
+        return ""
+
+    def adopt(self, settings: api.Settings) -> None:
+        """A policy is in force: all requests that come from now on are decided by it, and none any more by
+        names of before."""
+        self._retune(settings)
+        self.front.forget()
+
     def _retune(self, settings: api.Settings) -> None:
         """Other settings, checked already, for all that comes from now on."""
         engine = self.engine
@@ -342,6 +398,7 @@
             open=self.engine.owed,
             held_mb=round(guard.account.held / MB, 1),
             lag_ms=round(1000 * guard.worst_lag()),
+            **({"epoch": self.agreement.epoch} if self.agreement else {}),
             **self.figures().fields(),
             **{name.replace(" ", "_"): n for name, n in sorted(endings.items()) if n},
         )
@@ -378,6 +435,8 @@
     def _stop(self) -> None:
         if self.keeper and self.group.known:
             self.keeper.close(*self._held())
+        if self.agreement:
+            self.agreement.close()
         self.group.stop()
         self.hands.close()
         self.desk.close()
--- a/firvane/rehearsal/virtual_proxy.py
+++ b/firvane/rehearsal/virtual_proxy.py
@@ -122,9 +122,14 @@
             from firvane.snapshots.file import Keeper  # what `snapshots` installs, of which few have need
 
             keeper = partial(Keeper, config.snapshot, config.name, aside=lambda work: work())
+        agreement = None
+        if config.policy:
+            from firvane.quorum.driver import Policies
+
+            agreement = partial(Policies, aside=lambda work: work(), clock=self.loop.time)
         make = partial(
             Proxy, self.loop, config, wall=self.wall, dialer=dialer, usage=lambda: UNKNOWN, log=self.log,
-            keeper=keeper,
+            keeper=keeper, agreement=agreement,
         )  # fmt: skip
         self.proxy = process.call(make)
         self.on_state("started", 0)
--- /dev/null
+++ b/tests/quorum/test_driver.py
@@ -0,0 +1,237 @@
+"""The agreement in whole proxies, in virtual time: one policy in force on all of them or on none, answers
+that say so, and what a proxy does that knows of none."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import os
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from firvane.quorum import driver, store
+from firvane.quorum.driver import Policies
+from firvane.quorum.words import Times, digest_of
+from firvane.rehearsal.virtual import VirtualLoop
+from tests.quorum.small_fleet import ASK, CLIENT, Fleet
+from tests.rehearsal.virtual_helpers import Net, Noted, virtual
+
+CLASS = '[[classes]]\nname = "%s"\naim_ms = 500\ndeadline_ms = 2000\nrepeat = "safe"\n'
+OTHER = ("remembers_keys = true\n" + CLASS % "other").encode()
+LONG = ("# " + "x" * 30_000 + "\n" + CLASS % "long").encode()  # three pieces
+LEASE = Times().lease
+
+
+class Islands(Net):
+    """Some hosts are cut off from all others but the clients."""
+
+    def __init__(self, net: Net) -> None:
+        self.alone = set[str]()
+        net.delay = self.delay  # type: ignore[method-assign]
+        net.datagram = self.delay  # type: ignore[method-assign]
+
+    def delay(self, now: float, source: str, target: str) -> float | None:
+        cut = source.startswith("10.0.") and target.startswith("10.0.") and source != target
+        return None if cut and self.alone & {source, target} else 0.005
+
+
+@virtual
+async def test_a_change_proposed_at_one_proxy_is_in_force_on_all_and_no_file_overrules_it(
+    loop: VirtualLoop, net: Net, tmp_path: Path
+) -> None:
+    fleet = Fleet(loop, tmp_path, proxies=4)  # the last one is no voter
+    await asyncio.sleep(2)
+    assert [await fleet.get(p) for p in range(4)] == [(200, 1)] * 4
+    assert await fleet.propose(3, LONG) == "+OK open\n"
+    assert await fleet.outcome(3, LONG) == "+OK in force: epoch 2\n"
+    assert [await fleet.get(p, b"long") for p in range(4)] == [(200, 2)] * 4
+    # What a policy no longer names is gone at once, and the answer says by which one.
+    assert [await fleet.get(p) for p in range(4)] == [(404, 2)] * 4
+    began = [[at for at, event, _ in log.told if event == "policy_in_use"][-1] for log in fleet.logs]
+    assert max(began) - min(began) <= Times().slack
+    proxy = fleet.proxies[0].proxy
+    assert proxy
+    later = replace(fleet.config(0).settings, classes=fleet.config(0).settings.classes[:1])
+    proxy.reload(lambda: replace(fleet.config(0), settings=later))
+    assert "policy_overrules" in fleet.logs[0].events() and await fleet.get(0, b"long") == (200, 2)
+    await asyncio.sleep(5)
+    figures = [fields for _, event, fields in fleet.logs[0].told if event == "figures"]
+    assert (figures[0]["epoch"], figures[-1]["epoch"]) == (1, 2)
+    for p in (0, 3):
+        lines = (await fleet.door(p, "policy-history")).splitlines()
+        assert [line.split()[:3] for line in lines[:-1]] == [
+            [str(n + 1), digest_of(text).hex(), "0,1,2"] for n, text in enumerate((fleet.text, LONG))
+        ]
+    assert "epoch 2\n" in await fleet.door(0, "policy-status")
+
+
+@pytest.mark.parametrize("without_lease", ["refuse", "serve"])
+@virtual
+async def test_who_is_cut_off_refuses_at_once_or_serves_on_as_it_was_told(
+    loop: VirtualLoop, net: Net, tmp_path: Path, without_lease: str
+) -> None:
+    islands, serves = Islands(net), without_lease == "serve"
+    fleet = Fleet(loop, tmp_path, serve_without=serves)
+    await asyncio.sleep(2)
+    assert await fleet.up(2) and (await fleet.door(2, "ready")).startswith("+OK")
+    islands.alone.add(fleet.hosts[2])
+    await asyncio.sleep(LEASE + 0.1)
+    began = loop.time()
+    assert await fleet.get(2) == ((200, 1) if serves else (503, 0))
+    assert loop.time() - began < 0.1 and fleet.logs[2].events().count("policy_no_lease") == 1
+    assert await fleet.up(2) is serves and (await fleet.door(2, "ready")).startswith("+OK") is serves
+    assert await fleet.get(0) == (200, 1)
+    assert await fleet.propose(0, OTHER) == "+OK open\n"  # two of three voters are enough
+    assert await fleet.outcome(0, OTHER) == "+OK in force: epoch 2\n"
+    assert await fleet.get(2) == ((200, 1) if serves else (503, 0))
+    islands.alone.clear()
+    await asyncio.sleep(2)
+    assert await fleet.get(2, b"other") == (200, 2)
+
+
+class TrustsItsTick(Policies):
+    """Goes by what was so when it last looked."""
+
+    def may(self) -> bool:
+        assert self.member
+        return self.held
+
+
+class Lets(Policies):
+    """Decides without a lease."""
+
+    def may(self) -> bool:
+        return self.value is not None
+
+
+@pytest.mark.parametrize("mutant", [None, TrustsItsTick, Lets])
+def test_a_proxy_that_stood_still_decides_nothing_by_what_it_knew(
+    mutant: type[Policies] | None, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    if mutant:
+        monkeypatch.setattr(driver, "Policies", mutant)
+
+    @virtual
+    async def work(loop: VirtualLoop, net: Net) -> None:
+        fleet = Fleet(loop, tmp_path)
+        await asyncio.sleep(2)
+        client, at = Noted(), (fleet.hosts[1], 8080)
+        loop.memory.connect(CLIENT, at, lambda: client, lambda *up: None, lambda error: None)
+        await asyncio.sleep(0.05)
+        # The request is there before anything else that the proxy could hear when it goes on.
+        fleet.proxies[1].stall(True)
+        client.transport.write(ASK % (b"read", 1))
+        await asyncio.sleep(20)
+        fleet.proxies[1].stall(False)
+        await asyncio.sleep(0.1)
+        assert client.data.startswith(b"HTTP/1.1 503 ") and b"X-Policy-Epoch" not in client.data
+        assert 0.1 < float(client.data.split(b"Retry-After: ")[1].split(b"\r\n")[0]) < 2.0
+        await asyncio.sleep(2)
+        assert await fleet.get(1) == (200, 1)
+
+    if mutant:
+        with pytest.raises(AssertionError):
+            work()
+    else:
+        work()
+
+
+@virtual
+async def test_who_comes_back_says_ready_when_it_has_learnt_what_is_in_force(
+    loop: VirtualLoop, net: Net, tmp_path: Path
+) -> None:
+    islands = Islands(net)
+    fleet = Fleet(loop, tmp_path, proxies=4)
+    await asyncio.sleep(2)
+    for gone in (2, 3):
+        fleet.proxies[gone].kill()
+    await fleet.propose(0, OTHER)
+    assert await fleet.outcome(0, OTHER) == "+OK in force: epoch 2\n"
+    islands.alone = set(fleet.hosts[2:])
+    for back in (2, 3):  # with an old disk, and with none
+        fleet.start(back)
+    await asyncio.sleep(2 * LEASE)
+    for back in (2, 3):
+        assert await fleet.get(back) == (503, 0) and not await fleet.up(back)
+        assert "standing" in await fleet.door(back, "policy-status")
+    islands.alone.clear()
+    await asyncio.sleep(3)
+    for back in (2, 3):
+        assert await fleet.get(back, b"other") == (200, 2) and await fleet.up(back)
+    fleet.proxies[1].kill()
+    (tmp_path / "1" / "votes").write_bytes(b"damaged")
+    fleet.start(1)
+    await asyncio.sleep(3)
+    assert await fleet.get(1, b"other") == (200, 2)
+    assert "policy_file_useless" in fleet.logs[1].events()
+    assert "votes yes" in await fleet.door(1, "policy-status")
+
+
+@virtual
+async def test_a_text_that_is_wrong_or_has_no_place_changes_nothing(
+    loop: VirtualLoop, net: Net, tmp_path: Path
+) -> None:
+    fleet = Fleet(loop, tmp_path)
+    await asyncio.sleep(2)
+    assert (await fleet.propose(0, b"probes = 3\n")).startswith("-ERR policy: probes: unknown key")
+    greedy = b"[limits]\nopen_flows = 1000000\n"
+    assert "limits.open_flows: is 1000000" in await fleet.propose(0, greedy)
+    said = await fleet.door(0, f"policy-propose {digest_of(OTHER).hex()}")
+    assert said.startswith("-ERR its text is not here")
+    # One proxy alone has no room for it, and its no ends the change.
+    proxy = fleet.proxies[2].proxy
+    assert proxy
+    proxy.fits = lambda settings: "limits.open_flows: lower it"  # type: ignore[method-assign]
+    assert await fleet.propose(0, OTHER) == "+OK open\n"
+    said = await fleet.outcome(0, OTHER)
+    assert said == "+OK failed: proxy 2 says no: limits.open_flows: lower it\n"
+    assert await fleet.propose(1, LONG) == "+OK open\n"
+    said = await fleet.door(1, f"policy-abort {digest_of(LONG).hex()}")
+    assert said.startswith("+OK failed: it was aborted")
+    await asyncio.sleep(8)
+    assert fleet.epochs() == [1] * 3 and [await fleet.get(p) for p in range(3)] == [(200, 1)] * 3
+
+
+@virtual
+async def test_a_voter_whose_disk_is_full_says_no_and_goes_on_when_there_is_room(
+    loop: VirtualLoop, net: Net, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    fleet = Fleet(loop, tmp_path)
+    await asyncio.sleep(2)
+    write = store.write_whole
+
+    def full(path: Any, data: bytes) -> None:
+        if f"{tmp_path}/1/" in str(path):
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+        write(path, data)
+
+    with monkeypatch.context() as patch:
+        patch.setattr(store, "write_whole", full)
+        await fleet.propose(0, OTHER)
+        assert "failed: proxy 1 says no: a voter cannot keep its text" in await fleet.outcome(0, OTHER)
+        assert "failed: a voter cannot keep its text" in (
+            await fleet.propose(1, LONG) and await fleet.outcome(1, LONG)
+        )
+    await asyncio.sleep(driver.RETRY + 1)
+    assert await fleet.propose(0, OTHER) == "+OK open\n"
+    assert await fleet.outcome(0, OTHER) == "+OK in force: epoch 2\n"
+    assert fleet.logs[1].events().count("policy_unwritten") == 1
+
+
+@virtual
+async def test_of_texts_beyond_what_is_kept_those_that_were_in_force_stay(
+    loop: VirtualLoop, net: Net, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(driver, "MOST_TEXTS", 3)
+    fleet = Fleet(loop, tmp_path, proxies=1, voters=(0,), lease=0.5, trip=0.05)
+    await asyncio.sleep(1)
+    texts = [(CLASS % f"c{n}").encode() for n in range(4)]
+    for text in texts:
+        assert await fleet.propose(0, text) == "+OK open\n"
+    assert "another change is under way" in await fleet.outcome(0, texts[3])
+    assert "in force" in await fleet.outcome(0, texts[0])
+    kept = {file.name for file in (tmp_path / "0").glob("text-*")}
+    assert kept == {f"text-{digest_of(text).hex()}" for text in (fleet.text, texts[0], texts[3])}
