--- a/tests/recovery/test_mutants.py
+++ b/tests/recovery/test_mutants.py
@@ -15,7 +15,7 @@
 from firvane.recovery.course import TABLE, Event, State
 from firvane.recovery.peers import Told
 from firvane.recovery.recovery import Recovery
-from firvane.snapshots import file, format, words
+from firvane.snapshots import file, words
 from firvane.state import Backend
 from tests.recovery import test_peers, test_small_fleet, test_steps
 from tests.snapshots import test_snapshots
