--- a/tests/quorum/test_driver.py
+++ b/tests/quorum/test_driver.py
@@ -16,7 +16,7 @@
 from firvane.proxy import Proxy
 from firvane.quorum import driver, store
 from firvane.quorum.driver import Policies
-from firvane.quorum.words import Times, digest_of
+from firvane.quorum.words import Times, Value, digest_of
 from firvane.rehearsal.virtual import VirtualLoop
 from tests.net_helpers import run
 from tests.ops.test_desk import ask
@@ -72,6 +72,27 @@
     assert "epoch 2\n" in await fleet.door(0, "policy-status")
 
 
+def late(self: Policies, value: Value) -> None:
+    self.loop.call_later(2.0, Policies._use, self, value)
+
+
+@pytest.mark.parametrize(
+    ("whose", "name", "broken"),
+    [
+        (Proxy, "adopt", Proxy._retune),  # names of before may still be asked for
+        (Policies, "_swap", late),  # what decides is not what it says
+        (Policies, "heard", lambda self, sender, payload: True),  # nobody is listened to
+        (Policies, "_fetch", lambda self, action: None),  # nor asked for the text
+    ],
+)
+def test_what_breaks_a_change_is_seen(
+    whose: type, name: str, broken: Any, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(whose, name, broken)
+    with pytest.raises(AssertionError):
+        test_a_change_proposed_at_one_proxy_is_in_force_on_all_and_no_file_overrules_it(tmp_path)
+
+
 @pytest.mark.parametrize("without_lease", ["refuse", "serve"])
 @virtual
 async def test_who_is_cut_off_refuses_at_once_or_serves_on_as_it_was_told(
