--- a/tests/recovery/test_mutants.py
+++ b/tests/recovery/test_mutants.py
@@ -10,11 +10,12 @@
 from _pytest.outcomes import Failed
 
 from firvane import interface as api
+from firvane import sealed
 from firvane.recovery import peers, recovery, steps
 from firvane.recovery.course import TABLE, Event, State
 from firvane.recovery.peers import Told
 from firvane.recovery.recovery import Recovery
-from firvane.snapshots import file, format, words
+from firvane.snapshots import file, words
 from firvane.state import Backend
 from tests.recovery import test_peers, test_small_fleet, test_steps
 from tests.snapshots import test_snapshots
@@ -76,7 +77,7 @@
            test_peers.test_a_question_is_answered_within_a_rate),
     Mutant("no way out", recovery, "CALM", 1e9, back),
     Mutant("a table without an end", TABLE, State.GROWING.value, {Event.LOST: State.LISTLESS}, back),
-    Mutant("a checksum that says nothing", format.google_crc32c, "value", lambda data: 0,
+    Mutant("a checksum that says nothing", sealed.google_crc32c, "value", lambda data: 0,
            test_snapshots.test_whatever_is_cut_flipped_or_added_is_refused_in_one_line),
     Mutant("written in place", file, "write_whole", writes, failing_write),
     Mutant("nothing ages", words, "HALF_ROOM", 1e18,
