Change policies in rehearsals, by agreement or by files, under the faults that there are

Change: proxies.voters founds a fleet on the emulated disks, trouble 'change' lets an operator put, propose and ask at doors, and answers' X-Policy-Epoch becomes a record; 'files' is a script of three tries, with the file's own mark on answers. The relay delivers before the clients begin where proxies agree at their start. The witness judges the five promises.

--- a/firvane/fleet/checks.py
+++ b/firvane/fleet/checks.py
@@ -33,11 +33,12 @@
 LEAST |= {"step_s": -1e9}
 LEAST |= dict.fromkeys(("count", "slots_per_core", "connections", "keys"), 1)
 LEAST |= dict.fromkeys(("quota", "warm_s", "aim_s", "deadline_s", "rate", "work_ms"), 1e-3)
+LEAST |= {"lease_s": 0.5}
 LEAST |= dict.fromkeys(("fall_multiple", "times", "part_speed", "every_s", "beat_s"), 1e-3)
 LEAST |= {"seconds": 1.0, "memory_mb": 21, "sockets": 64, "back_s": 0.01}
 MOST = {"most": 10, "count": 5000, "rate": 200_000.0, "seconds": 86_400.0, "keys": 10_000_000}
 MOST |= {"body_bytes": 65_536, "popularity": 5.0, "cores": 1024, "fall_chance": 10.0, "connections": 100_000}
-MOST_PROXIES = 64
+MOST_PROXIES, MOST_VOTERS = 64, 5
 
 
 def figures(part: Part) -> Found:
@@ -51,6 +52,8 @@
         least, most = LEAST.get(key, 0), MOST.get(key, 1.0 if OF_ONE.match(key) else None)
         if isinstance(part, Trouble) and key == "part_speed":
             most = 100.0
+        if isinstance(part, Trouble) and key in ("aim_s", "deadline_s", "quota"):
+            least = 0  # left as it was
         if low < least:
             yield key, f"is {low:g}, below {least:g}"
         elif low > high:
@@ -92,6 +95,8 @@
     yield from figures(part)
     if part.count > MOST_PROXIES:
         yield "count", f"is {part.count}, above {MOST_PROXIES}"
+    if part.voters > min(part.count, MOST_VOTERS):
+        yield "voters", f"is {part.voters}, above {min(part.count, MOST_VOTERS)}"
 
 
 def scenario(whole: Scenario) -> Found:
@@ -102,6 +107,8 @@
     if whole.warm_up_s >= whole.seconds:
         yield "warm_up_s", f"is {whole.warm_up_s:g}, and the whole lasts {whole.seconds:g} s"
     communities = {community.name for community in whole.load.communities}
+    if whole.proxies.voters and not whole.network.peers:
+        yield "proxies.voters", f"is {whole.proxies.voters}, and proxies hear nothing of one another"
     for index, trouble in enumerate(whole.troubles):
         at = f"troubles[{index}]"
         if trouble.at_s >= whole.seconds:
@@ -116,6 +123,8 @@
             yield f"{at}.other", f"is {trouble.other}, and there are {whole.proxies.count} proxies, from 0"
         if trouble.never + trouble.late > 1.0:
             yield f"{at}.late", f"and never are {trouble.never + trouble.late:g} together, above 1"
+        if trouble.kind == "change" and not whole.proxies.voters and whole.proxies.change_by != "files":
+            yield f"{at}.kind", "is a change, and no proxies vote: proxies.voters is 0"
         if trouble.kind == "cut" and len(whole.network.zones) < 2:
             yield f"{at}.kind", "is a cut, and there is one zone"
 
--- a/firvane/fleet/draw.py
+++ b/firvane/fleet/draw.py
@@ -12,7 +12,7 @@
 from firvane.fleet.crowd import popularity
 from firvane.fleet.scenario import Boxes, Load, Network, Retries, Scenario, Trouble, TroubleKind
 
-STAGED = ("power", "stall", "link", "away", "clock")  # not drawn: the rehearsals of recovery stage them
+STAGED = ("power", "stall", "link", "away", "clock", "change")  # not drawn: staged where they are meant
 KINDS: tuple[TroubleKind, ...] = tuple(kind for kind in get_args(TroubleKind) if kind not in STAGED)
 LATEST = 50.0  # s from the start by which all of them have begun
 AT_ONCE = ("kill", "herd", "restart", "reset")
--- a/firvane/fleet/epochs.py
+++ b/firvane/fleet/epochs.py
@@ -64,6 +64,8 @@
     epoch: int
     call: str
     proxy: str
+    attempts: int
+    sendings: int
 
 
 class Proposal:
@@ -97,9 +99,10 @@
         voters: Sequence[str],
         slack: float,
         change: float,
-        attempts: Mapping[int, int] | None = None,
+        attempts: Mapping[str, int] | None = None,
     ) -> None:
-        """`slack` and `change` in s; `attempts` are the most that a request may have, by epoch."""
+        """`slack` and `change` in s; `attempts` are the most that a request may have, by the policy's digest.
+        Without voters nothing is said of (e)."""
         self.findings, self.slack, self.change = findings, slack, change
         self.attempts = attempts or {}
         self.requests: dict[str, Request] = {}
@@ -135,7 +138,7 @@
             self.requests.pop(self.over.popleft()[1], None)
         while self.taken and self.taken[0].since < now - KEPT:
             self.taken.popleft()
-        for digest, change in self.proposals.items():
+        for digest, change in self.proposals.items() if self.voters else ():
             if not change.ended and now > (since := self._talk_since(change)) + self.change:
                 change.ended = True  # it is told once
                 text = f"policy {digest} proposed at {change.since:.3f} s has no end, though nothing disturbs"
@@ -175,13 +178,10 @@
             text = f"answered by epoch {one.epoch}, and again by epoch {epoch}"
             self.findings.add(Rule.TWO_EPOCHS, at, text, call=call, proxy=proxy)
         one.epoch = epoch
-        allowed = self.attempts.get(epoch, one.attempts) * one.sendings
-        if one.attempts > allowed:
-            text = f"{one.attempts} attempts, and epoch {epoch} by which it was answered allows {allowed}"
-            self.findings.add(Rule.TWO_EPOCHS, at, text, call=call, proxy=proxy)
         stood, went_on = self.stands.get(proxy, (inf, inf))
         since = went_on if stood <= one.since < went_on else one.since
-        now_taken = Taken(since, epoch, call, proxy)
+        now_taken = Taken(since, epoch, call, proxy, one.attempts, one.sendings)
+        self._attempted(now_taken, at)
         self._seen(epoch, at, proxy)
         by = min(one.by, at)
         if by < self.first.get(epoch, (inf, "", ""))[0]:
@@ -196,6 +196,13 @@
             text += f" at {told:.3f} s"
             self.findings.add(Rule.TAKEN_BACK, at, text, call=call, proxy=proxy)
 
+    def _attempted(self, one: Taken, at: float) -> None:
+        """Against what its epoch allows, where that is known."""
+        allowed = self.attempts.get(self.digests.get(one.epoch, ""), one.attempts) * one.sendings
+        if one.attempts > allowed:
+            text = f"{one.attempts} attempts, and epoch {one.epoch} by which it was answered allows {allowed}"
+            self.findings.add(Rule.TWO_EPOCHS, at, text, call=one.call, proxy=one.proxy)
+
     def _first(self, epoch: int, by: float, call: str, proxy: str) -> None:
         """One was taken by this epoch earlier than was known: what was answered meanwhile may prove older."""
         before = dict(self.first)
@@ -277,6 +284,9 @@
         known = self.digests.get(epoch)
         if known is None:
             self.digests[epoch] = digest
+            for one in self.taken:
+                if one.epoch == epoch:
+                    self._attempted(one, at)
             if epoch > FIRST and digest not in self.proposals:
                 text = f"epoch {epoch} is policy {digest}, which nobody proposed"
                 self.findings.add(Rule.FAILED_CAME, at, text, proxy=proxy)
--- a/firvane/fleet/scenario.py
+++ b/firvane/fleet/scenario.py
@@ -133,6 +133,9 @@
     recovery: bool = False  # the proxies come back from a power loss by their order of service
     without: Literal["", "trials", "steps", "first-tries", "ask"] = ""  # with one part of that switched off
     snapshots: bool = False  # each keeps what it has learnt on a disk of its own
+    voters: int = 0  # the first proxies, which vote on one policy for all; 0: each decides by its own file
+    lease_s: float = 3.0  # for which a proxy serves on what a majority of the voters has told
+    change_by: Literal["agreement", "files"] = "agreement"  # how the policy is changed
 
 
 TroubleKind = Literal[
@@ -155,6 +158,7 @@
     "link",  # datagrams of a proxy, to `other` or all, are lost for `for_s`, or late by `late_s`
     "away",  # discovery says nothing for `for_s`, and where `older` then tells the list of then once more
     "clock",  # a proxy's wall clock steps by `step_s`
+    "change",  # operators change the policy: what is said of it here and is not 0
 ]
 
 
@@ -174,7 +178,7 @@
     every_s: float = 5.0
     part_speed: float = 0.3
     strikes: Literal["both", "proxies", "boxes"] = "both"
-    memory: Literal["kept", "lost", "old", "torn"] = "kept"  # what becomes of the disks of proxies struck
+    memory: Literal["kept", "lost", "old", "torn"] = "kept"  # what becomes of the disks of proxies killed
     never: float = 0.0  # part of the proxies struck that never return
     late: float = 0.0  # part of them that returns `late_s` after the others
     late_s: float = 0.0
@@ -182,6 +186,10 @@
     way: Literal["both", "out", "in"] = "both"  # of a link, as its proxy sees it
     older: bool = False
     step_s: float = 0.0
+    aim_s: float = 0.0  # of a change, as in the load
+    deadline_s: float = 0.0
+    quota: float = 0.0
+    attempts: int = 0
 
 
 class Scenario(Part, frozen=True, kw_only=True):
--- a/firvane/fleet/timeline.py
+++ b/firvane/fleet/timeline.py
@@ -50,6 +50,7 @@
     LINK = "link"  # datagrams from one proxy to another are lost, or late by `value` s, until then
     AWAY = "away"  # discovery says nothing until then; with a `value` it then tells an older list first
     CLOCK = "clock"  # a proxy's wall clock steps by `value` s
+    CHANGE = "change"  # operators change the policy, first at that proxy; `value` is the trouble's number
 
 
 # What discovery learns of a step. Of any other it learns nothing.
@@ -133,7 +134,10 @@
         }  # fmt: skip
         for number, trouble in enumerate(scenario.troubles):
             draw = Random(f"trouble/{seed}/{number}")
-            self._plan(trouble.at_s, partial(opening[trouble.kind], trouble, draw))
+            if trouble.kind == "change":
+                self._plan(trouble.at_s, partial(self._change, number, trouble, draw))
+            else:
+                self._plan(trouble.at_s, partial(opening[trouble.kind], trouble, draw))
         while self._plans:
             at, _, _, act = heappop(self._plans)
             if at <= scenario.seconds:
@@ -280,7 +284,7 @@
         self._steps.append(Step(at, Action.LOCKSTEP, until=at + trouble.for_s))
 
     def _kill(self, trouble: Trouble, draw: Random, at: float) -> None:
-        self._kill_one(self._proxy(trouble, draw, at), at)
+        self._kill_one(self._proxy(trouble, draw, at), at, memory=trouble.memory)
 
     def _herd(self, trouble: Trouble, draw: Random, at: float) -> None:
         names = [seat.name for seat in seats(self._scenario.network, self._scenario.proxies)]
@@ -330,6 +334,10 @@
         name = self._proxy(trouble, draw, at, 0.0)
         self._steps.append(Step(at, Action.CLOCK, proxy=name, value=trouble.step_s))
 
+    def _change(self, number: int, trouble: Trouble, draw: Random, at: float) -> None:
+        name = self._proxy(trouble, draw, at, 0.0)
+        self._steps.append(Step(at, Action.CHANGE, proxy=name, value=float(number)))
+
     def _kill_one(
         self, name: str, at: float, wait: float = 0.0, returns: bool = True, memory: str = "kept"
     ) -> None:
--- a/firvane/rehearsal/clients.py
+++ b/firvane/rehearsal/clients.py
@@ -17,7 +17,7 @@
 import httptools
 
 from firvane.fleet.crowd import Crowd, Try
-from firvane.fleet.records import Abandoned, Answered, Asked
+from firvane.fleet.records import Abandoned, Answered, Asked, Decided
 from firvane.net.http import Fault, Reader
 from firvane.rehearsal.boxes import Sink
 from firvane.rehearsal.clock import Clock, Timer
@@ -89,6 +89,8 @@
             status, body = quick
             head = head_of(data)
             keep = b"close" not in head
+            if self.bank.clients.told_epochs:
+                self._decided(field(head, b"x-policy-epoch"))
             retry_after = _seconds(field(head, b"retry-after")) if status != FINE else 0.0
             self._answered(status, body, retry_after, keep)
             return
@@ -105,6 +107,7 @@
             message, more = done[0], len(done) > 1 or self.reader.message is not None
             self.reader = None
             retry_after = _seconds(message.fields.get(b"retry-after", b""))
+            self._decided(message.fields.get(b"x-policy-epoch", b""))
             self._answered(message.status, b"".join(message.body), retry_after, message.keep and not more)
             if more:
                 self.bank.clients.answered_twice(self, data)
@@ -136,6 +139,12 @@
         else:
             clients.answered(run, now, bank.name, 0, 0.0, "")
 
+    def _decided(self, epoch: bytes) -> None:
+        """What an answer's head tells of the policy, where it does."""
+        run, clients = self.run, self.bank.clients
+        if epoch.isdigit() and run and not run.is_over:
+            clients.sink(Decided(clients.clock.now(), run.try_.call, self.bank.name, int(epoch)))
+
     def _answered(self, status: int, body: bytes, retry_after: float, keep: bool) -> None:
         run, self.run = self.run, None
         bank = self.bank
@@ -238,14 +247,16 @@
         part: int = 0,
         parts: int = 1,
         resets_tell: bool = False,
+        told_epochs: bool = False,
     ) -> None:
-        """`proxies` maps a name to its zone and address.
+        """`proxies` maps a name to its zone and address; `told_epochs`: answers may tell by which policy.
 
         `resets_tell`: a reset says that the proxy left the request unread, as that of a kernel does. Links in
         memory also reset what is aborted, and would hide the loss of a request that was taken.
         """
         self.clock, self.crowd, self.seals, self.sink = clock, crowd, seals, sink
         self.part, self.parts, self.resets_tell = part, parts, resets_tell
+        self.told_epochs = told_epochs
         most_idle = max(1, crowd.load.connections // parts)
         self.banks = {
             name: Bank(self, name, zone, address, most_idle) for name, (zone, address) in proxies.items()
--- a/firvane/rehearsal/live.py
+++ b/firvane/rehearsal/live.py
@@ -262,6 +262,8 @@
     proxies, boxes = scenario.proxies.count, scenario.boxes.count
     if any(trouble.kind == "clock" for trouble in scenario.troubles):
         raise ValueError("the clock of one process cannot step alone: play it in virtual time")
+    if scenario.proxies.change_by == "files":
+        raise ValueError("a file's policy cannot be told from outside of a process: play it in virtual time")
     doors, most = proxies * boxes, resource.getrlimit(resource.RLIMIT_NOFILE)[1]
     if 2 * doors > most:  # as many again for what comes in by them
         raise ValueError(
--- a/firvane/rehearsal/machines.py
+++ b/firvane/rehearsal/machines.py
@@ -87,12 +87,14 @@
         self.clock, self.folder, self.names, self.limits = clock, folder, names, limits
         self.on_ended, self.sink = on_ended, sink
         self.processes: dict[int, subprocess.Popen[bytes]] = {}
+        self.paths: dict[int, Path] = {}  # of their configurations
         self.starts = 0
 
     def launch(self, number: int, told: dict[str, Any]) -> None:
         self.kill(number)
         self.starts += 1
         path = self.folder / f"{self.names[number]}-{self.starts}.json"
+        self.paths[number] = path
         path.write_text(json.dumps(told))
         env = environment(
             NODE_NAME=told["name"],
@@ -115,6 +117,11 @@
         ended = os.pidfd_open(process.pid)
         self.clock.loop.add_reader(ended, self._ended, number, process, ended)
 
+    def reload(self, number: int, told: dict[str, Any]) -> None:
+        if process := self.processes.get(number):
+            self.paths[number].write_text(json.dumps(told))
+            process.send_signal(signal.SIGHUP)
+
     def kill(self, number: int) -> None:
         process = self.processes.pop(number, None)
         if process:
--- a/firvane/rehearsal/plan.py
+++ b/firvane/rehearsal/plan.py
@@ -84,7 +84,7 @@
     return round(seconds * 1e9)
 
 
-def settings(scenario: Scenario, number: int, zone: str) -> dict[str, Any]:
+def settings(scenario: Scenario, number: int, zone: str, attempts: int = ATTEMPTS) -> dict[str, Any]:
     """The settings of one proxy, as the platform names them."""
     boxes, load, network = scenario.boxes, scenario.load, scenario.network
     return {
@@ -122,7 +122,7 @@
             "probing": True,
             "retry-after": True,
             "second-copies": True,
-            "send-cap": ATTEMPTS,
+            "send-cap": attempts,
             "streams-per-conn": 1,
         },
         "machine-types": [kind.name for kind in boxes.kinds],
@@ -152,10 +152,10 @@
 
 def configuration(
     scenario: Scenario, plan: Plan, seat: Seat, number: int, seed: int, known: dict[str, Any],
-    folder: str = "",
+    folder: str = "", attempts: int = ATTEMPTS,
 ) -> dict[str, Any]:  # fmt: skip
     """The platform's JSON for one start of a proxy; `seed` is below 2^64 and new with each. `folder` is the
-    proxies' disk."""
+    proxies' disk, `attempts` the most of one request."""
     limits = scenario.proxies
     told: dict[str, Any] = {
         "name": seat.name,
@@ -164,10 +164,19 @@
         "seed": f"{seed:016x}",
         "limits": {"cores": limits.cores, "memory_mb": limits.memory_mb, "sockets": limits.sockets},
         "known": known,
-        "settings": settings(scenario, number, seat.zone),
+        "settings": settings(scenario, number, seat.zone, attempts),
     }
-    if limits.recovery:
+    if limits.recovery or limits.voters:
         told["ops"] = text(plan.ops(number))
+    if limits.voters:
+        told["policy"] = {
+            "folder": f"{folder}/{seat.name}.policy",
+            "voters": list(range(limits.voters)),
+            "doors": [text(plan.ops(other)) for other in range(plan.proxies)],
+            "lease_s": limits.lease_s,
+            "tell": True,
+        }
+    if limits.recovery:
         told["recovery"] = {limits.without.replace("-", "_"): False} if limits.without else {}
         if folder and limits.snapshots:
             told["recovery"]["snapshot"] = f"{folder}/{seat.name}.snapshot"
--- a/firvane/rehearsal/relay.py
+++ b/firvane/rehearsal/relay.py
@@ -47,10 +47,18 @@
     """All of them, for the proxies in these zones, by number."""
 
     def __init__(
-        self, clock: Clock, plan: Plan, names: tuple[str, ...], zones: tuple[str, ...], post: Post, sink: Sink
+        self,
+        clock: Clock,
+        plan: Plan,
+        names: tuple[str, ...],
+        zones: tuple[str, ...],
+        post: Post,
+        sink: Sink,
+        early: bool = False,
     ) -> None:
+        """`early`: datagrams come also before the clock begins, as proxies need that agree at their start."""
         self.clock, self.plan, self.names, self.zones = clock, plan, names, zones
-        self.post, self.sink = post, sink
+        self.post, self.sink, self.early = post, sink, early
         self.ears: dict[tuple[int, int], Ear] = {}  # by sender and receiver; -1 is all
         self.faults: dict[tuple[int, int], tuple[float, float]] = {}  # until when; s late, or 0: lost
 
@@ -77,7 +85,9 @@
         if delay is not None and now < until:
             delay = delay + late if late else None
         self.sink(Sent(now, self.names[sender], len(data), delay is not None))
-        if delay is not None:
+        if delay is not None and self.early and self.clock.start is None:
+            self.clock.loop.call_later(delay, self._deliver, now, sender, receiver, data)
+        elif delay is not None:
             self.clock.call_at(now + delay, self._deliver, sender, receiver, data)
 
     def strike(self, sender: str, receiver: str, until: float, late: float) -> None:
--- a/firvane/rehearsal/result.py
+++ b/firvane/rehearsal/result.py
@@ -20,16 +20,21 @@
 import msgspec
 from msgspec import Struct
 
+from firvane.fleet.epochs import Epochs
 from firvane.fleet.figures import ServiceResult
 from firvane.fleet.judge import Judge
+from firvane.fleet.network import seats
 from firvane.fleet.records import Record, Shaded, Stated
 from firvane.fleet.scenario import Scenario
 from firvane.fleet.service import Progress, Service
-from firvane.fleet.verdict import Breach, Grade
+from firvane.fleet.verdict import Breach, Findings, Grade
+from firvane.quorum.words import Times
+from firvane.rehearsal import policies
 from firvane.whole import write_whole
 
 FORMAT = 1
 OVER = "over"  # of a recovery: the ordinary way of things
+CHANGE_S = 22.0  # in which a change of the policy ends while a majority of the voters talk
 BATCH = 1 << 16  # bytes that are hashed at once
 
 ClockName = Literal["virtual", "live"]
@@ -107,6 +112,16 @@
     return f"firvane rehearse {shlex.quote(name)} --{clock} --seed {seed}"
 
 
+def epochs(scenario: Scenario, findings: Findings) -> Epochs | None:
+    """The judge of one policy for all, where the scenario has one, or files that are to be as one."""
+    limits = scenario.proxies
+    if not limits.voters and limits.change_by != "files":
+        return None
+    names = [seat.name for seat in seats(scenario.network, limits)]
+    slack = Times(lease=limits.lease_s).slack
+    return Epochs(findings, names[: limits.voters], slack, CHANGE_S, policies.allowed(scenario))
+
+
 class Witness:
     """Sees a run's records in their order and makes its result.
 
@@ -126,6 +141,7 @@
         self.replay = replay or replay_command(scenario.name, seed, clock)
         strict = clock == "virtual" if strict is None else strict
         self.judge = Judge(scenario, strict=strict, replay=self.replay)
+        self.epochs = epochs(scenario, self.judge.findings)
         self.service = Service(scenario)
         self.digest = Digest()
         self.troubles: list[Shade] = []
@@ -137,6 +153,8 @@
         self.at = record.at
         self.digest.see(record)
         self.judge.see(record)
+        if self.epochs:
+            self.epochs.see(record)
         self.service.see(record)
         if type(record) is Shaded:
             self.troubles.append(Shade(name=record.name, at=record.at, until=record.until))
@@ -159,6 +177,8 @@
     def result(self, no_verdict: str = "") -> Result:
         """Once, after the last record."""
         self.judge.end(self.at)
+        if self.epochs:
+            self.epochs.end(self.at)
         for proxy in list(self.states):
             self._stated(proxy, "", self.at)
         found = self.judge.findings
--- a/firvane/rehearsal/run.py
+++ b/firvane/rehearsal/run.py
@@ -113,7 +113,13 @@
         # By way of the file, so that what is read there is what a process would read.
         path = self.folder / f"{self.names[number]}.json"
         path.write_text(json.dumps(told))
-        self.proxies[number].start(read_config({"NODE_CONFIG": str(path)}))
+        self.proxies[number].start(read_config({"NODE_CONFIG": str(path)}), told.get("policy_epoch", 0))
+
+    def reload(self, number: int, told: dict[str, Any]) -> None:
+        path = self.folder / f"{self.names[number]}.json"
+        path.write_text(json.dumps(told))
+        read = partial(read_config, {"NODE_CONFIG": str(path)}, again=True)
+        self.proxies[number].reload(read, told["policy_epoch"])
 
     def kill(self, number: int) -> None:
         self.proxies[number].kill()
--- a/firvane/rehearsal/virtual_proxy.py
+++ b/firvane/rehearsal/virtual_proxy.py
@@ -92,6 +92,16 @@
     def close(self) -> None: ...
 
 
+class Marked:
+    """Lets answers tell which file a proxy's policy is from, where there is no agreement that would."""
+
+    def __init__(self, epoch: int) -> None:
+        self.stamp = b"X-Policy-Epoch: %d\r\n" % epoch
+
+    def may(self) -> bool:
+        return True
+
+
 class VirtualProxy:
     """One name among the proxies, and whatever runs under it.
 
@@ -109,9 +119,12 @@
         self.loop, self.wall, self.on_state, self.log = loop, wall, on_state, log
         self.process: Process | None = None
         self.proxy: Proxy | None = None
+        self.stands = False
+        self.signal: Callable[[], None] | None = None  # that has come while it stands still
 
-    def start(self, config: Config) -> None:
-        """Start it from nothing but its configuration. It must not run."""
+    def start(self, config: Config, epoch: int = 0) -> None:
+        """Start it from nothing but its configuration. It must not run. Where there is an `epoch`, answers
+        tell it as that of its file."""
         if self.process:
             raise RuntimeError(f"{config.name} runs already")
         host = config.listen[0]
@@ -132,6 +145,8 @@
             keeper=keeper, agreement=agreement,
         )  # fmt: skip
         self.proxy = process.call(make)
+        if epoch:
+            self.proxy.front.agreement = Marked(epoch)
         self.on_state("started", 0)
         starts = process.start(self.proxy.start())
         starts.add_done_callback(partial(self._started, process), context=self.loop.memory.context)
@@ -162,7 +177,19 @@
     def stall(self, stands: bool) -> None:
         """Let it stand still, or go on where it was."""
         if self.process:
+            self.stands = stands
             self.loop.stall(self.process, stands)
+            signal, self.signal = self.signal, None
+            if signal and not stands:
+                signal()
+
+    def reload(self, read: Callable[[], Config], epoch: int) -> None:
+        """SIGHUP; one that stands still gets it when it goes on."""
+        if self.stands:
+            self.signal = partial(self.reload, read, epoch)
+        elif self.process and self.proxy:
+            self.process.call(self.proxy.reload, read)
+            self.proxy.front.agreement = Marked(epoch)
 
     def kill(self, silently: bool = False) -> None:
         """End it at once; `silently` where its machine is gone. What it knew and held is lost."""
@@ -171,6 +198,7 @@
 
     def _gone(self, state: str, code: int, silently: bool = False) -> None:
         process, self.process, self.proxy = self.process, None, None
+        self.stands, self.signal = False, None
         if process:
             process.kill(silently)
         self.on_state(state, code)
--- a/firvane/rehearsal/world.py
+++ b/firvane/rehearsal/world.py
@@ -15,17 +15,18 @@
 from firvane.fleet.chance import named
 from firvane.fleet.crowd import Crowd
 from firvane.fleet.network import Links, Seat, seats
-from firvane.fleet.records import ProxyState
+from firvane.fleet.records import Proposed, ProxyState
 from firvane.fleet.registry import Registry
 from firvane.fleet.scenario import Kind, Scenario
 from firvane.fleet.timeline import TOLD, Action, Step, Timeline
-from firvane.rehearsal.asker import Asker
+from firvane.rehearsal import asker, policies
 from firvane.rehearsal.boxes import Host, Sink
 from firvane.rehearsal.clients import Clients
 from firvane.rehearsal.clock import Clock
 from firvane.rehearsal.discovery import Agent
 from firvane.rehearsal.doors import Address, Doors
 from firvane.rehearsal.plan import Plan, configuration
+from firvane.rehearsal.policies import Operator, Script
 from firvane.rehearsal.relay import Relay
 from firvane.rehearsal.wire import Jobs, Seals
 
@@ -91,7 +92,8 @@
         }
         zones = tuple(seat.zone for seat in self.seats)
         names = tuple(seat.name for seat in self.seats)
-        self.relay = Relay(clock, plan, names, zones, self.links, sink)
+        agrees = scenario.proxies.voters > 0
+        self.relay = Relay(clock, plan, names, zones, self.links, sink, early=agrees)
 
     async def open(self) -> None:
         """Be there for the proxies; `OSError` where an address cannot be had."""
@@ -265,8 +267,9 @@
             for number, seat in enumerate(seats(scenario.network, scenario.proxies))
         }
         self.clients = Clients(
-            clock, self.crowd, places, seals(scenario, seed), seed, sink, on_ready, part, parts, resets_tell
-        )
+            clock, self.crowd, places, seals(scenario, seed), seed, sink, on_ready, part, parts, resets_tell,
+            told_epochs=bool(scenario.proxies.voters) or scenario.proxies.change_by == "files",
+        )  # fmt: skip
 
     def begin(self) -> None:
         """Ask from 0 s on, to the end of the scenario."""
@@ -294,6 +297,9 @@
     def end(self, number: int) -> None:
         """Tell one to end in order."""
 
+    def reload(self, number: int, told: dict[str, Any]) -> None:
+        """Write a running one's configuration anew and tell it to read that."""
+
     def spoil(self, number: int, memory: str) -> None:
         """What becomes of the disk of one that has lost its power: "kept", "lost", "old" or "torn"."""
 
@@ -341,21 +347,28 @@
         self.ending: set[int] = set()
         self.ready: set[str] = set()  # that have been ready once
         self.is_over = False
-        self.askers = [
-            Asker(clock, seat.name, plan.ops(number), sink)
-            for number, seat in enumerate(self.seats)
-            if scenario.proxies.recovery
-        ]
+        doors = [(seat.name, plan.ops(number)) for number, seat in enumerate(self.seats)]
+        asked = [asker.recovery] if scenario.proxies.recovery else []
+        asked += [asker.policy] if scenario.proxies.voters else []
+        self.askers = [ask(clock, name, door, sink) for ask in asked for name, door in doors]
+        self.doors, self.operators = doors, list[Operator]()
+        self.script = Script(clock, len(self.seats), self._reload)
+        self.files = [-1] * len(self.seats)  # the number of the change that a proxy's file holds
+        self.epochs = {-1: 1}  # of the changes by files, in their order
+        self.cuts = dict.fromkeys(scenario.network.zones, 0)
 
     def open(self) -> None:
         """Start all of them, and let the timeline see to the rest."""
-        for asker in self.askers:
-            asker.begin()
+        if self.scenario.proxies.voters:
+            policies.found(self.proxies.folder, self.scenario, [seat.name for seat in self.seats])
+        for asks in self.askers:
+            asks.begin()
         for seat in self.seats:
             self._launch(seat)
         self.acts: dict[Action, Act] = {
             Action.KILL: self._kill, Action.LAUNCH: self._launch_again, Action.END: self._end,
-            Action.STALL: self._stall, Action.CLOCK: self._step_clock,
+            Action.STALL: self._stall, Action.CLOCK: self._step_clock, Action.CHANGE: self._change,
+            Action.CUT: self._cut, Action.HEAL: self._cut,
         }  # fmt: skip
         play(self.clock, Timeline(self.scenario, self.seed).steps(), self.acts)
 
@@ -391,14 +404,52 @@
         start = named(self.seed, f"{seat.name}/{life}")
 
         def known(listed: dict[str, Any]) -> None:
-            folder = str(self.proxies.folder)
-            told = configuration(self.scenario, self.plan, seat, number, start, listed, folder)
+            told = self._configuration(number, start, listed)
+            if self.scenario.proxies.voters:
+                policies.keep(policies.folder(self.proxies.folder, seat.name))
             self._put(seat.name, "started")
             self.proxies.launch(number, told)
             self.front.started(seat.name)
 
         self.ask_known(seat.name, known)
 
+    def _configuration(self, number: int, seed: int, listed: dict[str, Any]) -> dict[str, Any]:
+        """What its file says now."""
+        limits, change = self.scenario.proxies, self.files[number]
+        shown = policies.changed(self.scenario, change)
+        told = configuration(
+            shown, self.plan, self.seats[number], number, seed, listed, str(self.proxies.folder),
+            policies.attempts(self.scenario, change),
+        )  # fmt: skip
+        if limits.change_by == "files":
+            told["policy_epoch"] = self.epochs[change]  # a mark for the rehearsal, which no proxy reads
+        return told
+
+    def _change(self, now: float, step: Step) -> None:
+        number, first = int(step.value), self.numbers[step.proxy]
+        if self.scenario.proxies.change_by == "files":
+            self.epochs[number] = len(self.epochs) + 1
+            self.sink(Proposed(now, "", f"file {number}"))
+            self.script.begin(now, number)
+            return
+        wanted = policies.text(self.scenario, number)
+        operator = Operator(self.clock, self.doors, wanted, first, self.sink)
+        self.operators.append(operator)
+        operator.begin(now)
+
+    def _reload(self, number: int, change: int) -> bool:
+        """The script's try at one proxy; a later change's file is left alone."""
+        if number not in self.running or self.cuts[self.seats[number].zone]:
+            return False
+        if self.epochs[change] > self.epochs[self.files[number]]:
+            self.files[number] = change
+            start = named(self.seed, f"{self.seats[number].name}/{self.lives[number]}")
+            self.proxies.reload(number, self._configuration(number, start, {}))
+        return True
+
+    def _cut(self, now: float, step: Step) -> None:
+        self.cuts[step.zone] += 1 if step.action is Action.CUT else -1
+
     def _launch_again(self, now: float, step: Step) -> None:
         self._launch(self.seats[self.numbers[step.proxy]])
 
@@ -408,6 +459,8 @@
             self._down(number, self.seats[number], "killed", -9)
             self.proxies.kill(number)
             self.proxies.spoil(number, step.memory)
+            if self.scenario.proxies.voters:
+                policies.spoil(policies.folder(self.proxies.folder, step.proxy), step.memory)
 
     def _stall(self, now: float, step: Step) -> None:
         number = self.numbers[step.proxy]
@@ -454,7 +507,9 @@
     def close(self) -> None:
         """The end of the rehearsal: kill what runs."""
         self.is_over = True
-        for asker in self.askers:
-            asker.close()
+        for asks in self.askers:
+            asks.close()
+        for operator in self.operators:
+            operator.close()
         for number in sorted(self.running):
             self.proxies.kill(number)
--- a/tests/fleet/test_epochs.py
+++ b/tests/fleet/test_epochs.py
@@ -17,11 +17,12 @@
 NAMES = tuple(f"p{number}" for number in range(5))
 SLACK, CHANGE, END = 0.4, 20.0, 60.0
 ATTEMPTS = {1: 3, 2: 1, 3: 2, 4: 1}
+ALLOWED = {"text-2": 1, "text-3": 2, "bad": 1}
 
 
 def found(history: list[Record], end: float = END) -> list[Rule]:
     findings = Findings()
-    judge = Epochs(findings, NAMES[:3], SLACK, CHANGE, ATTEMPTS)
+    judge = Epochs(findings, NAMES[:3], SLACK, CHANGE, ALLOWED)
     for record in in_order(history):
         judge.see(record)
     judge.end(end)
--- a/tests/together/harness.py
+++ b/tests/together/harness.py
@@ -108,6 +108,8 @@
 
     def step_clock(self, number: int, seconds: float) -> None: ...
 
+    def reload(self, number: int, told: dict[str, Any]) -> None: ...
+
     # Faults by name
 
     def off(self, *proxies: int, boxes: bool = False, memory: str = "kept") -> None:
