--- a/tests/cli/test_command.py
+++ b/tests/cli/test_command.py
@@ -114,7 +114,8 @@
 def test_help_loads_no_command_and_the_proxy_no_tool() -> None:
     # The proxy lives in a few megabytes, and whoever asks for help does not wait for what only a run needs.
     probe = "import sys, {}; print(*(m for m in {} if m in sys.modules))"
-    heavy = ["msgspec", "hdrh", "numpy", "matplotlib", "structlog", "firvane.checked", "firvane.rehearsal"]
+    heavy = ["msgspec", "hdrh", "numpy", "matplotlib", "structlog"]
+    heavy += ["firvane.checked", "firvane.rehearsal", "firvane.quorum"]
     for module, unwanted in (("firvane.cli", heavy), ("firvane.__main__", [*heavy, "click", "tomllib"])):
         run = [sys.executable, "-c", probe.format(module, unwanted)]
         assert subprocess.run(run, capture_output=True, text=True, check=True, cwd=ROOT).stdout.split() == []
