End an epoch that was to end although no vote for the next is left anywhere

Need, found on reading: a voter tells an accepted end at once, before its vote is on disk. Where the write fails (a full disk) and the proposer dies then, no vote is left, nobody finishes, and the end stops every proxy for good. Change: a voter that knows of an end that has passed with no vote proposes the same policy under the next number; the ballot's first phase still finds any vote that there is.

--- a/firvane/quorum/member.py
+++ b/firvane/quorum/member.py
@@ -501,20 +501,32 @@
             return
         if votes.due(now):
             votes.settle()
-        said = votes.said
         states = {voter: told for voter, told in self.told.items() if told.decided == votes.kept.decided}
         states[self.me] = self._state(0, now)
         if vote := majority(states, votes.kept.decided.voters, votes.kept.decided.quorum):
             votes.chosen(*vote, None, now)
-        if said.accepted is None or said.decided != votes.kept.decided:
+        value = self._begun(votes, now)
+        if value is None:
             self.finish_at = -inf
         elif self.finish_at == -inf:
             self.finish_at = now + self.times.lease * self.dice.uniform(0.5, 1.5)
-        elif now >= self.finish_at and self.ballots is None and votes.kept.settled:
-            value = said.accepted[1]
+        elif now >= self.finish_at and self.ballots is None:
             self.ballots = self._made(value, now)
             self._note("policy_finishes", epoch=value.epoch, digest=value.digest.hex())
 
+    def _begun(self, votes: Votes, now: float) -> Value | None:
+        """What has been begun for the next epoch, and perhaps nobody will end: a vote, or an end alone,
+        which a voter leaves that could not write its vote. Then the policy stays, under another number."""
+        kept, said = votes.kept, votes.said
+        if not kept.settled or said.decided != kept.decided:
+            return None
+        if said.accepted:
+            return said.accepted[1]
+        window = self.lease.windows.get(kept.decided.epoch + 1)
+        if window is None or now < window.ends:
+            return None
+        return kept.decided._replace(epoch=kept.decided.epoch + 1)
+
     def _chosen(self, ballots: Ballots, now: float) -> None:
         """A majority has accepted what was proposed here."""
         assert ballots.value
