--- a/tests/rehearsal/test_live.py
+++ b/tests/rehearsal/test_live.py
@@ -96,9 +96,10 @@
 
 def test_ctrl_c_leaves_no_process_behind() -> None:
     code = (
+        "from msgspec.structs import replace\n"
         "from tests.rehearsal.test_live import SMALL, shown\n"
         "from firvane.rehearsal.live import live\n"
-        "live(SMALL, 1, shown)\n"
+        "live(replace(SMALL, seconds=3600.0), 1, shown)\n"  # it ends by the signal alone
     )
     running = subprocess.Popen(
         [sys.executable, "-c", code], cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True
