--- a/firvane/quorum/driver.py
+++ b/firvane/quorum/driver.py
@@ -41,6 +41,7 @@
 
 MOST_FETCHES = 4  # texts being got at once
 MOST_TEXTS = REMEMBERED + 14  # kept: those of the history, and the last that were proposed
+MOST_UNKEPT = 16  # texts that are tried again where a disk had no room
 RETRY = 5.0  # s from one try to keep a text on a full disk to the next
 SHORTEST, BEHIND = 0.001, 0.02  # s to the next tick at the least; where something is due that cannot be done
 WHY = 120  # characters of a reason that go to another proxy
@@ -107,6 +108,7 @@
         self.writing: set[bytes] = set()  # texts on their way to the disk
         self.asked: dict[bytes, tuple[int, ...] | None] = {}  # proposals that wait for it, and their voters
         self.failed: dict[bytes, str] = {}  # proposals that ended there
+        self.unkept: dict[bytes, bytes] = {}  # texts that a voter's disk had no room for
         self.puts = Puts()
         self.fetching: dict[bytes, Fetching] = {}
         self.history: list[Past] = []
@@ -331,14 +333,20 @@
                 return
             self.writing.discard(its)
             self._is_not_kept(its, why)
-            self.loop.call_later(RETRY, self._again, text)  # it may be the one in force
+            if not self.unkept:
+                self.loop.call_later(RETRY, self._again)
+            self.unkept[its] = text  # it may be the one in force
+            while len(self.unkept) > MOST_UNKEPT:
+                del self.unkept[next(iter(self.unkept))]
 
         self.writing.add(its)
         self.store.text(text, here, failed)
 
-    def _again(self, text: bytes) -> None:
-        if not self.closed and len(self.writing) < MOST_FETCHES:
-            self._keep(text)
+    def _again(self) -> None:
+        unkept, self.unkept = self.unkept, {}
+        if not self.closed:
+            for text in unkept.values():
+                self._keep(text)
 
     def _votes(self) -> bool:
         serving = self.member.serving if self.member else None
