--- /dev/null
+++ b/firvane/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""A rolling change of the program or its settings in stages, stopped when a stage does worse."""
