--- a/firvane/rollout/compare.py
+++ b/firvane/rollout/compare.py
@@ -16,7 +16,9 @@
 class Comparison:
     """One comparison, from `Compare` to the next one or `Stop`. `before`: `in_time_share` before the roll."""
 
-    def __init__(self, limits: Limits, alpha: float, soak_s: float, before: float | None = None) -> None:
+    def __init__(
+        self, limits: Limits, alpha: float, soak_s: float, before: float | None = None, alone: bool = False
+    ) -> None:
         raise NotImplementedError
 
     def add(self, moment: Sequence[Block]) -> None:
--- a/firvane/rollout/plan.py
+++ b/firvane/rollout/plan.py
@@ -44,7 +44,7 @@
     prove_s: Seconds = 3.0  # for which it must go on doing so under its first requests
     end_s: Positive = 10.0  # until the old one is killed
     tries: Annotated[int, Meta(ge=1, le=10)] = 2  # orders that may come to nothing before the roll stops
-    ask_s: Positive = 3600.0  # for which a pause waits for an operator
+    ask_s: Positive = 86400.0  # for which a pause waits for an operator
     back_s: Positive = 600.0  # for which going back waits for places that are down
     most_of_zone: Part = 0.34  # of its places may be out at a time
     at_once: Annotated[int, Meta(ge=1)] = 1  # replacements
--- a/firvane/rollout/words.py
+++ b/firvane/rollout/words.py
@@ -123,6 +123,7 @@
     TOO_LONG = "the stage took its longest time"
     PAUSE = "an operator paused it"
     GO = "an operator let it go on"
+    AGAIN = "an operator let it begin"
     ACCEPTED = "an operator accepted the last stage"
     BACK = "an operator sent it back"
     UNANSWERED = "nobody answered the pause in time"
@@ -289,6 +290,7 @@
     alpha: float
     soak_s: float
     before: float | None
+    alone: bool  # the stage is all: in the end no old side is left
 
 
 @dataclass(frozen=True)
