--- a/firvane/cli/check.py
+++ b/firvane/cli/check.py
@@ -9,7 +9,8 @@
 @click.argument("files", nargs=-1, required=True, type=click.Path())
 @click.pass_context
 def command(ctx: click.Context, files: tuple[str, ...]) -> None:
-    """Name every fault of FILES: configurations (firvane.toml or the platform's JSON), policies or scenarios.
+    """Name every fault of FILES: configurations (firvane.toml or the platform's JSON), policies,
+    plans of a rolling change or scenarios.
 
     Which of them a file is meant to be is told by its content. Each fault is one line: file, key, what is
     wrong, what was given, and for an unknown key the one that was probably meant. Exit code 2 for any.
@@ -61,6 +62,14 @@
         policy = parse(Path(file).read_bytes(), file)  # of its text there may be less than of other files
         said = (key for key in policy.__struct_fields__ if getattr(policy, key) is not None)
         return f"policy that says {', '.join(said)}"
+    if form == "plan":
+        from firvane.rollout.plan import CHECKS as PLAN_CHECKS
+        from firvane.rollout.plan import Plan
+
+        plan = checked.build(raw, Plan, file, PLAN_CHECKS)
+        stages = ", ".join(str(plan.goal(n)) for n in range(len(plan.stage)))
+        change = f"{plan.roll.old} to {plan.roll.version}"
+        return f"plan of a rolling change from {change}: {stages} of {len(plan.place)} places"
     from firvane.config.checks import CHECKS
     from firvane.config.model import File
 
--- a/firvane/cli/files.py
+++ b/firvane/cli/files.py
@@ -9,14 +9,14 @@
 from firvane.cli import Bad
 from firvane.fleet.scenario import Scenario
 
-Form = Literal["configuration", "scenario", "platform", "policy"]
+Form = Literal["configuration", "scenario", "platform", "policy", "plan"]
 
 
 def form_of(raw: dict[str, Any]) -> Form:
     """What bare data is meant to be: by its keys, since all of them may be TOML or JSON.
 
-    The platform's JSON alone has settings. Between the others the one decides that knows more of the keys; a
-    file without any is held to be a configuration. A policy has keys of a configuration, and none of those
+    The platform's JSON alone has settings, the plan of a rolling change alone a roll. Between the others the
+    one decides that knows more of the keys; a file without any is held to be a configuration. A policy has keys of a configuration, and none of those
     that say which proxy it is.
     """
     from firvane.config.model import File
@@ -24,6 +24,8 @@
 
     if "settings" in raw:
         return "platform"
+    if "roll" in raw:
+        return "plan"
     of_policy = set(Policy.__struct_fields__)
     others = {*File.__struct_fields__, *Scenario.__struct_fields__} - of_policy
     if raw.keys() & of_policy and not raw.keys() & others:
--- a/firvane/rollout/course.py
+++ b/firvane/rollout/course.py
@@ -277,10 +277,10 @@
             self._go(Cause.AGAIN, now, why)
         elif not self.accepts:
             self._go(Cause.GO, now, why)
-        elif self.stage == len(self.plan.stage) - 1:
+        elif self._is_last:
             self._go(Cause.ACCEPTED, now, "an operator accepted the last stage" + self._missing())
         else:
-            self.stage += 1
+            self._next_stage()
             self._go(Cause.GO, now, why)
 
     # What is due
@@ -319,7 +319,7 @@
                 self._go(Cause.BEGUN, now, "the trial of the new version went well")
 
     def _step_forward(self, now: float) -> None:
-        last, stage = self.stage == len(self.plan.stage) - 1, self._stage
+        last, stage = self._is_last, self._stage
         filled = self._fill(now)
         if self.state is State.REPLACING and filled:
             self._go(Cause.REPLACED, now, f"stage {self.stage + 1} has the new version")
@@ -340,7 +340,7 @@
             elif last:
                 self._go(Cause.LAST, now, why + missing)
             else:
-                self.stage += 1
+                self._next_stage()
                 self._go(Cause.FINE, now, why)
         elif long:
             self._go(Cause.TOO_LONG, now, f"stage {self.stage + 1} took its longest time: {self._waits(why)}")
@@ -401,6 +401,16 @@
     def _stage(self) -> Stage:
         return self.plan.stage[self.stage]
 
+    @property
+    def _is_last(self) -> bool:
+        return self.plan.goal(self.stage) == len(self.plan.place)
+
+    def _next_stage(self) -> None:
+        """The next one that has more places: in a small tier one and a tenth are the same."""
+        goal = self.plan.goal(self.stage)
+        while self.plan.goal(self.stage) == goal:
+            self.stage += 1
+
     # Orders
 
     def _is_out(self, place: _Place) -> bool:
@@ -454,9 +464,8 @@
     def _compare(self) -> None:
         self.comparisons += 1
         self.finding, self._compares, self._dirty = None, True, True
-        alone = self.plan.goal(self.stage) == len(self.plan.place)
         alpha = self.plan.compare.alpha / (self.comparisons * (self.comparisons + 1))
-        self._do(Compare(self.comparisons, alpha, self._stage.soak_s, self.before, alone))
+        self._do(Compare(self.comparisons, alpha, self._stage.soak_s, self.before, self._is_last))
 
     def _do(self, action: Action) -> None:
         self._out.append(action)
--- a/firvane/rollout/plan.py
+++ b/firvane/rollout/plan.py
@@ -74,7 +74,7 @@
     attempts: Positive = 0.15  # a request
     cpu: Positive = 0.25  # of a request, as a part of the old side's
     memory: Positive = 0.4  # MB a minute
-    descriptors: Positive = 5.0  # a minute
+    descriptors: Positive = 10.0  # a minute
     errors: Positive = 0.2  # lines a second
 
 
@@ -174,11 +174,6 @@
 CHECKS: checked.Checks = {Plan: whole}
 
 
-def is_plan(raw: object) -> bool:
-    """Whether bare data is meant as a plan."""
-    return isinstance(raw, dict) and "roll" in raw and ("stage" in raw or "place" in raw or "version" in raw)
-
-
 def parse(text: bytes, name: str = "plan") -> Plan:
     """The plan in a text; raises `checked.Faults` with everything that is wrong with it."""
     return checked.build(checked.parse(text, name), Plan, name, CHECKS)
