--- a/firvane/rollout/course.py
+++ b/firvane/rollout/course.py
@@ -130,6 +130,8 @@
         self.finding: Finding | None = None
         self.places = {place.name: _Place(place.name, place.zone) for place in plan.place}
         self.turns = [self.places[name] for name in plan.order()]
+        for name in kept.new:
+            self.places[name].version = plan.roll.version
         for name in self.ordered:
             self.places[name].due = now + plan.roll.order_s
         self._observed = False
@@ -153,6 +155,7 @@
             stage=self.stage,
             spent=now - self.began,
             ordered=dict(self.ordered),
+            new=tuple(self.new_places()),
             failures=dict(self.failures),
             comparisons=self.comparisons,
             before=self.before,
@@ -230,6 +233,7 @@
     def _answered(self, place: _Place, version: str) -> None:
         place.heard, place.serves, place.busy, place.lost = True, bool(version), False, False
         if version:
+            self._dirty |= self.plan.roll.version in (version, place.version) and version != place.version
             place.version = version
 
     def _end_order(self, name: str) -> None:
@@ -289,8 +293,10 @@
         for name in [name for name in self.ordered if now >= self.places[name].due]:
             place = self.places[name]
             if not place.busy:
+                if self.ordered[name] == self.plan.roll.version:
+                    place.version = self.plan.roll.version  # it may have it, until it says what it has
+                place.heard, place.serves, place.lost = False, False, True
                 self._on_failed(name, "nothing was heard of the order in time", now)
-                place.heard, place.lost = False, True
             else:
                 place.due = now + self.plan.roll.order_s  # it says itself that it is not done
         match self.state:
@@ -375,17 +381,16 @@
         for place in sorted(reversed(self.turns), key=lambda place: place.serves):
             if place.name in self.ordered or place.busy:
                 waits = True
-            elif place.version not in (new, None) or place.stuck:
-                continue  # it is back, will come back with what it had, or cannot go back
-            elif place.heard and self._may(place):
-                self._order(place, now)
-                waits = True
+            elif place.version != new or place.stuck:
+                continue  # it is back, never had the new one, or cannot go back
             else:
                 waits = True
+                if place.heard and self._may(place):
+                    self._order(place, now)
         if waits and now - self.began < self.plan.roll.back_s:
             return
         left = [place for place in self.turns if waits and (place.name in self.ordered or place.busy)]
-        left += [p for p in self.turns if p not in left and (p.version in (new, None) or p.stuck)]
+        left += [p for p in self.turns if p not in left and p.version == new]
         if left:
             told = ", ".join(f"{p.name} ({p.stuck or ('down' if not p.heard else 'not done')})" for p in left)
             self._go(Cause.LEFT, now, f"{self.why}; could not go back: {told}")
--- a/firvane/rollout/words.py
+++ b/firvane/rollout/words.py
@@ -227,6 +227,7 @@
     stage: int = 0
     spent: float = 0.0  # s in this state (of the stage while replacing and comparing) at the last keeping
     ordered: Mapping[str, str] = field(default_factory=dict)  # by place, the version it may be changing to
+    new: tuple[str, ...] = ()  # places that have the new version, or may have it
     failures: Mapping[str, int] = field(default_factory=dict)  # orders that came to nothing, by place
     comparisons: int = 0  # begun in all: each has its own part of alpha
     before: float | None = None
--- /dev/null
+++ b/tests/rollout/helpers.py
@@ -0,0 +1,241 @@
+"""A plan, keepers that do what they are told or not, and blocks of drawn traffic."""
+
+from __future__ import annotations
+
+import math
+import random
+from dataclasses import dataclass, field
+from typing import Any
+
+from firvane.rollout.course import Course
+from firvane.rollout.plan import Limits, Place, Plan, Roll, Stage, Version
+from firvane.rollout.words import (
+    ENDS,
+    Action,
+    Back,
+    Block,
+    Compare,
+    Counts,
+    Down,
+    Event,
+    Finding,
+    Found,
+    Judged,
+    Keep,
+    Kept,
+    Replace,
+    Replaced,
+    ReplaceFailed,
+    Side,
+    Tick,
+    Use,
+    Verdict,
+    bucket,
+)
+
+OLD, NEW = "a", "b"
+
+
+def a_plan(places: int = 6, zones: int = 3, **roll: Any) -> Plan:
+    stages = (Stage(part="one", soak_s=30, longest_s=200), Stage(part=0.5, soak_s=30, longest_s=400))
+    return Plan(
+        roll=Roll(version=NEW, old=OLD, **{"ask_s": 1000.0, "back_s": 300.0, **roll}),
+        version={name: Version(command=(name,)) for name in (OLD, NEW)},
+        place=tuple(
+            Place(name=f"p{n}", zone=f"z{n % zones}", door=f"d{n}", ops=f"o{n}") for n in range(places)
+        ),
+        stage=(*stages, Stage(part=1.0, soak_s=30, longest_s=400)),
+    )
+
+
+def judged(verdict: Verdict) -> Finding:
+    return Finding(verdict, verdict.value)
+
+
+@dataclass
+class Keeper:
+    """One place as it is, whatever the course believes."""
+
+    name: str
+    zone: str
+    version: str = OLD
+    serves: bool = True
+    reached: bool = True
+    highest: int = 0
+    order: tuple[str, float] | None = None  # the version it changes to, and when it gives that up
+    told_out: bool = True  # by what the controller has heard
+
+
+@dataclass
+class World:
+    """Keepers, and a controller that may be killed after any of its actions."""
+
+    plan: Plan
+    make: type[Course] = Course
+    now: float = 0.0
+    disk: Kept | None = None
+    keepers: dict[str, Keeper] = field(default_factory=dict)
+    broken: list[str] = field(default_factory=list)
+    compared: Compare | None = None
+    spent: float = 0.0  # of alpha
+    taking_over: int = 0
+
+    def __post_init__(self) -> None:
+        self.keepers = {place.name: Keeper(place.name, place.zone) for place in self.plan.place}
+        self.start()
+
+    def start(self) -> None:
+        """A controller begins with what is on disk."""
+        for keeper in self.keepers.values():
+            keeper.told_out = True
+        self.taking_over = 0 if self.disk is None or self.disk.state in ENDS else 1
+        self.course = self.make(self.plan, "d", self.now, self.disk)
+        self.do(self.course.begin(self.now))
+
+    def hear(self, event: Event, dies_after: int | None = None) -> None:
+        actions = self.course.hear(event, self.now)
+        self.do(actions[:dies_after])
+        if dies_after is not None:
+            self.start()
+
+    def do(self, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case Keep(kept):
+                    if self.disk and kept.roll < self.disk.roll + self.taking_over:
+                        self.broken.append("a take-over that places cannot tell from the one before")
+                    self.disk, self.taking_over = kept, 0
+                case Compare():
+                    self.compared, self.spent = action, self.spent + action.alpha
+                case Replace(name, version, roll) | Back(name, version, roll):
+                    self.ordered(self.keepers[name], version, roll)
+
+    def ordered(self, keeper: Keeper, version: str, roll: int) -> None:
+        busy = [one for one in self.keepers.values() if one.order]
+        if keeper.order:
+            self.broken.append("two orders to one place")
+        if len(busy) >= self.plan.roll.at_once:
+            self.broken.append("more than at_once")
+        out = {one.name for one in self.keepers.values() if one.zone == keeper.zone and one.told_out}
+        out |= {one.name for one in busy if one.zone == keeper.zone}
+        if keeper.name not in out and len(out) >= self.plan.most_out(keeper.zone):
+            self.broken.append("more of a zone out than the plan says")
+        if self.disk is None or self.disk.ordered.get(keeper.name) != version or self.disk.roll != roll:
+            self.broken.append("an order that is not on disk")
+        if not keeper.reached:
+            return
+        if roll < keeper.highest:
+            self.broken.append("an order of a roll that is over")
+        roll_ = self.plan.roll
+        keeper.highest = roll
+        keeper.order = version, self.now + roll_.ready_s + roll_.prove_s + roll_.end_s
+
+    def end(self, keeper: Keeper, well: bool, heard: bool = True) -> None:
+        """An order ends in the keeper; its answer may be lost."""
+        if keeper.order is None:
+            return
+        version, keeper.order = keeper.order[0], None
+        if well:
+            keeper.version, keeper.serves = version, True
+        if heard and keeper.reached:
+            keeper.told_out = not keeper.serves
+            event = Replaced(keeper.name, version) if well else ReplaceFailed(keeper.name, "it died")
+            self.hear(event)
+
+    def ask(self, keeper: Keeper) -> None:
+        if not keeper.reached:
+            keeper.told_out = True
+            self.hear(Down(keeper.name))
+            return
+        keeper.told_out = not keeper.serves or keeper.order is not None
+        self.hear(Found(keeper.name, keeper.version if keeper.serves else "", keeper.order is not None))
+
+    def wait(self, span: float) -> None:
+        self.now += span
+        for keeper in self.keepers.values():
+            if keeper.order and self.now >= keeper.order[1]:
+                self.end(keeper, False, heard=False)
+        self.hear(Tick())
+
+    def judge(self, verdict: Verdict) -> None:
+        if self.compared:
+            self.hear(Judged(judged(verdict), self.compared.number))
+
+    def calm_step(self, verdict: Verdict, heal: bool = True, well: bool = True) -> None:
+        for keeper in self.keepers.values():
+            keeper.reached = keeper.reached or heal
+            self.end(keeper, well)
+            self.ask(keeper)
+        self.judge(verdict)
+        self.wait(20.0)
+
+    def calm(self, verdict: Verdict, most: int = 500) -> None:
+        """Everything answers and does well from now on, until the end."""
+        for _ in range(most):
+            if self.course.ended:
+                return
+            self.calm_step(verdict)
+        raise AssertionError(f"no end: {self.course.state}, {self.course.why}")
+
+    @property
+    def new(self) -> int:
+        """Places that have the new version, or are changing to it."""
+        return sum(
+            keeper.version == NEW or (keeper.order is not None and keeper.order[0] == NEW)
+            for keeper in self.keepers.values()
+        )
+
+
+TENANTS = (0.4, 0.3, 0.2, 0.1)
+LATENCIES = [bucket(0.03 * math.exp(random.Random(n).gauss(0, 0.5))) for n in range(500)]
+
+
+def traffic(
+    seed: int, harm: str = "", size: float = 0.0, herd: bool = False, proxies: int = 6, rate: float = 120.0
+) -> Any:
+    """Moments of blocks without end: proxy 0 is new, and worse by `size` in one way. `rate` a proxy."""
+    rng, limits = random.Random(seed), Limits()
+    rss = [40.0] * proxies
+    shift = round(8 * math.log2(1 + size)) if harm == "slow" else 0
+    n = 0
+    while True:
+        n += 1
+        swell = 1 + 0.3 * math.sin(n / 9) + (8 if herd and 40 <= n < 60 else 0)  # strikes both sides
+        blocks = []
+        keys = [("class:view", 1.0), *((f"tenant:{i}", part) for i, part in enumerate(TENANTS))]
+        for one in range(proxies):
+            new = one == 0
+            by = {}
+            for key, part in keys:
+                taken = max(1, round(rng.gauss(1, 0.1) * rate * limits.block_s * part))
+                worse = size if new and harm in ("refused", key) else 0.0
+                refused = _draw(rng, taken, min(1.0, 0.01 * swell + worse))
+                failed = _draw(rng, taken - refused, 0.002 + (size if new and harm == "failed" else 0.0))
+                late = _draw(rng, taken - refused - failed, 0.01 * swell)
+                again = _draw(rng, taken, 0.05) + (round(size * taken) if new and harm == "attempts" else 0)
+                answered = taken - refused - failed
+                latency: dict[int, int] = {}
+                for number in rng.choices(LATENCIES, k=min(answered, 60)):
+                    number += shift if new else 0
+                    latency[number] = latency.get(number, 0) + 1
+                by[key] = Counts(taken, answered - late, refused, failed, taken + again, latency)
+            rss[one] += (size * limits.block_s / 60 if new and harm == "memory" else 0) + rng.gauss(0, 0.01)
+            cpu = 0.6 * rng.uniform(0.9, 1.1) * (1 + (size if new and harm == "cpu" else 0))
+            use = Use(cpu, rss[one], 50 + rng.randrange(4), int(rng.random() < 0.02))
+            side = Side.NEW if new else Side.OLD
+            at = n * limits.block_s
+            blocks.append(Block(at, f"z{one % 3}", side, f"p{one}", 1000 + at, by, use))
+        yield blocks
+
+
+def _draw(rng: random.Random, number: int, part: float) -> int:
+    spread = math.sqrt(max(0.0, number * part * (1 - part)))
+    if number * part > 20 and number * (1 - part) > 20:
+        return round(rng.gauss(number * part, spread))
+    if part <= 0 or number <= 0 or part >= 1:
+        return number if part >= 1 else 0
+    count, at, gap = -1, 0.0, math.log(1 - part)
+    while at <= number:  # from one event to the next
+        at += math.floor(math.log(1 - rng.random()) / gap) + 1
+        count += 1
+    return count
