--- a/benchmarks/rollout_compare.py
+++ b/benchmarks/rollout_compare.py
@@ -5,8 +5,9 @@
 
 Drawn shares of refused requests alone, block by block, one new proxy beside two old ones of its zone: of a
 steady share, of one that lingers from block to block, and of one that a herd lifts on both sides for a while.
-Each way looks after each block. `worse` is the part of runs that say so at any look within ten minutes, a false
-alarm where the harm is 0; 2% is the least that counts. `fine` is the part that says that, `s` the median time.
+Each way looks after each block. `worse` is the part of runs that say so at any look within ten minutes, a
+false alarm where the harm is 0; 2% is the least that counts. `fine` is the part that says that, `s` its
+median time.
 """
 
 from __future__ import annotations
