Hold no change up for who hears nothing, and end what is aborted before it was said

Need: with its datagrams lost one way, a proxy still asks and hears no answer. Voters told it as one that has a lease: every change waited for it and failed, "a majority of the voters has not told who has a lease". And an abort while the text was being written ended the change for certain and told "unknown". Change: a question says where its asker has had no answer for a lease; such a one is not told as present. The abort of a text on its way to disk is a failure, said as one. Result: two deaf of five, one of them a voter: the change is in force on the other three, and they refuse.

--- a/firvane/quorum/driver.py
+++ b/firvane/quorum/driver.py
@@ -353,12 +353,16 @@
         why = f"a voter cannot keep its text: {why}"
         if its in self.asked:
             del self.asked[its]
-            if len(self.failed) >= REMEMBERED:
-                del self.failed[next(iter(self.failed))]
-            self.failed[its] = why
+            self._fails(its, why)
         else:
             self._give(words.Checked(its, why[:WHY]))
 
+    def _fails(self, its: bytes, why: str) -> None:
+        """A proposal has ended before anybody else heard of it."""
+        if len(self.failed) >= REMEMBERED:
+            del self.failed[next(iter(self.failed))]
+        self.failed[its] = why
+
     def _tidy(self) -> None:
         """Forget the oldest texts beyond what is kept; what was in force goes last."""
         in_force = {past.value.digest for past in self.history}
@@ -423,6 +427,9 @@
         return calls.yes(f"{outcome.value}: {why}")
 
     def _abort(self, given: calls.Named) -> bytes:
-        if self.asked.pop(given.digest, self) is self:
+        if given.digest in self.asked:
+            del self.asked[given.digest]
+            self._fails(given.digest, "it was aborted")
+        else:
             self._give(words.Abort(given.digest))
         return self._outcome(given)
--- a/firvane/quorum/member.py
+++ b/firvane/quorum/member.py
@@ -179,7 +179,7 @@
         self.asked: dict[int, tuple[int, float]] = {}  # by nonce: whom, and when
         self.sent: dict[int, float] = {}  # by voter: when the question went out that it answered last
         self.told: dict[int, Told] = {}
-        self.heard: dict[int, float] = {}  # by proxy: when it asked last
+        self.heard: dict[int, float] = {}  # by proxy: when it asked last, and was not deaf
         self.turn = self.dice.randrange(MOST_VOTERS)  # which voter is asked
         self.ask_at = now + self.dice.uniform(0, times.trip / 4)
         self.asked_at = self.who_at = self.fetch_at = self.finish_at = -inf
@@ -315,10 +315,14 @@
             nonce = self.dice.getrandbits(32)
             self.asked[nonce] = (voter, now)
             life = self.life if self.votes is None and self.me in self.voters else 0
-            self._say(voter, Ask(nonce=nonce, incarnation=life), now)
+            self._say(voter, Ask(nonce=nonce, incarnation=life, deaf=self._is_deaf(now)), now)
         if not others:  # the only voter
             self._fresh(now)
 
+    def _is_deaf(self, now: float) -> bool:
+        """Whether what it asks is in vain: where the way is lost one way, it is heard and hears nothing."""
+        return now >= max(self.lease.fresh, self.start) + self.times.lease
+
     def _fresh(self, now: float) -> None:
         """Renew the lease of a voter by what the others have answered."""
         votes = self.votes is not None
@@ -328,7 +332,8 @@
         """Tell all that is known here, once it is on disk."""
         if self.me not in self.voters:
             return
-        self.heard[asker] = now
+        if not message.deaf:
+            self.heard[asker] = now
         votes = self.votes
         if votes and message.incarnation:
             votes.note(asker, message.incarnation)
@@ -737,4 +742,3 @@
 def plain(why: str) -> str:
     """A reason that fits a message."""
     return why.encode("ascii", "replace")[: messages.WHY].decode()
-
--- a/firvane/quorum/messages.py
+++ b/firvane/quorum/messages.py
@@ -45,6 +45,7 @@
 
     nonce: Number
     incarnation: Number = 0  # above 0: of a voter that has lost its memory, its new life
+    deaf: bool = False  # it has no lease, nobody has answered for as long
 
 
 class Told(_Said, tag=2, frozen=True, array_like=True, kw_only=True):
--- a/tests/quorum/test_driver.py
+++ b/tests/quorum/test_driver.py
@@ -172,7 +172,7 @@
 
 @virtual
 async def test_a_text_that_is_wrong_or_has_no_place_changes_nothing(
-    loop: VirtualLoop, net: Net, tmp_path: Path
+    loop: VirtualLoop, net: Net, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     fleet = Fleet(loop, tmp_path)
     await asyncio.sleep(2)
@@ -189,12 +189,32 @@
     said = await fleet.outcome(0, OTHER)
     assert said == "+OK failed: proxy 2 says no: limits.open_flows: lower it\n"
     assert await fleet.propose(1, LONG) == "+OK open\n"
-    said = await fleet.door(1, f"policy-abort {digest_of(LONG).hex()}")
-    assert said.startswith("+OK failed: it was aborted")
+    abort = f"policy-abort {digest_of(LONG).hex()}"
+    assert (await fleet.door(1, abort)).startswith("+OK failed: it was aborted")
+    late = (CLASS % "late").encode()
+    abort = f"policy-abort {digest_of(late).hex()}"
+    with monkeypatch.context() as patch:  # also before anybody has heard of it
+        patch.setattr(store.Store, "text", lambda *asked: None)
+        await fleet.propose(2, late)
+        assert "open: its text is being written" in await fleet.door(2, abort.replace("abort", "outcome"))
+        assert (await fleet.door(2, abort)).startswith("+OK failed: it was aborted")
     await asyncio.sleep(8)
     assert fleet.epochs() == [1] * 3 and [await fleet.get(p) for p in range(3)] == [(200, 1)] * 3
 
 
+@virtual
+async def test_one_that_is_heard_and_hears_nothing_holds_no_change_up(
+    loop: VirtualLoop, net: Net, tmp_path: Path
+) -> None:
+    fleet = Fleet(loop, tmp_path, proxies=5)
+    await asyncio.sleep(2)
+    deaf = {fleet.hosts[2], fleet.hosts[4]}  # a voter, and another
+    net.datagram = lambda now, source, target: None if target in deaf else 0.005  # type: ignore[method-assign]
+    assert await fleet.propose(0, OTHER) == "+OK open\n"
+    assert await fleet.outcome(0, OTHER) == "+OK in force: epoch 2\n"
+    assert [(await fleet.get(p, b"other"))[0] for p in range(5)] == [200, 200, 503, 200, 503]
+
+
 @virtual
 async def test_a_voter_whose_disk_is_full_says_no_and_goes_on_when_there_is_room(
     loop: VirtualLoop, net: Net, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
