--- a/firvane/rehearsal/machines.py
+++ b/firvane/rehearsal/machines.py
@@ -88,6 +88,7 @@
         self.on_ended, self.sink = on_ended, sink
         self.processes: dict[int, subprocess.Popen[bytes]] = {}
         self.starts = 0
+        self.program = ["-m", "firvane"]  # what is run, by this interpreter
 
     def launch(self, number: int, told: dict[str, Any]) -> None:
         self.kill(number)
@@ -103,7 +104,7 @@
         )
         with open(self.folder / f"{self.names[number]}.log", "ab") as log:
             process = subprocess.Popen(
-                [sys.executable, "-m", "firvane"],
+                [sys.executable, *self.program],
                 env=env,
                 cwd=self.folder,
                 stdin=subprocess.DEVNULL,
--- a/tests/together/harness.py
+++ b/tests/together/harness.py
@@ -16,7 +16,7 @@
 from collections import Counter
 from collections.abc import AsyncIterator, Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 from firvane.cli.door import call
 from firvane.fleet.network import seats
@@ -62,8 +62,9 @@
         names, limits = tuple(self.names), scenario.proxies
         self.machines = Machines(self.clock, folder, names, limits, self._ended, self._see)
         self.members = Members(
-            self.clock, self.plan, scenario, 1, self._see, lambda name: None, resets_tell=True
-        )
+            self.clock, self.plan, scenario, 1, self._see, lambda name: self.tier.is_ready(name),
+            resets_tell=True,
+        )  # fmt: skip
         self.tier = Tier(
             self.clock, self.plan, scenario, 1, self, self.members.clients.front,
             lambda name, answer: answer(self.fleet.known(name)), self._see,
@@ -87,9 +88,13 @@
         log = self.folder / f"{self.names[number]}.log"
         self.read[number] = log.stat().st_size if log.exists() else 0
         self.exits.pop(number, None)
+        self.machines.launch(number, self.configured(number, told))
+
+    def configured(self, number: int, told: dict[str, Any]) -> dict[str, Any]:
+        """What the platform tells it at its start."""
         known = {} if self.knows else {"known": None}
         told["recovery"] |= {"snapshot_every": 0.1} if "snapshot" in told["recovery"] else {}
-        self.machines.launch(number, {**told, **known, **self.changes})
+        return {**told, **known, **self.changes}
 
     def kill(self, number: int) -> None:
         self.machines.kill(number)
@@ -231,15 +236,22 @@
         return re.findall(r"event=recovery .*?now=(\w+)", self.log(number))
 
 
+T = TypeVar("T", bound=Together)
+
+
 @contextlib.asynccontextmanager
 async def together(
-    folder: Path, scenario: Scenario | None = None, knows: bool = True, **changes: Any
-) -> AsyncIterator[Together]:
+    folder: Path,
+    scenario: Scenario | None = None,
+    knows: bool = True,
+    kind: Callable[..., T] = Together,  # type: ignore[assignment]
+    **changes: Any,
+) -> AsyncIterator[T]:
     """All of it, until the test is over; `knows`: proxies are told the list as last known when they start,
-    `changes` go into each proxy's configuration."""
+    `changes` go into each proxy's configuration. `kind` is made with what `Together` is made with."""
     net, claim = claim_net()
     CLAIMS.append(claim)  # kept: the next test has a net of its own, whatever this one's sockets still do
-    whole = Together(scenario or small(), folder, net, knows, changes)
+    whole = kind(scenario or small(), folder, net, knows, changes)
     try:
         await whole.fleet.open()
         whole.clock.begin(time.monotonic())
--- /dev/null
+++ b/tests/together/mutants.py
@@ -0,0 +1,54 @@
+"""The program with one promise taken out of it, as a process: `python -m tests.together.mutants NAME`.
+
+What is changed is changed in this process alone, before the program starts as it always does.
+"""
+
+from __future__ import annotations
+
+import runpy
+import sys
+from collections.abc import Callable
+
+from firvane import native
+
+native.activate()  # before anything that is compiled is imported
+
+from firvane.quorum import leases, member, store  # noqa: E402
+from firvane.quorum.words import Outcome  # noqa: E402
+
+
+def heeds_no_lease() -> None:
+    """(b): serves on by what it knew last, however long ago that was."""
+    leases.Lease.limit = lambda self: float("inf")  # type: ignore[method-assign]
+
+
+def swaps_at_once() -> None:
+    """(b): uses an epoch as soon as it hears of it, and not at the moment that was agreed on."""
+    leases.Lease.next = lambda self, now: (  # type: ignore[method-assign]
+        self.decided if self.serving is None or self.serving != self.decided else None
+    )
+    leases.Lease.limit = lambda self: self.fresh + self.times.lease  # type: ignore[method-assign]
+
+
+def says_failed_too_early() -> None:
+    """(c): an abort is said to have worked whatever the voters have been asked."""
+
+    def abort(self: member.Member, digest: bytes) -> None:
+        if proposal := self.proposals.get(digest):
+            proposal.outcome, proposal.why = Outcome.FAILED, "it was aborted"
+
+    member.Member._abort = abort  # type: ignore[method-assign]
+
+
+def keeps_no_votes() -> None:
+    """(d): votes are said and never written."""
+    store.Store.votes = lambda self, kept, done, failed: self.back(done)  # type: ignore[method-assign]
+
+
+MUTANTS: dict[str, Callable[[], None]] = {
+    one.__name__: one for one in (heeds_no_lease, swaps_at_once, says_failed_too_early, keeps_no_votes)
+}
+
+if __name__ == "__main__":
+    MUTANTS[sys.argv.pop(1)]()
+    runpy.run_module("firvane", run_name="__main__")
