--- a/tests/quorum/test_driver.py
+++ b/tests/quorum/test_driver.py
@@ -195,9 +195,9 @@
     abort = f"policy-abort {digest_of(late).hex()}"
     with monkeypatch.context() as patch:  # also before anybody has heard of it
         patch.setattr(store.Store, "text", lambda *asked: None)
-        await fleet.propose(2, late)
-        assert "open: its text is being written" in await fleet.door(2, abort.replace("abort", "outcome"))
-        assert (await fleet.door(2, abort)).startswith("+OK failed: it was aborted")
+        await fleet.propose(1, late)
+        assert "open: its text is being written" in await fleet.door(1, abort.replace("abort", "outcome"))
+        assert (await fleet.door(1, abort)).startswith("+OK failed: it was aborted")
     await asyncio.sleep(8)
     assert fleet.epochs() == [1] * 3 and [await fleet.get(p) for p in range(3)] == [(200, 1)] * 3
 
