--- a/firvane/rehearsal/machines.py
+++ b/firvane/rehearsal/machines.py
@@ -87,6 +87,7 @@
         self.clock, self.folder, self.names, self.limits = clock, folder, names, limits
         self.on_ended, self.sink = on_ended, sink
         self.processes: dict[int, subprocess.Popen[bytes]] = {}
+        self.paths: dict[int, Path] = {}  # of their configurations
         self.starts = 0
         self.program = ["-m", "firvane"]  # what is run, by this interpreter
 
@@ -94,6 +95,7 @@
         self.kill(number)
         self.starts += 1
         path = self.folder / f"{self.names[number]}-{self.starts}.json"
+        self.paths[number] = path
         path.write_text(json.dumps(told))
         env = environment(
             NODE_NAME=told["name"],
@@ -116,6 +118,11 @@
         ended = os.pidfd_open(process.pid)
         self.clock.loop.add_reader(ended, self._ended, number, process, ended)
 
+    def reload(self, number: int, told: dict[str, Any]) -> None:
+        if process := self.processes.get(number):
+            self.paths[number].write_text(json.dumps(told))
+            process.send_signal(signal.SIGHUP)
+
     def kill(self, number: int) -> None:
         process = self.processes.pop(number, None)
         if process:
--- a/tests/together/governed.py
+++ b/tests/together/governed.py
@@ -20,13 +20,12 @@
 from msgspec.structs import replace
 
 from firvane.fleet.epochs import Epochs
-from firvane.fleet.records import Abandoned, Asked, Decided, InUse, Proposed, ProxyState, Record, Said
+from firvane.fleet.records import Abandoned, Asked, Decided, Proposed, ProxyState, Record, Said
 from firvane.fleet.verdict import Findings, Grade, Rule
 from firvane.ops import calls
-from firvane.quorum import store
 from firvane.quorum.messages import MARK, Message, unpack
 from firvane.quorum.words import Times, digest_of
-from firvane.rehearsal.plan import text as spelt
+from firvane.rehearsal import policies
 from firvane.rehearsal.world import seals
 from tests.together.harness import DEADLINE, Together, small, together
 
@@ -35,7 +34,6 @@
 ENDS = ("in force", "failed")
 # Why a change may fail of which nothing is wrong, on a machine that has no time for it or by what was before.
 AGAIN = "another change|has no lease|no majority|not prepared in time|has not told"
-FIRST = b"over_share_worth = 0.5\n"
 
 
 def text(number: int) -> bytes:
@@ -47,39 +45,33 @@
     """`own` goes into the configuration of the proxies of these numbers, `off` have no [policy]."""
 
     def __init__(
-        self, *args: Any, voters: tuple[int, ...], mutant: str, off: tuple[int, ...], own: dict[int, Any],
+        self, *args: Any, mutant: str, off: tuple[int, ...], own: dict[int, Any],
         times: Times,
     ) -> None:  # fmt: skip
         super().__init__(*args)
-        self.times, self.voters, self.off_by, self.own = times, voters, off, own
-        self.count = len(self.names)
+        self.times, self.off_by, self.own = times, off, own
         if mutant:
             self.machines.program = ["-m", "tests.together.mutants", mutant]
-        for voter in voters:
-            store.found(self.disk(voter), FIRST, voters)
         self.findings = Findings()
-        named = [self.names[voter] for voter in voters]
-        self.judge = Epochs(self.findings, named, times.slack, DEADLINE)
+        voters = self.names[: self.scenario.proxies.voters]
+        self.judge = Epochs(self.findings, voters, times.slack, DEADLINE)
+        self.first = policies.text(self.scenario, -1)
         self.calls = 0
         self.decided: Counter[tuple[int, int]] = Counter()  # by proxy and epoch; 0: refusals
-        self.last: dict[Any, Any] = {}  # what was last read of a change, or of an epoch in use
+        self.last: dict[tuple[int, bytes], str] = {}  # what doors said last of changes
         self.drops: Callable[[int, int, Message], bool] = lambda sender, receiver, message: False
         self._carry, self.fleet.relay.carry = self.fleet.relay.carry, self._carried  # type: ignore[method-assign]
         self.seals = seals(self.scenario, 1)
         self.tasks: list[asyncio.Task[None]] = []
 
     def disk(self, number: int) -> Path:
-        return self.folder / f"policy-{number}"
+        return policies.folder(self.folder, self.names[number])
 
     def configured(self, number: int, told: dict[str, Any]) -> dict[str, Any]:
         told = super().configured(number, told)
-        del told["recovery"]  # the boxes are warm
-        if number not in self.off_by:
-            told["policy"] = {
-                "folder": str(self.disk(number)), "voters": list(self.voters),
-                "doors": [spelt(self.plan.ops(other)) for other in range(self.count)],
-                "lease_s": self.times.lease, "trip_ms": 1000 * self.times.trip, "tell": True,
-            }  # fmt: skip
+        told["policy"] |= {"trip_ms": 1000 * self.times.trip}
+        if number in self.off_by:
+            del told["policy"]
         return {**told, **self.own.get(number, {})}
 
     def _see(self, record: Record) -> None:
@@ -94,7 +86,7 @@
 
     def watch(self) -> None:
         """Ask every proxy from now on."""
-        for number in range(self.count):
+        for number in range(len(self.names)):
             self.tasks += [asyncio.create_task(self._ask_on(number)) for _ in range(ASKERS)]
 
     async def _ask_on(self, number: int) -> None:
@@ -141,22 +133,17 @@
 
     # Doors
 
-    async def in_use(self, number: int) -> dict[str, str]:
-        """Its status, written down where another epoch is in use there."""
+    async def policy(self, number: int) -> dict[str, str]:
+        """What its door says of the policy there."""
         lines = (line.partition(" ") for line in (await self.ask(number, "policy-status")).splitlines())
-        status = {name: value for name, _, value in lines}
-        now = status.get("epoch", "none"), status.get("digest", "none")
-        if now[0] != "none" and self.last.get(number) != now:
-            self.last[number] = now
-            self._see(InUse(self.clock.now(), self.names[number], int(now[0]), now[1]))
-        return status
+        return {name: value for name, _, value in lines}
 
     async def takes(self, epoch: int, *proxies: int) -> None:
         """Each of them has that epoch in use with a lease, and answers by it."""
         for number in proxies:
 
             async def found(number: int = number) -> bool:
-                status = await self.in_use(number)
+                status = await self.policy(number)
                 return status.get("epoch") == str(epoch) and status["standing"].startswith("holds")
 
             await self.until(f"epoch {epoch} in use at {self.names[number]}", found)
@@ -253,7 +240,6 @@
 async def governed(
     folder: Path,
     proxies: int = 3,
-    voters: tuple[int, ...] = (0, 1, 2),
     mutant: str = "",
     off: tuple[int, ...] = (),
     own: dict[int, Any] | None = None,
@@ -262,11 +248,11 @@
 ) -> AsyncIterator[Governed]:
     """Proxies that serve by epoch 1, until the test is over, and then the verdict: none of the promises is
     broken, or, for a mutant, the test itself says which."""
-    scenario = small(proxies, snapshots=False)
+    scenario = small(proxies, recovery=False, snapshots=False, voters=3, lease_s=times.lease)
     scenario = replace(scenario, load=replace(scenario.load, rate=2.0))
 
     def kind(*args: Any) -> Governed:
-        return Governed(*args, voters=voters, mutant=mutant, off=off, own=own or {}, times=times)
+        return Governed(*args, mutant=mutant, off=off, own=own or {}, times=times)
 
     async with together(folder, scenario, kind=kind, **changes) as fleet:
         fleet.watch()
