Say loudly in the log that a proxy starts and nobody tells it which policy is in force

Need: where all voters have lost their disks nobody serves by a guess, and the log had one line of level info. Change: a proxy that has had no lease for one since its start warns with policy_unheard, its standing and whether it votes, also where it refuses. Result: the test in which all disks are lost waits for that line at each proxy.

--- a/firvane/quorum/driver.py
+++ b/firvane/quorum/driver.py
@@ -155,13 +155,18 @@
         self.log.info("policy_begins", votes=kept is not None, texts=len(self.texts), folder=self.told.folder)
         self._give(words.Tick())
         try:
-            async with asyncio.timeout(self.times.lease if self.told.serve_without else None):
+            async with asyncio.timeout(self.times.lease):
                 await self.used.wait()
         except TimeoutError:
             last = kept.decided if kept else self.history[-1].value if self.history else None
-            if last and not self._check(last.digest).why:
+            if self.told.serve_without and last and not self._check(last.digest).why:
                 self._use(last)
-            self.log.warning("policy_unheard", serves_by=self.epoch)
+            said = self.member.status(self.clock())
+            self.log.warning(
+                "policy_unheard", serves_by=self.epoch, standing=said["standing"], votes=said["votes"]
+            )
+            if not self.told.serve_without:
+                await self.used.wait()
 
     def heard(self, sender: int, payload: bytes) -> bool:
         """Whether a datagram was for the agreement."""
--- a/tests/together/test_policy.py
+++ b/tests/together/test_policy.py
@@ -239,7 +239,7 @@
                 assert await fleet.in_force(1, NEXT) == 3
                 return
             for number in ALL:
-                await fleet.said(number, "event=policy_begins", "votes=false")
+                await fleet.said(number, "level=warning", "event=policy_unheard", "serves_by=0", "no memory")
             await fleet.answer(0, *ALL, more=40)
             for number in ALL:
                 status = await fleet.policy(number)
