--- a/tests/together/harness.py
+++ b/tests/together/harness.py
@@ -100,7 +100,8 @@
     def configured(self, number: int, told: dict[str, Any]) -> dict[str, Any]:
         """What the platform tells it at its start."""
         known = {} if self.knows else {"known": None}
-        told["recovery"] |= {"snapshot_every": 0.1} if "snapshot" in told["recovery"] else {}
+        if "snapshot" in told.get("recovery", {}):
+            told["recovery"]["snapshot_every"] = 0.1
         return {**told, **known, **self.changes}
 
     def kill(self, number: int) -> None:
