Count requests by class and tenant at the door call measures, where asked for

Need: a rolling change compares old and new proxies, and show-stat has no tenants, no latency and nothing of what the process uses.

Change: measures = true adds the call: per class and tenant taken, in time, late, refused, failed, attempts and latency in log buckets; CPU, memory, descriptors, lines of errors, version, process and uptime. Off by default: then a request's way has one attribute test more.

--- a/firvane/config/checks.py
+++ b/firvane/config/checks.py
@@ -150,6 +150,8 @@
         tier = file.peers
         if tier is None or _me(tier) + file.control.counts_as > len(tier.addresses):
             yield "control.counts_as", "needs as many addresses in peers, from the one of this service on"
+    if file.measures and not file.ops:
+        yield "measures", "needs ops: they are told there"
     if file.policy:
         yield from agreement(file, file.policy)
     if file.peers and not file.zones and (file.zone or any(target.zone for target in targets)):
--- a/firvane/config/file.py
+++ b/firvane/config/file.py
@@ -48,6 +48,8 @@
         snapshot_every=file.recovery.snapshot_every_s if file.recovery else Config.snapshot_every,
         policy=file.policy.told() if file.policy else None,
         ops=parse_address(file.ops) if file.ops else None,
+        measures=file.measures,
+        version=os.environ.get("FIRVANE_VERSION", ""),
         cores=limits.cores,
         memory_mb=limits.memory_mb,
         log_level=file.log.level,
--- a/firvane/config/model.py
+++ b/firvane/config/model.py
@@ -217,6 +217,7 @@
     target_group: TargetGroup
     classes: Annotated[tuple[RequestClass, ...], says("of requests; others get 404", min_length=1)]
     ops: Annotated[Address | None, says("where operators call: ready, show-stat, drain and more")] = None
+    measures: Annotated[bool, says("ops answers measures: counts by class and tenant, for a roll")] = False
     name: Annotated[Name, says("of this proxy, in the log")] = "firvane"
     seed: Annotated[Count | None, says("for random choices; the system's where missing")] = None
     zone: Annotated[str, says("where this proxy stands; one of zones")] = ""
--- a/firvane/config/node.py
+++ b/firvane/config/node.py
@@ -74,5 +74,7 @@
     snapshot: str | None = None  # the file in which what was learnt is kept; None: nowhere
     snapshot_every: float = 5.0  # s
     policy: PolicyTold | None = None  # None: this proxy's own settings alone decide
+    measures: bool = False  # requests are counted for `measures`, too
+    version: str = ""  # how the proxy calls its own there; "": the package's
     log_level: str = "info"
     log_format: str = "logfmt"
--- a/firvane/config/platform.py
+++ b/firvane/config/platform.py
@@ -79,6 +79,9 @@
             raise ValueError("policy needs ops, peers and peer_listen")
         for key, why in policy.misfits(len(tier)):
             raise ValueError(f"policy.{key} {why}")
+    measures = data.get("measures", False)
+    if not isinstance(measures, bool):
+        raise ValueError(f"measures is {measures!r}, not true or false")
     inherited = environment.get("NODE_SOCKET_FD") or None
     if inherited is not None and not (inherited.isdecimal() and len(inherited) < 8):
         raise ValueError(f"NODE_SOCKET_FD is {inherited!r}, not the number of a descriptor")
@@ -103,6 +106,8 @@
         policy=policy,
         ops=ops,
         inherited=None if inherited is None else int(inherited),
+        measures=measures,
+        version=environment.get("FIRVANE_VERSION", ""),
         log_level=log["level"],
         log_format=log["format"],
     )
--- a/firvane/net/front.py
+++ b/firvane/net/front.py
@@ -11,7 +11,7 @@
 import httptools
 
 from firvane import interface as api
-from firvane.engine import Engine
+from firvane.engine import Engine, Flow
 from firvane.limits.descriptors import Use
 from firvane.limits.gate import Gate
 from firvane.limits.overload import Measure
@@ -43,6 +43,16 @@
     def may(self) -> bool: ...
 
 
+class Measures(Protocol):
+    """Counts by class and tenant, as the proxy has them where they are asked for."""
+
+    def take(self, flow: Flow[Message, Message], request: api.Request, settings: api.Settings) -> None: ...
+
+    def left(self, flow: Flow[Message, Message]) -> None: ...
+
+    def unseen(self, cls: str, tenant: str | None) -> None: ...
+
+
 def method(cls: api.RequestClass) -> bytes:
     """That of its requests."""
     return b"GET" if cls.repeat is api.Repeat.SAFE else b"POST"
@@ -72,6 +82,7 @@
         guard.counts = lambda: (self.gate.wished, self.gate.overflowed, self.gate.told())
         self.refusals = itertools.cycle(refusals(0.0, 0.0))
         self.agreement: Agreement | None = None  # where there is one on the policy for all proxies
+        self.measures: Measures | None = None  # where they are asked for
         self.pauses = itertools.cycle(PAUSES)
         self.door: Callable[[bool], None] = lambda opened: None  # opens or shuts the way for new connections
         self.shut_out = False  # it is shut
@@ -172,10 +183,18 @@
         name = message.url.split(b"?", 1)[0].split(b"/", 2)[1:2]
         if counts := self.counts.get(name[0] if name else b""):
             counts.dropped += 1
+            if self.measures is not None:
+                self.count_unseen(name[0], message.fields.get(b"x-caller", b""))
         self.engine.endings["no lease on the policy"] += 1
         limits = self.settings.limits
         return min(limits.max_retry_after, next(self.pauses)) if limits.retry_after else 0.0
 
+    def count_unseen(self, cls: bytes, tenant: bytes) -> None:
+        """A request of these, as they stand on the wire, is refused before anything is decided on it."""
+        if self.measures is not None:
+            known = tenant.decode("latin-1") if tenant in self.tenants else None
+            self.measures.unseen(cls.decode("latin-1"), known)
+
     def sweep(self) -> None:
         """End what has stood unused, or has kept a request half sent, for too long."""
         now = self.loop.time()
--- a/firvane/net/listener.py
+++ b/firvane/net/listener.py
@@ -119,7 +119,13 @@
         front.guard.leases.give_back(self)
         flow = self._taken_off()
         if flow:
-            self.front.engine.leave(flow)
+            self._leave(flow)
+
+    def _leave(self, flow: Flow[Message, Message]) -> None:
+        """Nothing is owed to the client any more."""
+        if self.front.measures is not None:
+            self.front.measures.left(flow)
+        self.front.engine.leave(flow)
 
     def owes(self) -> bool:
         """Whether something that has come whole, or may have, is still to be answered."""
@@ -208,6 +214,8 @@
                     gate.turns_away(tenant, greedy, again) or front.account.pressed
                 ):
                     self.counts = counts
+                    if front.measures is not None:
+                        front.count_unseen(bare_class(data), tenant)
                     front.turns.refuse(self)
                     return
         self.rest, self.at = (self.rest[self.at :] + data if self.rest else data), 0
@@ -339,7 +347,7 @@
         flow = self._taken_off()
         self.upload, self.held = None, False
         if flow:
-            self.front.engine.leave(flow)
+            self._leave(flow)
 
     def hold(self, held: bool) -> None:
         """The target takes no more of a long request, or more again."""
@@ -368,7 +376,10 @@
             return
         # Nothing new is taken on until the list is here, nor, in need, until what is here has gone.
         if not self.front.ready or self.front.account.pressed:
-            self.front.engine.tally.of(self.front.settings.classes[request.cls].name).dropped += 1
+            cls = self.front.settings.classes[request.cls]
+            self.front.engine.tally.of(cls.name).dropped += 1
+            if self.front.measures is not None:
+                self.front.count_unseen(cls.name.encode(), message.fields.get(b"x-caller", b""))
             self._reply(503)
             return
         if message.long and message.method == b"GET":
@@ -384,6 +395,8 @@
         self.behind = bool(self.rest)
         self.front.count(self)
         self.front.ids.add(message.fields[b"x-call-id"])
+        if self.front.measures is not None:
+            self.front.measures.take(self.flow, request, self.front.settings)
         self.front.engine.take(self.flow, request)
 
     def _turn_down(self, fault: Fault) -> None:
--- a/firvane/ops/calls.py
+++ b/firvane/ops/calls.py
@@ -29,6 +29,7 @@
 
     READY = "ready"
     SHOW_STAT = "show-stat"
+    MEASURES = "measures"
     DRAIN = "drain"
     RESUME = "resume"
     RECOVERY = "recovery"
--- a/firvane/proxy.py
+++ b/firvane/proxy.py
@@ -3,20 +3,22 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import random
 import time
 from collections.abc import Callable
 from dataclasses import replace
 from typing import Any, Protocol
 
+from firvane import __version__, logs
 from firvane import interface as api
-from firvane import logs
 from firvane.config.node import Config
 from firvane.engine import Engine
 from firvane.limits.account import Held
 from firvane.limits.costs import BOX, FLOW, MB
 from firvane.limits.descriptors import Use
 from firvane.limits.pauses import Pauses
+from firvane.measures import Errors, Measures, Used
 from firvane.net.dial import Dialer, SocketDialer
 from firvane.net.door import Door, LoopDoor, SocketDoor, adopt
 from firvane.net.forward import Forwards
@@ -100,7 +102,8 @@
         own on standard error, as its configuration says.
         """
         log = log or logs.make(config.log_level, config.log_format, wall=wall)
-        self.log: logs.Log = log.bind(proxy=config.name)
+        errors = Errors(log) if config.measures else None
+        self.log: logs.Log = (errors or log).bind(proxy=config.name)
         self.loop, self.config = loop, config
         self.hands = Hands(loop)
         self.dialer = dialer or SocketDialer(loop, self.hands)
@@ -136,6 +139,10 @@
         inherited = None if config.inherited is None else adopt(config.inherited)
         self.door: Door = LoopDoor(loop) if dialer else SocketDoor(loop, self.hands, self.log, inherited)
         self.front.door = self.door.let
+        self.in_memory = dialer is not None  # among others in one process
+        if errors:
+            version = config.version or __version__
+            self.front.measures = Measures(loop.time, self.used, errors.count, version, os.getpid())
         self.wall, self.keeper = wall, keeper(self.log) if keeper else None
         if self.keeper:
             self.group.addresses = {}
@@ -257,6 +264,12 @@
             self.loads,
         )
 
+    def used(self) -> Used:
+        """What this process has used, as the kernel has it."""
+        usage, held = self.guard.usage(), sum(self.guard.descriptors.held.values())
+        opened = held if self.in_memory else len(os.listdir("/proc/self/fd"))
+        return Used(usage.cpu, usage.memory / MB, opened)
+
     def _answer(self, asked: Asked) -> bytes:
         call = asked.call
         if call in calls.POLICY:
@@ -265,6 +278,10 @@
             return self.agreement.call(asked)
         if call is Call.SHOW_STAT:
             return calls.lines(self.figures().text())
+        if call is Call.MEASURES:
+            if not isinstance(self.front.measures, Measures):
+                return calls.no("nothing is measured here: measures is not set")
+            return calls.lines(self.front.measures.text())
         if call is Call.READY:
             state = self.life.state.value
             if self.agreement and self.life.meaning().takes and not self.agreement.may():
--- a/tests/ops/test_calls.py
+++ b/tests/ops/test_calls.py
@@ -102,7 +102,7 @@
 def test_the_answer_to_an_unknown_call_is_the_one_that_it_was() -> None:
     with pytest.raises(Useless) as caught:
         Line().feed(b"polic\n")
-    assert str(caught.value) == "unknown call: there are ready, show-stat, drain, resume, recovery"
+    assert str(caught.value) == "unknown call: there are ready, show-stat, measures, drain, resume, recovery"
 
 
 @seeded
