--- a/firvane/cli/__init__.py
+++ b/firvane/cli/__init__.py
@@ -26,6 +26,7 @@
     "report": "Show one result, or two side by side.",
     "scenarios": "List the scenarios that come along.",
     "recovery": "Ask a proxy where it is on its way back from a loss of power.",
+    "rollout": "Change the program of all proxies of a tier in stages, and stop where it does worse.",
     "policy": "Change the policy of all proxies of a tier, and ask which is in force.",
     "snapshot": "Show or check what a proxy has kept on disk.",
     "config": "Tell about the configuration format.",
--- a/firvane/cli/check.py
+++ b/firvane/cli/check.py
@@ -70,6 +70,12 @@
         stages = ", ".join(str(plan.goal(n)) for n in range(len(plan.stage)))
         change = f"{plan.roll.old} to {plan.roll.version}"
         return f"plan of a rolling change from {change}: {stages} of {len(plan.place)} places"
+    if form == "place":
+        from firvane.rollout.site import CHECKS as SITE_CHECKS
+        from firvane.rollout.site import Site
+
+        site = checked.build(raw, Site, file, SITE_CHECKS)
+        return f"place {site.name}, versions {', '.join(sorted(site.versions))}"
     from firvane.config.checks import CHECKS
     from firvane.config.model import File
 
--- a/firvane/cli/files.py
+++ b/firvane/cli/files.py
@@ -9,15 +9,15 @@
 from firvane.cli import Bad
 from firvane.fleet.scenario import Scenario
 
-Form = Literal["configuration", "scenario", "platform", "policy", "plan"]
+Form = Literal["configuration", "scenario", "platform", "policy", "plan", "place"]
 
 
 def form_of(raw: dict[str, Any]) -> Form:
     """What bare data is meant to be: by its keys, since all of them may be TOML or JSON.
 
-    The platform's JSON alone has settings, the plan of a rolling change alone a roll. Between the others the
-    one decides that knows more of the keys; a file without any is held to be a configuration. A policy has keys of a configuration, and none of those
-    that say which proxy it is.
+    The platform's JSON alone has settings, the plan of a rolling change alone a roll, a place's file alone
+    versions. Between the others the one decides that knows more of the keys; a file without any is held to be
+    a configuration. A policy has keys of a configuration, and none of those that say which proxy it is.
     """
     from firvane.config.model import File
     from firvane.config.policy import Policy
@@ -26,6 +26,8 @@
         return "platform"
     if "roll" in raw:
         return "plan"
+    if "versions" in raw:
+        return "place"
     of_policy = set(Policy.__struct_fields__)
     others = {*File.__struct_fields__, *Scenario.__struct_fields__} - of_policy
     if raw.keys() & of_policy and not raw.keys() & others:
