Hold a place's table against its promises, each with a mutant that is caught

Need: whatever dies when, no place may be emptied. Change: a world of processes that behave as their version does, random calls and kills, six mutants; a version that dies three times in a row gives way to the one before and is not begun again in that roll.

--- a/firvane/rollout/place.py
+++ b/firvane/rollout/place.py
@@ -111,6 +111,7 @@
     roll: int = 0  # the highest heard
     name: str = ""  # of that roll
     failed: str = ""  # "VERSION ROLL why" of the last attempt, where that failed
+    spurned: str = ""  # "VERSION ROLL" of one that took the place and died too often
 
 
 class Start(NamedTuple):
@@ -218,6 +219,8 @@
             return [*self._heard(roll), *self._abandoned(now)]
         if coming and serving:
             raise Refused(f"busy: {coming.mark.version} is on its way here")
+        if self.kept.spurned == f"{version} {roll}":
+            raise Refused(f"{version} died {DEATHS} times in a row in this roll")
         if self._door() is None:
             raise Refused("busy: processes that were told to end have all ops addresses")
         did = self._heard(roll)
@@ -438,7 +441,8 @@
         if self.in_a_row % DEATHS or not self.kept.before:
             return []
         failed = f"{version} {self.kept.roll} {why[:WHY]}"
-        self.kept = replace(self.kept, version=self.kept.before, before=version, failed=failed)
+        kept, spurned = self.kept, f"{version} {self.kept.roll}"
+        self.kept = replace(kept, version=kept.before, before=version, failed=failed, spurned=spurned)
         return [Keep(self.kept), Note("place_reverts", {"version": self.kept.version, "from": version})]
 
     def _abandoned(self, now: float) -> list[Action]:
--- /dev/null
+++ b/tests/rollout/test_place.py
@@ -0,0 +1,334 @@
+"""A place's table: what it never does, whatever dies when; each promise has a mutant that breaks it."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import replace
+from math import inf
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from firvane.ops.calls import Useless
+from firvane.rollout import orders
+from firvane.rollout.orders import Order, Ordered
+from firvane.rollout.place import (
+    DEATHS,
+    TABLE,
+    Action,
+    Event,
+    Keep,
+    Kept,
+    Kill,
+    Mark,
+    Place,
+    Refused,
+    Start,
+    State,
+    Terminate,
+    Times,
+)
+
+TIMES = Times(ready=2.0, prove=0.5, end=1.0)
+STEP = 0.1
+# How a version behaves: s until it is ready, what becomes of a request, s after being ready when it dies.
+KINDS = {
+    "good": (0.3, True, inf),
+    "fine": (0.5, True, inf),
+    "late": (inf, None, inf),
+    "mute": (0.2, None, inf),
+    "breaks": (0.2, False, inf),
+    "frail": (0.2, True, 0.3),
+    "gone": None,
+}
+
+
+class World:
+    """A place with processes that behave as their versions do; holds each action against the promises."""
+
+    def __init__(self, kind: type[Place], doors: int) -> None:
+        self.now, self.doors = 0.0, doors
+        self.alive: dict[int, tuple[Mark, float]] = {}
+        self.told: dict[int, float] = {}
+        self.kept: Kept | None = None
+        self.proven: set[int] = set()
+        self.place = kind(Kept("good"), TIMES, doors)
+        self.do(self.place.open(0.0))
+
+    def do(self, actions: Sequence[Action]) -> None:
+        for action in actions:
+            match action:
+                case Keep(kept):
+                    self.kept = kept
+                case Start(mark):
+                    assert self.kept == self.place.kept, "started before it was on disk"
+                    assert mark.door not in {one.door for one, _ in self.alive.values()}, "two have one door"
+                    if KINDS[mark.version] is None:
+                        self.do(self.place.unstartable(self.now, mark.number, "not there"))
+                        continue
+                    self.alive[mark.number] = mark, self.now
+                    self.place.started(mark.number, 1000 + mark.number)
+                case Terminate(number) | Kill(number):
+                    self.look()
+                    if number in self.proven and number in self.alive:
+                        others = self.proven & self.alive.keys() - self.told.keys() - {number}
+                        assert others or number in self.told, "the last that served was told to end"
+                    if isinstance(action, Terminate):
+                        self.told[number] = self.now
+                    else:
+                        self.die(number, -9)
+
+    def die(self, number: int, code: int) -> None:
+        if self.alive.pop(number, None):
+            self.do(self.place.exited(self.now, number, code))
+
+    def turn(self, steps: int = 1) -> None:
+        for _ in range(steps):
+            self.now += STEP
+            for number, (mark, since) in list(self.alive.items()):
+                ready_s, answers, dies_s = KINDS[mark.version] or (inf, None, inf)
+                age = self.now - since
+                if age >= ready_s + dies_s:
+                    self.die(number, 1)
+                elif age >= ready_s:
+                    self.do(self.place.ready(self.now, number))
+                    if answers is not None:
+                        self.do(self.place.probed(self.now, number, answers))
+            self.do(self.place.tick(self.now))
+            self.look()
+            assert len(self.alive) <= self.doors
+            late = [n for n, at in self.told.items() if n in self.alive and self.now > at + TIMES.end + STEP]
+            assert not late, "it was told to end, and is there"
+
+    def look(self) -> None:
+        """Whoever serves is proven, and counts as that from now on."""
+        serving = self.place.serving
+        if serving and serving.number not in self.proven and serving.number in self.alive:
+            mark, since = self.alive[serving.number]
+            _, answers, _ = KINDS[mark.version] or (inf, None, inf)
+            assert answers and self.now - since >= TIMES.prove, "one that is not proven has the place"
+            self.proven.add(serving.number)
+
+    def call(self, what: str, version: str, roll: int) -> None:
+        highest = self.place.kept.roll
+        before = self.place.state, self.place.kept, self.place.coming
+        try:
+            if what == "replace":
+                self.do(self.place.replace(self.now, version, roll))
+            elif what == "back":
+                self.do(self.place.back(self.now, roll))
+            elif what == "abandon":
+                self.do(self.place.abandon(self.now, roll))
+            else:
+                self.do(self.place.claim(roll, version))
+            assert roll >= highest, "a roll that is over was obeyed"
+        except Refused:
+            assert before == (self.place.state, self.place.kept, self.place.coming), "refused, and changed"
+
+    def kill(self, number: int) -> None:
+        """From outside: whoever serves, or another that is there."""
+        serving = self.place.serving
+        if number and self.alive:
+            self.die(sorted(self.alive)[number % len(self.alive)], -9)
+        elif serving:
+            self.die(serving.number, -9)
+
+
+CALLS = st.tuples(
+    st.sampled_from(["replace", "replace", "replace", "back", "abandon", "claim"]),
+    st.sampled_from(sorted(KINDS)),
+    st.integers(0, 4),
+)
+STEPS = st.lists(
+    st.one_of(st.integers(1, 30), CALLS, st.tuples(st.just("kill"), st.integers(0, 3))), max_size=25
+)
+
+
+def play(kind: type[Place], doors: int, steps: Sequence[object]) -> World:
+    world = World(kind, doors)
+    for step in steps:
+        match step:
+            case int(turns):
+                world.turn(turns)
+            case ("kill", int(number)):
+                world.kill(number)
+            case (str(what), str(version), int(roll)):
+                world.call(what, version, roll)
+    return world
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.integers(2, 3), STEPS)
+def test_whatever_dies_when_a_place_is_never_emptied_and_always_filled(
+    doors: int, steps: list[object]
+) -> None:
+    world = play(Place, doors, steps)
+    world.turn(round(60 / STEP))
+    place = world.place
+    # A version of no use ends with the one before, where any was of use: "good" always was.
+    if place.state is not State.SERVING:
+        known = {place.kept.version, place.kept.before}
+        assert not known & {"good", "fine"}, f"{place.state}, though {known} would serve"
+    else:
+        assert place.serving and place.serving.number in world.alive
+        assert not place.leaving and not place.coming
+
+
+class ProvenWhenReady(Place):
+    def ready(self, now: float, number: int) -> list[Action]:
+        did = super().ready(now, number)
+        return did + (self._proven(now) if did else [])
+
+
+class EndsTheOldFirst(Place):
+    def _begin(self, now: float, version: str, event: Event) -> list[Action]:
+        did = super()._begin(now, version, event)
+        return did + ([Terminate(self.serving.number)] if self.serving else [])
+
+
+class HearsAnyRoll(Place):
+    def _check(self, roll: int) -> None:
+        pass
+
+
+class OneDoor(Place):
+    def _door(self) -> int | None:
+        return 0
+
+
+class KeepsLater(Place):
+    def _begin(self, now: float, version: str, event: Event) -> list[Action]:
+        return sorted(super()._begin(now, version, event), key=lambda one: isinstance(one, Keep))
+
+
+class WaitsForever(Place):
+    def _leave(self, process: object, now: float) -> list[Action]:
+        did = super()._leave(process, now)  # type: ignore[arg-type]
+        for one in self.leaving.values():
+            one.kill_at = inf
+        return did
+
+
+class ChangesBeforeItRefuses(Place):
+    def replace(self, now: float, version: str, roll: int) -> list[Action]:
+        self.kept = replace(self.kept, failed="")
+        return super().replace(now, version, roll)
+
+
+MUTANTS = (ProvenWhenReady, EndsTheOldFirst, HearsAnyRoll, OneDoor, KeepsLater, ChangesBeforeItRefuses)
+
+
+@pytest.mark.parametrize("mutant", MUTANTS)
+def test_a_place_that_breaks_a_promise_is_caught(mutant: type[Place]) -> None:
+    chance = Random(7)
+
+    def steps() -> list[object]:
+        made: list[object] = [30]
+        for _ in range(20):
+            made.append(
+                (chance.choice(["replace", "back"]), chance.choice(sorted(KINDS)), chance.randrange(3))
+            )
+            made.append(chance.randrange(1, 40))
+        return made
+
+    with pytest.raises(AssertionError):
+        for _ in range(40):
+            play(mutant, 2, steps())
+
+
+def test_one_that_does_not_end_is_killed_and_one_that_waits_for_ever_is_caught() -> None:
+    for kind in (Place, WaitsForever):
+        world = World(kind, 2)
+        world.turn(20)
+        world.call("replace", "fine", 1)
+        if kind is Place:
+            world.turn(60)
+            assert world.place.kept.version == "fine" and len(world.alive) == 1
+        else:
+            with pytest.raises(AssertionError, match="told to end"):
+                world.turn(60)
+
+
+@pytest.mark.parametrize(
+    ("version", "why"),
+    [
+        ("late", "is not ready after 2 s"),
+        ("mute", "says that it is ready, and serves nothing"),
+        ("breaks", "leaves requests without an answer"),
+        ("frail", "ended with code 1 under its first requests"),
+        ("gone", "cannot be started: not there"),
+    ],
+)
+def test_what_went_wrong_is_its_status_and_costs_nobody_the_place(version: str, why: str) -> None:
+    world = World(Place, 2)
+    world.turn(20)
+    world.call("replace", version, 3)
+    world.turn(60)
+    status = world.place.status()
+    assert status["version"] == "good" and status["state"] == "serving" and status["deaths"] == 0
+    assert str(status["failed"]).startswith(f"{version} 3 ") and why in str(status["failed"])
+
+
+def test_a_version_that_dies_again_and_again_gives_way_to_the_one_before_and_is_not_begun_again() -> None:
+    world = World(Place, 3)
+    world.turn(20)
+    world.call("replace", "fine", 1)
+    world.turn(30)
+    for _ in range(DEATHS):
+        assert world.place.serving and world.place.serving.mark.version == "fine"
+        world.kill(0)
+        world.turn(20)
+    status = world.place.status()
+    assert status["version"] == "good" and str(status["failed"]).startswith("fine 1 ")
+    with pytest.raises(Refused, match="died"):
+        world.place.replace(world.now, "fine", 1)
+    world.place.replace(world.now, "fine", 2)  # another roll may try again
+
+
+def test_a_place_that_is_found_is_served_on_until_its_own_process_is_proven() -> None:
+    world = World(Place, 3)
+    place = world.place = Place(Kept("good"), TIMES, 3)
+    found = [(Mark(4, "fine", 0), 44), (Mark(7, "good", 1), 77)]
+    world.alive = {mark.number: (mark, -10.0) for mark, _ in found}
+    world.proven = {4, 7}
+    world.do(place.open(0.0, found))
+    assert place.serving and place.serving.number == 7 and set(place.leaving) == {4}
+    world.turn(40)
+    assert place.serving.number == 8 and set(world.alive) == {8} and not place.is_found
+
+
+def test_each_state_has_a_way_to_the_end_and_closed_is_one() -> None:
+    assert set(TABLE) == set(State)
+    assert all(following[Event.CLOSE] is State.CLOSED for following in TABLE.values())
+    world = World(Place, 2)
+    world.turn(20)
+    world.call("replace", "fine", 1)
+    world.turn(3)
+    world.proven.clear()  # closing ends also the last
+    world.do(world.place.close(world.now))
+    world.turn(20)
+    assert not world.alive
+    with pytest.raises(Refused):
+        world.place.replace(world.now, "good", 9)
+
+
+@pytest.mark.parametrize("order", Order)
+def test_a_call_is_read_as_it_is_said(order: Order) -> None:
+    word = "v2.1" if {"VERSION", "NAME"} & set(orders.FORMS[order].split()) else ""
+    roll = 7 if "ROLL" in orders.FORMS[order] else 0
+    said = orders.line(order, word, roll)
+    assert orders.ordered(said.encode()) == Ordered(order, word, roll)
+    for wrong in (f"{said} more", said.replace("7", "-7"), "place-nothing", "", "x" * 300):
+        if wrong != said:
+            with pytest.raises(Useless):
+                orders.ordered(wrong.encode())
+
+
+def test_a_status_is_heard_as_it_is_told() -> None:
+    told = World(Place, 2).place.status()
+    assert orders.heard(orders.told(told) + "\n.\n") == {name: str(value) for name, value in told.items()}
+    for wrong in ("-ERR busy\n", "", "state serving\n"):
+        with pytest.raises(ValueError):
+            orders.heard(wrong)
