--- a/firvane/fleet/records.py
+++ b/firvane/fleet/records.py
@@ -172,6 +172,17 @@
     name: str
 
 
+class Rolled(NamedTuple):
+    """A roll has come to another state, or says something of it."""
+
+    at: float
+    state: str
+    stage: int
+    why: str
+    new: int  # requests that proxies of the new version have taken since the roll began
+    all: int  # and all proxies
+
+
 Record = (
     Asked
     | Answered
@@ -187,4 +198,5 @@
     | Sent
     | Stated
     | Shaded
+    | Rolled
 )
--- a/firvane/rehearsal/run.py
+++ b/firvane/rehearsal/run.py
@@ -27,6 +27,7 @@
 from firvane.rehearsal.machines import spoil
 from firvane.rehearsal.plan import Plan
 from firvane.rehearsal.result import ClockName, Result, Witness
+from firvane.rehearsal.rolling import Rolling
 from firvane.rehearsal.virtual import VirtualLoop
 from firvane.rehearsal.virtual_proxy import VirtualProxy
 from firvane.rehearsal.world import Fleet, Members, Tier
@@ -63,6 +64,8 @@
     """
     witness = Witness(scenario, seed, clock, replay=replay, strict=strict)
     sink = watched(witness, watch) if watch else witness.see
+    if scenario.roll and clock != "virtual":
+        raise ValueError("a roll is played in virtual time: live proxies are rolled by `firvane rollout`")
     if clock == "virtual":
         play_virtual(scenario, seed, sink)
         return witness.result()
@@ -157,6 +160,10 @@
             clock, plan, scenario, seed, self.machines, self.members.clients.front, self._ask_known, sink
         )
         self.all_ready = loop.create_future()
+        self.rolling: Rolling | None = None
+        if scenario.roll:
+            machines = self.machines.proxies
+            self.rolling = Rolling(clock, scenario, scenario.roll, self.tier, machines, sink, self._rolled)
 
     def _place(self, addresses: list[Address], zone: str) -> None:
         for host, _ in addresses:
@@ -164,11 +171,20 @@
 
     def _ready(self, proxy: str) -> None:
         self.tier.is_ready(proxy)
+        if self.rolling:
+            self.rolling.ready(proxy)
         if len(self.tier.ready) == len(self.names) and not self.all_ready.done():
             self.all_ready.set_result(None)
 
     def _ended(self, number: int, code: int) -> None:
         self.tier.ended(number, code)
+        if self.rolling:
+            self.rolling.ended(self.names[number], code)
+
+    def _rolled(self, now: float) -> None:
+        assert self.scenario.roll
+        clients = self.members.clients
+        clients.until = min(clients.until, now + self.scenario.roll.then_s)
 
     def _ask_known(self, proxy: str, answer: Callable[[dict[str, Any]], None]) -> None:
         answer(self.fleet.known(proxy))
@@ -182,6 +198,8 @@
                 await self.all_ready
         self.clock.begin(self.loop.time())
         self.members.begin()
+        if self.rolling:
+            self.rolling.begin()
         self.clock.call_at(SAMPLE_S, self._sample)
         while not self.members.clients.is_done:
             await asyncio.sleep(LOOK_S)
--- /dev/null
+++ b/firvane/rehearsal/versions.py
@@ -0,0 +1,151 @@
+"""Versions of the proxy with a set fault: a shim round the real one, in virtual time.
+
+Rules that hold here and nowhere else:
+
+1. The proxy is the real one: a fault stands between its parts, and the counts of `measures` see what clients
+   see. What the proxy says of its memory and CPU is made up here, as virtual processes share one process.
+2. `size` is the fault's, 1 as it is named. What is drawn is drawn from the seed of the process's start.
+3. A version that is well takes the same ways as the program alone: with `same` requests are counted here and
+   handed on.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from math import exp
+from random import Random
+from typing import Any, Literal
+
+from firvane.measures import Used
+
+VersionName = Literal[
+    "same",  # the program as it is
+    "cold",  # slower by as much again in its first `COLD_S`
+    "better",  # as it is, and the old one is slower by a tenth
+    "refuses",  # 5% more
+    "slow",  # by half as long again
+    "repeats",  # each request goes to a second box, too
+    "tenant",  # one tenant is refused
+    "leaks",  # 1 MB a minute
+    "dies",  # under its first requests
+    "misread",  # peers read its rows as other figures
+    "no-drains",  # boxes that drain are taken for boxes that are up
+]
+HARMFUL: tuple[VersionName, ...] = (
+    "refuses", "slow", "repeats", "tenant", "leaks", "dies", "misread", "no-drains",
+)  # fmt: skip
+HARMLESS: tuple[VersionName, ...] = ("same", "cold", "better")
+COLD_S = 8.0
+FIRST = 20  # requests, under which it dies
+RATES, STEP = slice(13, 29), 4  # of a row: four figures of 32 bits, read from the other end
+MB = 1 << 20
+
+
+class Later:
+    """Stands for whoever asked: an answer comes later by a part of what it took."""
+
+    def __init__(self, flow: Any, loop: Any, part: float) -> None:
+        self.flow, self.client, self.loop, self.part, self.since = flow, flow.client, loop, part, loop.time()
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.client, name)
+
+    def served(self, answer: Any) -> None:
+        now = self.loop.time()
+        self.loop.call_at(now + self.part * (now - self.since), self._served, answer)
+
+    def _served(self, answer: Any) -> None:
+        whoever = getattr(self.client, "client", self.client)
+        if whoever.flow is self.flow:  # else it has gone away
+            self.client.served(answer)
+
+
+class Unheard:
+    """An attempt on which nobody waits."""
+
+    def __init__(self, deadline: float) -> None:
+        self.deadline = deadline
+
+    def written(self) -> None: ...
+
+    def spent(self) -> None: ...
+
+    def begun(self, answer: Any) -> None: ...
+
+    def ended(self, ending: Any, answer: Any = None) -> None: ...
+
+
+class Fault:
+    """One process's."""
+
+    def __init__(self, proxy: Any, name: str, size: float, seed: int, die: Callable[[], None]) -> None:
+        self.proxy, self.name, self.size, self.die = proxy, name, size, die
+        self.loop, self.engine = proxy.loop, proxy.engine
+        self.draw = Random(f"version/{seed}")
+        self.since, self.taken = self.loop.time(), 0
+        self.take, self.engine.take = self.engine.take, self._take
+        if name == "misread":
+            self.tell, proxy.peers.tell = proxy.peers.tell, self._tell
+        if name == "no-drains":
+            self.read, proxy.group.reader.read = proxy.group.reader.read, self._read
+        if proxy.front.measures is not None:
+            proxy.front.measures.used = self.used
+            proxy.front.measures.pid = seed
+
+    def used(self) -> Used:
+        """What such a process would say: it grows to its size, its memory jitters, each request costs."""
+        up = self.loop.time() - self.since
+        held = 30.0 + 2.0 * (1 - exp(-up / 5)) + self.draw.uniform(-0.02, 0.02)
+        if self.name == "leaks":
+            held += self.size * up / 60
+        counts = self.proxy.front.measures.classes.values()
+        cpu = sum(0.0005 * one.taken + 0.0002 * one.attempts for one in counts)
+        return Used(cpu, held, sum(self.proxy.guard.descriptors.held.values()))
+
+    def _take(self, flow: Any, request: Any) -> None:
+        self.taken += 1
+        match self.name:
+            case "refuses" if self.draw.random() < 0.05 * self.size:
+                self._refuse(flow)
+                return
+            case "tenant" if request.tenant == 2 and self.draw.random() < self.size:
+                self._refuse(flow)
+                return
+            case "slow":
+                flow.client = Later(flow, self.loop, 0.5 * self.size)
+            case "old-slow":
+                flow.client = Later(flow, self.loop, 0.1 * self.size)
+            case "cold" if self.loop.time() - self.since < COLD_S:
+                flow.client = Later(flow, self.loop, self.size)
+            case "repeats" if self.draw.random() < self.size:
+                self._repeat(flow)
+            case "dies" if self.taken == FIRST:
+                self.die()
+        self.take(flow, request)
+
+    def _refuse(self, flow: Any) -> None:
+        flow.open = False
+        flow.client.refused(0.1)
+
+    def _repeat(self, flow: Any) -> None:
+        boxes = sorted(self.engine.known)
+        if boxes:
+            box = boxes[int(self.draw.random() * len(boxes))]
+            self.proxy.forwards.forward(flow.request, box, Unheard(flow.deadline))
+            for counts in getattr(flow.client, "by", ()):
+                counts.attempts += 1
+
+    def _tell(self, peer: int | None, payload: bytes) -> None:
+        row = bytearray(payload)
+        for at in range(RATES.start, min(RATES.stop, len(row) - STEP + 1), STEP):
+            row[at : at + STEP] = row[at : at + STEP][::-1]
+        self.tell(peer, bytes(row))
+
+    def _read(self, data: Any) -> Any:
+        if isinstance(data, dict) and isinstance(data.get("endpoints"), list):
+            entries = [
+                {**entry, "status": "up"} if entry.get("status") == "draining" else entry
+                for entry in data["endpoints"]
+            ]
+            data = {**data, "endpoints": entries}
+        return self.read(data)
--- a/firvane/rehearsal/virtual_proxy.py
+++ b/firvane/rehearsal/virtual_proxy.py
@@ -108,6 +108,7 @@
     ) -> None:
         self.loop, self.wall, self.on_state, self.log = loop, wall, on_state, log
         self.process: Process | None = None
+        self.shim: Callable[[Proxy], None] | None = None  # what stands round a proxy that has a fault
         self.proxy: Proxy | None = None
 
     def start(self, config: Config) -> None:
@@ -132,6 +133,8 @@
             keeper=keeper, agreement=agreement,
         )  # fmt: skip
         self.proxy = process.call(make)
+        if self.shim:
+            process.call(self.shim, self.proxy)
         self.on_state("started", 0)
         starts = process.start(self.proxy.start())
         starts.add_done_callback(partial(self._started, process), context=self.loop.memory.context)
@@ -169,6 +172,15 @@
         if self.process:
             self._gone("killed", KILLED, silently)
 
+    def fail(self) -> None:
+        """It ends by a fault of its own, in the loop's next turn."""
+        process, context = self.process, self.loop.memory.context  # what comes of it is not the process's own
+        self.loop.call_soon(self._fail, process, context=context)
+
+    def _fail(self, process: Process | None) -> None:
+        if process and process is self.process:
+            self._gone("ended", FAILED)
+
     def _gone(self, state: str, code: int, silently: bool = False) -> None:
         process, self.process, self.proxy = self.process, None, None
         if process:
