--- a/firvane/fleet/checks.py
+++ b/firvane/fleet/checks.py
@@ -19,6 +19,7 @@
     Part,
     Proxies,
     Retries,
+    Roll,
     Scenario,
     Trouble,
 )
@@ -99,6 +100,14 @@
         yield "voters", f"is {part.voters}, above {min(part.count, MOST_VOTERS)}"
 
 
+def roll(part: Roll) -> Found:
+    yield from figures(part)
+    if not part.stages or list(part.stages) != sorted(set(part.stages)) or part.stages[-1] != 1.0:
+        yield "stages", "are not ascending parts up to 1"
+    if not all(0 <= stage <= 1 for stage in part.stages):
+        yield "stages", "are parts from 0, which is one proxy, to 1"
+
+
 def scenario(whole: Scenario) -> Found:
     """The troubles against the rest."""
     yield from figures(whole)
@@ -109,6 +118,10 @@
     communities = {community.name for community in whole.load.communities}
     if whole.proxies.voters and not whole.network.peers:
         yield "proxies.voters", f"is {whole.proxies.voters}, and proxies hear nothing of one another"
+    if whole.roll and whole.proxies.count < 2:
+        yield "roll", "needs two proxies at least: the old ones are what the new are held against"
+    if whole.roll and whole.roll.at_s >= whole.seconds:
+        yield "roll.at_s", f"is {whole.roll.at_s:g}, and the whole lasts {whole.seconds:g} s"
     for index, trouble in enumerate(whole.troubles):
         at = f"troubles[{index}]"
         if trouble.at_s >= whole.seconds:
@@ -137,6 +150,7 @@
     Network: network,
     Proxies: proxies,
     Retries: figures,
+    Roll: roll,
     Scenario: scenario,
     Trouble: figures,
 }
--- a/firvane/fleet/records.py
+++ b/firvane/fleet/records.py
@@ -208,6 +208,17 @@
     name: str
 
 
+class Rolled(NamedTuple):
+    """A roll has come to another state, or says something of it."""
+
+    at: float
+    state: str
+    stage: int
+    why: str
+    new: int  # requests that proxies of the new version have taken since the roll began
+    all: int  # and all proxies
+
+
 Record = (
     Asked
     | Answered
@@ -227,4 +238,5 @@
     | Said
     | InUse
     | Shaded
+    | Rolled
 )
--- a/firvane/rehearsal/virtual_proxy.py
+++ b/firvane/rehearsal/virtual_proxy.py
@@ -118,6 +118,7 @@
     ) -> None:
         self.loop, self.wall, self.on_state, self.log = loop, wall, on_state, log
         self.process: Process | None = None
+        self.shim: Callable[[Proxy], None] | None = None  # what stands round a proxy that has a fault
         self.proxy: Proxy | None = None
         self.stands = False
         self.signal: Callable[[], None] | None = None  # that has come while it stands still
@@ -147,6 +148,8 @@
         self.proxy = process.call(make)
         if epoch:
             self.proxy.front.agreement = Marked(epoch)
+        if self.shim:
+            process.call(self.shim, self.proxy)
         self.on_state("started", 0)
         starts = process.start(self.proxy.start())
         starts.add_done_callback(partial(self._started, process), context=self.loop.memory.context)
@@ -196,6 +199,15 @@
         if self.process:
             self._gone("killed", KILLED, silently)
 
+    def fail(self) -> None:
+        """It ends by a fault of its own, in the loop's next turn."""
+        process, context = self.process, self.loop.memory.context  # what comes of it is not the process's own
+        self.loop.call_soon(self._fail, process, context=context)
+
+    def _fail(self, process: Process | None) -> None:
+        if process and process is self.process:
+            self._gone("ended", FAILED)
+
     def _gone(self, state: str, code: int, silently: bool = False) -> None:
         process, self.process, self.proxy = self.process, None, None
         self.stands, self.signal = False, None
--- a/tests/quorum/test_driver.py
+++ b/tests/quorum/test_driver.py
@@ -197,7 +197,7 @@
 
 @virtual
 async def test_a_text_that_is_wrong_or_has_no_place_changes_nothing(
-    loop: VirtualLoop, net: Net, tmp_path: Path
+    loop: VirtualLoop, net: Net, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     fleet = Fleet(loop, tmp_path)
     await asyncio.sleep(2)
