--- a/firvane/quorum/member.py
+++ b/firvane/quorum/member.py
@@ -179,7 +179,7 @@
         self.asked: dict[int, tuple[int, float]] = {}  # by nonce: whom, and when
         self.sent: dict[int, float] = {}  # by voter: when the question went out that it answered last
         self.told: dict[int, Told] = {}
-        self.heard: dict[int, float] = {}  # by proxy: when it asked last
+        self.heard: dict[int, float] = {}  # by proxy: when it asked last, and was not deaf
         self.turn = self.dice.randrange(MOST_VOTERS)  # which voter is asked
         self.ask_at = now + self.dice.uniform(0, times.trip / 4)
         self.asked_at = self.who_at = self.fetch_at = self.finish_at = -inf
@@ -242,6 +242,7 @@
         return len(self.voters) // 2 + 1
 
     def _advance(self, now: float) -> None:
+        self._sync(now)
         self._votes(now)
         self._sync(now)
         unanswered = self.lease.told < self.asked_at <= now - 2 * self.times.trip
@@ -314,10 +315,14 @@
             nonce = self.dice.getrandbits(32)
             self.asked[nonce] = (voter, now)
             life = self.life if self.votes is None and self.me in self.voters else 0
-            self._say(voter, Ask(nonce=nonce, incarnation=life), now)
+            self._say(voter, Ask(nonce=nonce, incarnation=life, deaf=self._is_deaf(now)), now)
         if not others:  # the only voter
             self._fresh(now)
 
+    def _is_deaf(self, now: float) -> bool:
+        """Whether what it asks is in vain: where the way is lost one way, it is heard and hears nothing."""
+        return now >= max(self.lease.fresh, self.start) + self.times.lease
+
     def _fresh(self, now: float) -> None:
         """Renew the lease of a voter by what the others have answered."""
         votes = self.votes is not None
@@ -327,7 +332,8 @@
         """Tell all that is known here, once it is on disk."""
         if self.me not in self.voters:
             return
-        self.heard[asker] = now
+        if not message.deaf:
+            self.heard[asker] = now
         votes = self.votes
         if votes and message.incarnation:
             votes.note(asker, message.incarnation)
@@ -500,20 +506,32 @@
             return
         if votes.due(now):
             votes.settle()
-        said = votes.said
         states = {voter: told for voter, told in self.told.items() if told.decided == votes.kept.decided}
         states[self.me] = self._state(0, now)
         if vote := majority(states, votes.kept.decided.voters, votes.kept.decided.quorum):
             votes.chosen(*vote, None, now)
-        if said.accepted is None or said.decided != votes.kept.decided:
+        value = self._begun(votes, now)
+        if value is None:
             self.finish_at = -inf
         elif self.finish_at == -inf:
             self.finish_at = now + self.times.lease * self.dice.uniform(0.5, 1.5)
-        elif now >= self.finish_at and self.ballots is None and votes.kept.settled:
-            value = said.accepted[1]
+        elif now >= self.finish_at and self.ballots is None:
             self.ballots = self._made(value, now)
             self._note("policy_finishes", epoch=value.epoch, digest=value.digest.hex())
 
+    def _begun(self, votes: Votes, now: float) -> Value | None:
+        """What has been begun for the next epoch, and perhaps nobody will end: a vote, or an end alone,
+        which a voter leaves that could not write its vote. Then the policy stays, under another number."""
+        kept, said = votes.kept, votes.said
+        if not kept.settled or said.decided != kept.decided:
+            return None
+        if said.accepted:
+            return said.accepted[1]
+        window = self.lease.windows.get(kept.decided.epoch + 1)
+        if window is None or now < window.ends:
+            return None
+        return kept.decided._replace(epoch=kept.decided.epoch + 1)
+
     def _chosen(self, ballots: Ballots, now: float) -> None:
         """A majority has accepted what was proposed here."""
         assert ballots.value
@@ -736,4 +754,3 @@
 def plain(why: str) -> str:
     """A reason that fits a message."""
     return why.encode("ascii", "replace")[: messages.WHY].decode()
-
--- /dev/null
+++ b/tests/config/test_policy.py
@@ -0,0 +1,205 @@
+"""A policy's text: what it says over a proxy's own settings, all of its faults, and settings told as one."""
+
+from __future__ import annotations
+
+import contextlib
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from firvane import checked
+from firvane import interface as api
+from firvane.config import policy as module
+from firvane.config.node import MOST_VOTERS, PolicyTold
+from firvane.config.platform import read_config
+from firvane.config.policy import Policy, parse, render, settings
+from firvane.quorum import words
+from tests.config.samples import CONFIG
+from tests.config.test_file import lines, read
+from tests.helpers import settings as plain
+from tests.net_helpers import seeded
+from tests.test_program import config as platform
+
+DOORS = [f"127.0.0.1:{port}" for port in (7, 8, 9)]
+PEERS = [f"127.0.0.1:{port}" for port in (1, 2, 3)]
+TIER = f'''ops = "{DOORS[0]}"
+peers = {{ listen = "{PEERS[0]}", addresses = {PEERS} }}
+{CONFIG}[policy]
+folder = "."
+doors = {DOORS}
+'''
+KEYED = api.Repeat.KEYED
+
+# Milliseconds as the platform has them, and as a file with fractions has them.
+spans = st.integers(1, 3_600_000).map(lambda ms: ms / 1000) | st.floats(0.01, 3.6e6).map(lambda ms: ms / 1000)
+numbers, parts = st.floats(0, 1e6) | st.integers(0, 10**6), st.floats(0, 1)
+classes = st.builds(
+    lambda a, b, **more: api.RequestClass(aim=min(a, b), deadline=max(a, b), **more), spans, spans,
+    name=st.text("abCD09._~-", min_size=1, max_size=9), worth=st.floats(1e-6, 1e6),
+    late_share=parts, repeat=st.sampled_from(api.Repeat), scope=st.sampled_from(api.Scope),
+    window=st.floats(0.001, 1e5), stream=st.booleans(), aim_stretch=parts,
+)  # fmt: skip
+tenants = st.builds(api.Tenant, st.text(min_size=1, max_size=20), st.floats(0, 0.25), numbers)
+rules = st.builds(api.Rules, spans, numbers, st.floats(0.01, 1), spans, spans, numbers, numbers)
+limits = st.builds(
+    api.Limits, st.integers(1, 16), max_retry_after=numbers, max_open=st.integers(1, 1 << 30),
+    connect_timeout=st.integers(1, 60_000).map(lambda ms: ms / 1000), connection_idle=spans,
+    **dict.fromkeys(("cancel", "second_copies", "peers", "probes", "retry_after"), st.booleans()),
+)  # fmt: skip
+drawn = st.builds(
+    plain, rules=rules, limits=limits, over_share_worth=parts, warm_keys=st.booleans(),
+    classes=st.lists(classes, min_size=1, max_size=4, unique_by=lambda cls: cls.name).map(tuple),
+    tenants=st.lists(tenants, max_size=4, unique_by=lambda tenant: tenant.name).map(tuple),
+)  # fmt: skip
+
+
+@seeded
+@given(drawn)
+def test_what_settings_say_read_back_over_them_changes_nothing(base: api.Settings) -> None:
+    assert settings(parse(render(base)), base) == base
+
+
+def test_a_rendering_that_drops_a_key_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    # The mutant: a limit that nobody tells. Two proxies would differ in it under one epoch.
+    base, other = plain(), plain(limits=api.Limits(max_attempts=1))
+    assert settings(parse(render(base)), other).limits.max_attempts == base.limits.max_attempts
+    monkeypatch.delitem(module.LIMITS, "attempts")
+    assert settings(parse(render(base)), other).limits.max_attempts != base.limits.max_attempts
+
+
+@pytest.mark.parametrize(
+    ("text", "changed"),
+    [
+        ("over_share_worth = 0.5", {"over_share_worth": 0.5}),
+        ("tenants = []", {"tenants": ()}),
+        ("[limits]\nattempts = 2\nconnect_ms = 100", {"limits": {"max_attempts": 2, "connect_timeout": 0.1}}),
+        ("[rules]\nanswer_slack_ms = 5", {"rules": {"answer_slack": 0.005}}),
+        ('{"voters": [0, 2]}', {}),
+    ],
+)
+def test_what_a_policy_leaves_out_stays(text: str, changed: dict[str, Any]) -> None:
+    base = plain(tenants=(api.Tenant("a", 0.5),), proxies=3)
+    wanted = {n: replace(getattr(base, n), **v) if isinstance(v, dict) else v for n, v in changed.items()}
+    assert settings(parse(text.encode()), base) == replace(base, **wanted)
+
+
+@pytest.mark.parametrize(
+    ("text", "whys"),
+    [
+        (
+            'listen = "1"\nvoters = [0,1,2,3,4,5]\nlimits.attempts = 0\nlimits.sockets = 64\nrules.cold = 3\n'
+            '[[tenants]]\n[[classes]]\nname = "read"\naim_ms = 9\ndeadline_ms = 8\n',
+            [
+                "classes[0].aim_ms: is above deadline_ms, 8",
+                "tenants[0].name: is missing: a text that is not empty",
+                "rules.cold: unknown key; did you mean cold_s?",
+                "limits.attempts: must be a whole number of at least 1 and of at most 16, given 0",
+                "limits.sockets: unknown key",
+                "voters: must be a list of 1 to 5, given a list of 6",
+                "listen: unknown key",
+            ],
+        ),
+        ("voters = [1, 1]", ["voters: are not in ascending order, each of them once"]),
+        (
+            'tenants = [{name="a",share=0.7},{name="a",share=0.7}]',
+            [
+                "tenants[1].name: is the same tenant as in tenants[0].name",
+                "tenants: have shares that add up to 1.4, above 1",
+            ],
+        ),
+        ("tenants = []\n" + "#" * words.MOST_TEXT, ["larger than 64 KiB"]),
+    ],
+)  # fmt: skip
+def test_all_faults_of_a_policy_are_told_at_once(text: str, whys: list[str]) -> None:
+    with pytest.raises(checked.Faults) as caught:
+        parse(text.encode(), "p")
+    assert list(caught.value.lines()) == [f"p: {why}" for why in whys]
+
+
+@seeded
+@given(st.binary(max_size=200), st.integers(0, 2000))
+def test_hostile_bytes_are_a_policy_or_faults(data: bytes, place: int) -> None:
+    whole = render(plain())
+    for text in (data, whole[:place] + data + whole[place + 9 :], whole[:place]):
+        with contextlib.suppress(checked.Faults):
+            assert isinstance(parse(text), Policy)
+    with pytest.raises(checked.Faults, match="says nothing"):
+        parse(b"")
+
+
+def test_settings_that_no_policy_may_have_are_not_told_as_one() -> None:
+    late, keyless = replace(plain().classes[0], aim=9.0), replace(plain().classes[0], repeat=KEYED)
+    tenants = (api.Tenant("\ud800"),), (api.Tenant("a", 2.0),)
+    for base in (*(plain(classes=(c,)) for c in (late, keyless)), *(plain(tenants=t) for t in tenants)):
+        with pytest.raises(checked.Faults):
+            render(base)
+    with pytest.raises(checked.Faults, match="voters: names proxy 3, and there are 3"):
+        settings(parse(b"voters = [0, 3]"), plain(proxies=3))
+
+
+def test_the_numbers_that_are_written_twice_are_the_same() -> None:
+    times = words.Times()
+    assert (MOST_VOTERS, PolicyTold.lease, PolicyTold.trip) == (words.MOST_VOTERS, times.lease, times.trip)
+
+
+# [policy] in both forms of the configuration
+
+KEYS = {"without_lease": "serve", "lease_s": 1, "trip_ms": 50, "tell": True, "voters": [1]}
+
+
+def told(place: Path, **policy: Any) -> PolicyTold | None:
+    given = {"folder": ".", "doors": DOORS, **policy}
+    return read_config(platform(place, policy=given, ops=DOORS[0], peers=PEERS, peer_listen=PEERS[0])).policy
+
+
+def test_both_forms_become_the_same(tmp_path: Path) -> None:
+    doors = tuple(("127.0.0.1", port) for port in (7, 8, 9))
+    assert read(TIER).policy == told(tmp_path) == PolicyTold(".", (0, 1, 2), doors)
+    more = "".join(f"{key} = {module._value(v) if key != 'voters' else v}\n" for key, v in KEYS.items())
+    wanted = PolicyTold(".", (1,), doors, True, 1.0, 0.05, True)
+    assert read(TIER + more).policy == told(tmp_path, **KEYS) == wanted
+    assert read(CONFIG).policy is read_config(platform(tmp_path)).policy is None
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "line"),
+    [
+        ("ops =", "# ops =", "policy: needs ops"),
+        ("127.0.0.1:7", "127.0.0.1:0", "ops: must have a port that the other proxies know"),
+        ("peers =", "# peers =", "policy: needs peers"),
+        ("[policy]", "[policy]\nvoters = [0, 3]", "policy.voters: names proxy 3, and there are 3"),
+        ("[policy]", "[policy]\nvoters = [1, 0]", "policy.voters: are not in ascending order"),
+        (", '127.0.0.1:9']", "]", "policy.doors: are 2, and there are 3 addresses in peers: one for each"),
+        ("127.0.0.1:9", "127.0.0.1:8", "policy.doors[2]: is the same address as in doors[1]"),
+        ('ops = "127.0.0.1:7"', 'ops = "127.0.0.1:8"', "policy.doors: has ops at 1, and this is proxy 0"),
+        ('folder = "."', 'folder = "/nowhere"', "policy.folder: is '/nowhere', and there is no folder"),
+        ("[policy]", "[policy]\ntrip_ms = 800", "policy.trip_ms: is 800, not above 0 and up to a quarter of"),
+        ("[policy]", '[control]\nservice = "x"\n[policy]', "policy: is for proxies"),
+    ],
+)
+def test_what_does_not_fit_with_the_table_is_told(old: str, new: str, line: str) -> None:
+    assert old in TIER
+    assert [found for found in lines(TIER.replace(old, new)) if found.startswith(line)]
+
+
+@pytest.mark.parametrize(
+    ("key", "value", "why"),
+    [
+        ("folder", "", " is ''"), ("doors", [1, 2, 3], ": 1 is not an address"),
+        ("doors", DOORS[:1], " are 1"), ("voters", [True], " is"), ("voters", [0, 3], " names proxy 3"),
+        ("lease_s", 0, " is 0"),
+        ("trip_ms", 1000, " is 1000"), ("without_lease", [], " is"), ("tell", 1, " is 1"),
+        ("lease", 1, " is not one of"),
+    ],
+)  # fmt: skip
+def test_the_platform_s_form_is_checked(key: str, value: Any, why: str, tmp_path: Path) -> None:
+    with pytest.raises(ValueError, match=rf"^policy\.{key}{why}"):
+        told(tmp_path, **{key: value})
+    whole = {"folder": "x", "doors": DOORS}
+    for policy, lacks in (([], "is not an object"), ({}, ".folder is missing"), (whole, " needs ops")):
+        with pytest.raises(ValueError, match=f"^policy *{lacks}"):
+            read_config(platform(tmp_path, policy=policy))
--- a/tests/together/harness.py
+++ b/tests/together/harness.py
@@ -16,11 +16,11 @@
 from collections import Counter
 from collections.abc import AsyncIterator, Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
-from firvane.cli.recovery import call
+from firvane.cli.door import call
 from firvane.fleet.network import seats
-from firvane.fleet.records import Answered, BoxState, Record
+from firvane.fleet.records import Answered, Arrived, BoxState, Record, Told
 from firvane.fleet.scenario import Boxes, Kind, Load, Network, Proxies, Retries, Scenario
 from firvane.fleet.timeline import Action, Step
 from firvane.rehearsal.clock import Clock
@@ -28,6 +28,7 @@
 from firvane.rehearsal.machines import Machines
 from firvane.rehearsal.plan import Plan, claim_net
 from firvane.rehearsal.world import Fleet, Members, Tier
+from firvane.snapshots.file import read
 
 DEADLINE = 40.0  # s after which what a test waits for will not come
 LOOK = 0.02  # s from one look to the next
@@ -58,12 +59,15 @@
         self.names = [seat.name for seat in seats(scenario.network, scenario.proxies)]
         self.answers: Counter[tuple[str, int]] = Counter()  # by proxy and status
         self.boxes: dict[str, str] = {}  # their last states
+        self.arrived: Counter[str] = Counter()  # attempts by box, those that it turned away as well
+        self.told: dict[tuple[str, str], str] = {}  # a box's state by proxy, as discovery told it last
         self.fleet = Fleet(self.clock, socket_doors(loop), self.plan, scenario, 1, self._see)
         names, limits = tuple(self.names), scenario.proxies
         self.machines = Machines(self.clock, folder, names, limits, self._ended, self._see)
         self.members = Members(
-            self.clock, self.plan, scenario, 1, self._see, lambda name: None, resets_tell=True
-        )
+            self.clock, self.plan, scenario, 1, self._see, lambda name: self.tier.is_ready(name),
+            resets_tell=True,
+        )  # fmt: skip
         self.tier = Tier(
             self.clock, self.plan, scenario, 1, self, self.members.clients.front,
             lambda name, answer: answer(self.fleet.known(name)), self._see,
@@ -76,6 +80,10 @@
             self.answers[record.proxy, record.status] += 1
         elif isinstance(record, BoxState):
             self.boxes[record.box] = record.state
+        elif isinstance(record, Arrived):
+            self.arrived[record.box] += 1
+        elif isinstance(record, Told):
+            self.told[record.proxy, record.box] = record.state
 
     def _ended(self, number: int, code: int) -> None:
         self.exits[number] = code
@@ -87,9 +95,13 @@
         log = self.folder / f"{self.names[number]}.log"
         self.read[number] = log.stat().st_size if log.exists() else 0
         self.exits.pop(number, None)
+        self.machines.launch(number, self.configured(number, told))
+
+    def configured(self, number: int, told: dict[str, Any]) -> dict[str, Any]:
+        """What the platform tells it at its start."""
         known = {} if self.knows else {"known": None}
         told["recovery"] |= {"snapshot_every": 0.1} if "snapshot" in told["recovery"] else {}
-        self.machines.launch(number, {**told, **known, **self.changes})
+        return {**told, **known, **self.changes}
 
     def kill(self, number: int) -> None:
         self.machines.kill(number)
@@ -108,19 +120,25 @@
 
     def step_clock(self, number: int, seconds: float) -> None: ...
 
+    def reload(self, number: int, told: dict[str, Any]) -> None: ...
+
     # Faults by name
 
     def off(self, *proxies: int, boxes: bool = False, memory: str = "kept") -> None:
-        """Power goes from these proxies, or from all boxes, or both."""
+        """Power goes from these proxies, or from all boxes, or both. Boxes that drain keep theirs: who
+        still sends to them is seen there."""
         for number in proxies:
             self.tier.strike(Step(0.0, Action.KILL, proxy=self.names[number], memory=memory))
         if boxes:
-            for name in self.fleet.hosts:
+            for name in self.powered():
                 self.fleet.strike(Step(0.0, Action.SILENCE, name))
 
+    def powered(self) -> list[str]:
+        return [name for name, host in self.fleet.hosts.items() if not host.box.draining]
+
     def boxes_back(self) -> None:
         """Power returns to the boxes, which are cold."""
-        for name in self.fleet.hosts:
+        for name in self.powered():
             self.fleet.strike(Step(0.0, Action.RESTART, name))
 
     def back(self, *proxies: int) -> None:
@@ -142,9 +160,18 @@
             else:
                 agent.speak(older)
 
-    def drain(self, box: str) -> None:
+    async def drain(self, box: str) -> None:
+        """It drains, and all proxies know it, on their disks as well."""
         self.fleet.strike(Step(0.0, Action.DRAIN, box))
 
+        def known() -> bool:
+            files = [self.folder / f"{name}.snapshot" for name in self.names]
+            told = all(self.told.get((name, box)) == "draining" for name in self.names)
+            return told and all("draining" in str(read(f).listed) for f in files if f.exists())
+
+        await self.until(f"the drain of {box} everywhere", known)
+        await self.serves(*range(len(self.names)))  # they have read it, too
+
     def terminate(self, *proxies: int) -> None:
         for number in proxies:
             self.machines.processes[number].send_signal(signal.SIGTERM)
@@ -231,15 +258,22 @@
         return re.findall(r"event=recovery .*?now=(\w+)", self.log(number))
 
 
+T = TypeVar("T", bound=Together)
+
+
 @contextlib.asynccontextmanager
 async def together(
-    folder: Path, scenario: Scenario | None = None, knows: bool = True, **changes: Any
-) -> AsyncIterator[Together]:
+    folder: Path,
+    scenario: Scenario | None = None,
+    knows: bool = True,
+    kind: Callable[..., T] = Together,  # type: ignore[assignment]
+    **changes: Any,
+) -> AsyncIterator[T]:
     """All of it, until the test is over; `knows`: proxies are told the list as last known when they start,
-    `changes` go into each proxy's configuration."""
+    `changes` go into each proxy's configuration. `kind` is made with what `Together` is made with."""
     net, claim = claim_net()
     CLAIMS.append(claim)  # kept: the next test has a net of its own, whatever this one's sockets still do
-    whole = Together(scenario or small(), folder, net, knows, changes)
+    whole = kind(scenario or small(), folder, net, knows, changes)
     try:
         await whole.fleet.open()
         whole.clock.begin(time.monotonic())
