--- a/tests/together/test_policy.py
+++ b/tests/together/test_policy.py
@@ -17,7 +17,7 @@
 from firvane.quorum.words import Times, digest_of
 from firvane.rehearsal.machines import ROOT
 from firvane.rehearsal.plan import text as spelt
-from tests.together.governed import AGAIN, FIRST, Governed, governed, text
+from tests.together.governed import AGAIN, Governed, governed, text
 from tests.together.harness import run
 
 ALL = (0, 1, 2)
@@ -37,7 +37,7 @@
             await fleet.takes(3, 2, 3)
             assert older == (fleet.decided[2, 1], fleet.decided[2, 2], fleet.decided[3, 2])
             assert await fleet.past(2) == {
-                n + 1: digest_of(t).hex() for n, t in enumerate((FIRST, NEW, NEXT))
+                n + 1: digest_of(t).hex() for n, t in enumerate((fleet.first, NEW, NEXT))
             }
 
     run(work())
@@ -91,7 +91,7 @@
             epoch = await fleet.in_force(1, NEXT)
             fleet.back(0)
             await fleet.takes(epoch, *ALL)
-            was = {1: FIRST, 2: NEW, 3: NEXT} if must else {1: FIRST, 2: NEXT}
+            was = {1: fleet.first, 2: NEW, 3: NEXT} if must else {1: fleet.first, 2: NEXT}
             for number in ALL:
                 past = await fleet.past(number)
                 assert past.items() <= {(n, digest_of(t).hex()) for n, t in was.items()}, past
@@ -173,7 +173,7 @@
             await fleet.takes(1, *ALL)
             assert await fleet.in_force(1, NEW) == 2
             for number in ALL:
-                assert await fleet.past(number) == {1: digest_of(FIRST).hex(), 2: digest_of(NEW).hex()}
+                assert await fleet.past(number) == {1: digest_of(fleet.first).hex(), 2: digest_of(NEW).hex()}
 
     async def crowded(fleet: Governed) -> tuple[str, str]:
         policy = b"[limits]\nopen_flows = 20010\n"
@@ -195,7 +195,7 @@
             fleet.back(2)
             await fleet.said(2, "event=policy_begins", "votes=false")
             assert await fleet.in_force(0, NEW) == 2
-            assert (await fleet.in_use(2))["votes"].startswith("not yet")
+            assert (await fleet.policy(2))["votes"].startswith("not yet")
             await fleet.answer(0, 2)
             fleet.links(2, lost=False)
             await fleet.said(2, "event=policy_votes_again", "life=1")
@@ -239,10 +239,10 @@
                 assert await fleet.in_force(1, NEXT) == 3
                 return
             for number in ALL:
-                await fleet.said(number, "event=policy_begins", "votes=false")
+                await fleet.said(number, "level=warning", "event=policy_unheard", "serves_by=0", "no memory")
             await fleet.answer(0, *ALL, more=40)
             for number in ALL:
-                status = await fleet.in_use(number)
+                status = await fleet.policy(number)
                 assert status["epoch"] == "none" and status["votes"].startswith("not yet"), status
                 assert fleet.decided[number, 2] and (await fleet.ask(number, "ready")).startswith("-ERR")
 
