Break promises (b) and (c) of whole members on purpose, and see that the histories show it

Need: a judge that no mutant has tried may be blind. Change: a swap without notice, and an abort that says failed whatever was asked for, in test_member_machine.py.

--- a/tests/quorum/test_member_machine.py
+++ b/tests/quorum/test_member_machine.py
@@ -3,11 +3,32 @@
 from __future__ import annotations
 
 import os
+from dataclasses import dataclass
 
 from hypothesis import HealthCheck, Phase, given, settings
 from hypothesis import strategies as st
 
-from tests.quorum.world import FAULTS_S, Trouble, World
+from firvane.quorum import member as m
+from firvane.quorum.words import Times
+from tests.quorum.world import FAULTS_S, SHORT, Trouble, World
+
+
+@dataclass(frozen=True)
+class Hasty(Times):
+    """The swap may come before leases have run out."""
+
+    @property
+    def notice(self) -> float:
+        return 0.0
+
+
+class Liar(m.Member):
+    """It says that a change has failed as soon as it is aborted."""
+
+    def _abort(self, digest: bytes) -> None:
+        if digest in self.proposals:
+            self.proposals[digest].outcome = m.Outcome.FAILED
+
 
 HISTORIES = int(os.environ.get("FIRVANE_POLICY_HISTORIES", "40"))
 KINDS = ("kill", "lose", "power", "stall", "mute", "deaf", "cut", "full")
@@ -27,3 +48,15 @@
     seed: int, troubles: list[Trouble], proposals: list[tuple[float, int, float]]
 ) -> None:
     assert World(seed, troubles, proposals).verdict() == []
+
+
+def test_a_swap_without_notice_is_seen() -> None:
+    hasty = Hasty(SHORT.lease, SHORT.skew, SHORT.trip, SHORT.gather)
+    cuts = [[Trouble("deaf", 5, 3.0 + at / 20, 4.0)] for at in range(6, 15)]
+    worlds = (World(3, cut, [(3.0, 6, 0.0)], times=hasty) for cut in cuts)
+    assert any("by epoch 1" in line for world in worlds for line in world.verdict())
+
+
+def test_a_change_said_to_have_failed_is_seen_in_force() -> None:
+    worlds = (World(3, (), [(3.0, 6, at / 10)], Liar) for at in range(1, 12))
+    assert any("(c)" in line for world in worlds for line in world.verdict())
--- a/tests/quorum/world.py
+++ b/tests/quorum/world.py
@@ -36,10 +36,11 @@
         proposals: Sequence[tuple[float, int, float]] = (),
         make: Make = m.Member,
         proxies: int = 7,
+        times: Times = SHORT,
     ) -> None:
         last = max([FAULTS_S, *(one.at + one.lasts for one in troubles)])
         seconds = last + ENDS_S
-        drawn = Drawn(proxies=proxies, seed=seed, seconds=seconds, faults="none", changes=0, times=SHORT)
+        drawn = Drawn(proxies=proxies, seed=seed, seconds=seconds, faults="none", changes=0, times=times)
         super().__init__(drawn, make)
         self.troubles, self.proposals, self.last = troubles, proposals, last
         self.fine = False
