--- a/firvane/quorum/gathering.py
+++ b/firvane/quorum/gathering.py
@@ -3,7 +3,8 @@
 Rules that hold here and nowhere else:
 
 1. It serves service alone: whatever is overlooked here, no promise depends on it.
-2. One no ends the change. Who has not been heard by any voter for a lease is not waited for: it has none.
+2. One no ends the change. Who has not been heard by any voter for a lease is not waited for: it has none. Nor
+   has who is heard and says that nobody has answered it for one, as where its way in is lost.
 3. What voters tell of who asked counts once a majority has been counting for a lease, with every voter that
    has itself been heard of among those that told.
 """
