Say failed of no change that may have been begun in an earlier life, and pause for no missed vote

Change: what cannot be begun is 'not proposed', of which nothing is said; a change given up is unknown where a vote for its epoch is known, or an earlier life's messages may be on their way. An end that is not known is not told, since a majority read brings the one that is; a swap that is settled ends the epoch before it.

--- a/firvane/quorum/leases.py
+++ b/firvane/quorum/leases.py
@@ -49,7 +49,7 @@
         """An epoch that is decided; whether it is later than what was known."""
         if self.decided and value.epoch <= self.decided.epoch:
             if settled and value.epoch == self.decided.epoch:
-                self.window(value.epoch).begins = -inf
+                self.windows[value.epoch] = Window(-inf, -inf)
             return False
         self.decided = value
         for epoch in [epoch for epoch in self.windows if epoch < value.epoch]:
--- a/firvane/quorum/member.py
+++ b/firvane/quorum/member.py
@@ -172,6 +172,7 @@
         self.texts = dict.fromkeys(has, "")
         self.history: dict[int, Value] = {}
         self.proposals: dict[bytes, Proposal] = {}
+        self.refused: dict[bytes, str] = {}  # why proposals were not begun here
         self.gathering: Gathering | None = None
         self.ballots: Ballots | None = None
         self.candidate: tuple[bytes, int, float] | None = None  # digest, holder, until when
@@ -224,7 +225,7 @@
             case Propose(digest, voters):
                 self._propose(digest, voters, now)
             case Abort(digest):
-                self._abort(digest)
+                self._abort(digest, now)
             case Tick():
                 pass
         self._advance(now)
@@ -266,7 +267,7 @@
             window = lease.windows.get(decided.epoch, Window())
             settled = window.begins == -inf
             if window.begins == inf:
-                window = Window(min(window.ends, now), now + self.times.lead + self.times.trip)
+                window = Window(window.ends, now + self.times.lead + self.times.trip)
             votes.learn(decided, settled, Window() if settled else Window(window.ends, window.begins))
         kept = votes.kept
         self._learn(kept.decided, kept.settled)
@@ -555,14 +556,21 @@
             return  # the same once more
         new = tuple(sorted(set(voters))) if voters is not None else None
         value = Value(decided.epoch + 1 if decided else 0, digest, new or self.voters)
+        if why := self._unready(value, now):
+            self.proposals.pop(digest, None)
+            self.refused[digest] = why
+            if len(self.refused) > REMEMBERED:
+                del self.refused[next(iter(self.refused))]
+            return
         proposal = Proposal(value)
         if len(self.proposals) >= REMEMBERED:
             del self.proposals[next(iter(self.proposals))]
         self.proposals.pop(digest, None)
+        self.refused.pop(digest, None)
         self.proposals[digest] = proposal
         if decided and decided.digest == digest and value.voters == decided.voters:
             proposal.value, proposal.why = decided, "it was decided before"  # `_ends` says the rest
-        elif why := self._unfit(value, now):
+        elif why := self._unfit(value):
             proposal.outcome, proposal.why = Outcome.FAILED, why
         else:
             self.gathering = Gathering(
@@ -571,33 +579,55 @@
             self.who_at = -inf
             self._note("policy_proposed", epoch=value.epoch, digest=digest.hex())
 
-    def _unfit(self, value: Value, now: float) -> str:
-        """Why it cannot be proposed here now; "" where it can."""
-        decided = self.lease.decided
-        if decided is None or not self.holds(now):
-            return "this proxy has no lease: no majority of the voters has been heard of late"
+    def _unready(self, value: Value, now: float) -> str:
+        """Why nothing can be begun here now; "" where it can.
+
+        Whether the same was begun before, in an earlier life of this proxy or elsewhere, is not known
+        then, and nothing may be said of it."""
+        if self.lease.decided is None or not self.holds(now):
+            return "not proposed: this proxy has no lease; propose it again, here or elsewhere"
+        if self.gathering or self.ballots or self.lease.due() < inf or self._voted(value):
+            return "not proposed: another change is under way; propose it again after it"
+        return ""
+
+    def _doubted(self, value: Value, now: float) -> bool:
+        """Whether there may be a vote for that epoch: there is, or what was said in an earlier life of this
+        proxy may still be on its way."""
+        spoken = self.start + self.times.lead - self.times.notice + self.times.trip
+        return now < spoken or self._voted(value)
+
+    def _voted(self, value: Value) -> bool:
+        window = self.lease.windows.get(value.epoch)
+        votes = self.votes is not None and self.votes.kept.accepted is not None
+        return votes or (window is not None and window.ends < inf)
+
+    def _unfit(self, value: Value) -> str:
+        """Why it can never be proposed as it is; "" where it can."""
+        assert self.lease.decided
         if (why := self.texts.get(value.digest, "its text is not here")) != "":
             return why
-        if self.gathering or self.ballots or self.lease.next(now) or self.lease.due() < inf:
-            return "another change is under way here"
-        if len(set(value.voters) ^ set(decided.voters)) > 1:
+        if len(set(value.voters) ^ set(self.lease.decided.voters)) > 1:
             return "voters change one at a time"
         if not 1 <= len(value.voters) <= MOST_VOTERS or not all(0 <= v < self.proxies for v in value.voters):
             return f"there are 1 to {MOST_VOTERS} voters, each a proxy's number below {self.proxies}"
         return ""
 
-    def _abort(self, digest: bytes) -> None:
+    def _abort(self, digest: bytes, now: float) -> None:
         proposal = self.proposals.get(digest)
         if proposal is None or proposal.outcome is not Outcome.OPEN:
             return
         ballots = self.ballots
         gathers = self.gathering is not None and self.gathering.value == proposal.value
         if gathers or (ballots and ballots.wanted == proposal.value and not ballots.said):
-            self._give_up(proposal, "it was aborted")
+            self._give_up(proposal, "it was aborted", now)
+
+    def _give_up(self, proposal: Proposal, why: str, now: float) -> None:
+        """No acceptance of it was ever asked for here.
 
-    def _give_up(self, proposal: Proposal, why: str) -> None:
-        """No acceptance of it was ever asked for: it is in force nowhere."""
-        proposal.outcome, proposal.why = Outcome.FAILED, why
+        So it is in force nowhere, unless a vote for its epoch shows that the same may have been begun
+        elsewhere."""
+        doubted = self._doubted(proposal.value, now)
+        proposal.outcome, proposal.why = (Outcome.UNKNOWN if doubted else Outcome.FAILED), why
         self.gathering = self.ballots = None
         for voter in self.voters:
             if voter != self.me:
@@ -616,7 +646,7 @@
         if self.candidate and now < self.candidate[2]:
             self._rival(self.me, self.candidate[:2])
         if why := gathering.failed(now):
-            self._give_up(proposal, why)
+            self._give_up(proposal, why, now)
             return
         if now >= self.who_at:
             self.who_at = now + self.times.ask / 2
@@ -685,7 +715,7 @@
                 self._decided(proposal, self.history.get(epoch), now)
             elif ballots and ballots.wanted == proposal.value and ballots.phase is not Phase.CHOSEN:
                 if now >= ballots.due and ballots.tries and not ballots.said and self._late(now):
-                    self._give_up(proposal, "no majority of the voters answers")
+                    self._give_up(proposal, "no majority of the voters answers", now)
                 elif ballots.said and self._late(now):
                     proposal.outcome = Outcome.UNKNOWN
                     proposal.why = "no majority of the voters has answered yet; ask again"
@@ -718,7 +748,8 @@
             if window is None or window.begins == -inf:
                 return Outcome.IN_FORCE, f"epoch {decided.epoch}"
             return Outcome.OPEN, f"decided as epoch {decided.epoch}, which begins in a moment"
-        return Outcome.UNKNOWN, "it was not proposed here; ask where it was, or propose it again"
+        unasked = "it was not proposed here; ask where it was, or propose it again"
+        return Outcome.UNKNOWN, self.refused.get(digest, unasked)
 
     def status(self, now: float) -> dict[str, str]:
         """Words for operators."""
--- a/firvane/quorum/votes.py
+++ b/firvane/quorum/votes.py
@@ -89,7 +89,7 @@
             return
         known = self.begins.get(ballot, at)
         if known is None:
-            window = Window(now, now + self.times.lead + self.times.trip)
+            window = Window(self.window.ends, now + self.times.lead + self.times.trip)
         else:
             window = Window(min(self.window.ends, known), known)
         self.learn(value, False, window)
