--- a/firvane/rehearsal/versions.py
+++ b/firvane/rehearsal/versions.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 from math import exp
 from random import Random
+from struct import Struct
 from typing import Any, Literal
 
 from firvane.measures import Used
@@ -28,7 +29,7 @@
     "tenant",  # one tenant is refused
     "leaks",  # 1 MB a minute
     "dies",  # under its first requests
-    "misread",  # peers read more attempts out at boxes from its rows than there are
+    "misread",  # peers read far more from its rows: rates, and attempts out at boxes
     "no-drains",  # boxes that drain are taken for boxes that are up
 ]
 HARMFUL: tuple[VersionName, ...] = (
@@ -38,6 +39,7 @@
 COLD_S = 8.0
 FIRST = 20  # requests, under which it dies
 HEAD = 30  # bytes of a row before its entries, in either version
+RATES = Struct("<4f"), 13  # and its four rates, with where they stand
 ENTRY = {1: 3, 2: 5}  # bytes of an entry by the row's version; the last is the attempts out at a box
 TIMES = 40  # what peers take these for
 
@@ -139,7 +141,9 @@
     def _tell(self, peer: int | None, payload: bytes) -> None:
         row = bytearray(payload)
         size = ENTRY.get(row[0] if row else 0, 0)
-        if size:
+        if size and len(row) >= HEAD:
+            form, at = RATES
+            form.pack_into(row, at, *(TIMES * self.size * rate for rate in form.unpack_from(row, at)))
             for at in range(HEAD + size - 1, len(row), size):
                 row[at] = min(255, round(TIMES * self.size * row[at]))
         self.tell(peer, bytes(row))
--- a/tests/rehearsal/test_rolling.py
+++ b/tests/rehearsal/test_rolling.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 from collections import Counter
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
 
 from firvane.fleet.records import Answered, ProxyState, Record, Rolled
 from firvane.fleet.scenario import Boxes, Load, Proxies, Roll, Scenario, Trouble
-from firvane.rehearsal import rolling
+from firvane.rehearsal import rolling, versions
 from firvane.rehearsal.run import play_virtual, rehearse
+from firvane.routing import rows
 
 
 def day(version: str, **more: Any) -> Scenario:
@@ -81,6 +83,25 @@
     assert sum(isinstance(r, Answered) and r.status == 200 for r in records) > 1000
 
 
+@pytest.mark.parametrize("new", [False, True])
+def test_rows_that_are_misread_are_rows_still(new: bool) -> None:
+    # Guards against a fault that harms nobody, as peers throw away what cannot be.
+    head = rows.Head(0, 1, 7, 3, 1.0, 2.0, 3.0, 4.0, 5)
+    row = rows.pack_new(head, True, [(9, 2)], []) if new else rows.pack_old(head, [(9, 2)])
+    told: list[bytes] = []
+    proxy = SimpleNamespace(
+        loop=SimpleNamespace(time=lambda: 0.0),
+        engine=SimpleNamespace(take=None),
+        peers=SimpleNamespace(tell=lambda peer, payload: told.append(payload)),
+        front=SimpleNamespace(measures=None),
+    )
+    versions.Fault(proxy, "misread", 1.0, 1, lambda: None)
+    proxy.peers.tell(None, row)
+    right, wrong = rows.unpack(row, 0.0), rows.unpack(told[0], 0.0)
+    assert (wrong.zone, wrong.sequence, wrong.arrivals) == (right.zone, right.sequence, 40 * right.arrivals)
+    assert right.out == [(9, 2)] and wrong.out == [(9, 80)]
+
+
 def test_a_roll_is_played_in_virtual_time_alone() -> None:
     with pytest.raises(ValueError, match="virtual"):
         rehearse(day("same"), 1, "live")
