--- a/firvane/rollout/controller.py
+++ b/firvane/rollout/controller.py
@@ -56,7 +56,7 @@
 ASK_S = 0.25  # from a place's answer to the next question
 WAIT_S = 2.0  # for an answer
 SILENT = 2  # questions without an answer, after which a place is down
-FIRST_S = 5.0  # for which the places' first answers are waited for
+FIRST_S = 3.0  # for which the places' first answers are waited for
 MOST = 1 << 20  # bytes of an answer
 BUSY = frozenset(("trying", "proving", "starting", "ending"))
 
@@ -208,6 +208,7 @@
     async def _turns(self) -> None:
         heard = False
         while True:
+            self.chronicle.mine()
             if call := self.chronicle.said():
                 self._hear(Operator(call))
                 self.chronicle.heard()
--- a/firvane/rollout/keeper.py
+++ b/firvane/rollout/keeper.py
@@ -9,7 +9,7 @@
    environment. It cannot have their socket back: it opens another beside it (SO_REUSEPORT), starts the same
    version on that, and ends those of before once that one is proven.
 4. The file of the place is read again at each `place-replace` and `place-back`; of what it says then only
-   the versions count.
+   the versions and the times count.
 """
 
 from __future__ import annotations
@@ -204,6 +204,7 @@
     def _launch(self, how: Version, mark: Mark) -> Child:
         env = {**os.environ, "NODE_LISTEN": self.site.listen, **how.environment}
         env |= {"NODE_SOCKET_FD": str(self.sock.fileno()), "NODE_OPS": self.site.ops[mark.door]}
+        env["FIRVANE_VERSION"] = mark.version  # what its measures say
         env[MARK] = f"{mark.number} {mark.version} {mark.door} {self.state}"
         with contextlib.ExitStack() as files:
             log = files.enter_context(open(self.site.log, "ab")) if self.site.log else None
@@ -311,7 +312,9 @@
         return yes(place.state.value)
 
     def _reread(self) -> None:
-        self.site = msgspec.structs.replace(self.site, versions=site.read(self.path).versions)
+        read = site.read(self.path)
+        self.site = msgspec.structs.replace(self.site, versions=read.versions)
+        self.place.times = read.times
 
     def _status(self) -> dict[str, str | int]:
         fields = self.place.status()
--- a/tests/together/harness.py
+++ b/tests/together/harness.py
@@ -233,13 +233,17 @@
 
 @contextlib.asynccontextmanager
 async def together(
-    folder: Path, scenario: Scenario | None = None, knows: bool = True, **changes: Any
+    folder: Path,
+    scenario: Scenario | None = None,
+    knows: bool = True,
+    kind: type[Together] = Together,
+    **changes: Any,
 ) -> AsyncIterator[Together]:
     """All of it, until the test is over; `knows`: proxies are told the list as last known when they start,
     `changes` go into each proxy's configuration."""
     net, claim = claim_net()
     CLAIMS.append(claim)  # kept: the next test has a net of its own, whatever this one's sockets still do
-    whole = Together(scenario or small(), folder, net, knows, changes)
+    whole = kind(scenario or small(), folder, net, knows, changes)
     try:
         await whole.fleet.open()
         whole.clock.begin(time.monotonic())
@@ -254,10 +258,15 @@
         await asyncio.sleep(0)
 
 
-def run(work: Any) -> None:
-    """On the loop that a test is given, with descriptors for a small fleet."""
+def enough_descriptors() -> None:
+    """For a small fleet in this process."""
     import resource
 
     hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
     resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, 1 << 16), hard))
+
+
+def run(work: Any) -> None:
+    """On the loop that a test is given, with descriptors for a small fleet."""
+    enough_descriptors()
     asyncio.run(work)
