--- a/benchmarks/situations.py
+++ b/benchmarks/situations.py
@@ -14,7 +14,7 @@
 from typing import Any, NamedTuple
 
 from firvane.fleet.network import seats
-from firvane.fleet.records import Arrived, Asked, BoxState, Finished, ProxyState, Record, Told
+from firvane.fleet.records import Arrived, Asked, BoxState, Finished, ProxyState, Record, Rolled, Told
 from firvane.fleet.scenario import Scenario, Trouble
 from firvane.rehearsal.result import Result
 
@@ -59,6 +59,7 @@
         )  # of each box: when ended, how much
         self.for_nobody: list[tuple[float, str]] = []  # when which box ended what nobody waited for any more
         self.told: list[Told] = []
+        self.rolled: list[Rolled] = []
 
     def see(self, record: Record) -> None:
         kind = type(record)
@@ -76,6 +77,8 @@
             self.proxies.append(record)
         elif isinstance(record, Told):
             self.told.append(record)
+        elif isinstance(record, Rolled):
+            self.rolled.append(record)
 
     def _asked(self, record: Asked) -> None:
         if record.is_retry:
@@ -405,7 +408,24 @@
     ]
 
 
+def rolled(*ends: str) -> Situation:
+    """The roll came to its end in order, in one of these states, and stages were judged before."""
+
+    def checks(result: Result, sight: Sight) -> Checks:
+        states = [one.state for one in sight.rolled]
+        return [
+            Check("the roll's end", states[-1] in ends, 1, 1),
+            Check("stages compared", states.count("comparing"), 1, ANY),
+            Check("part that the new version was asked", sight.rolled[-1].new / sight.rolled[-1].all, 0, 1),
+        ]
+
+    return checks
+
+
 SITUATIONS: dict[str, Situation] = {
+    "roll-good": rolled("done"),
+    "roll-bad": rolled("back"),
+    "roll-in-a-herd": rolled("done"),
     "many-join": many_join,
     "many-zone": many_zone,
     "many-killed": many_killed,
--- a/firvane/fleet/checks.py
+++ b/firvane/fleet/checks.py
@@ -19,6 +19,7 @@
     Part,
     Proxies,
     Retries,
+    Roll,
     Scenario,
     Trouble,
 )
@@ -94,6 +95,14 @@
         yield "count", f"is {part.count}, above {MOST_PROXIES}"
 
 
+def roll(part: Roll) -> Found:
+    yield from figures(part)
+    if not part.stages or list(part.stages) != sorted(set(part.stages)) or part.stages[-1] != 1.0:
+        yield "stages", "are not ascending parts up to 1"
+    if not all(0 <= stage <= 1 for stage in part.stages):
+        yield "stages", "are parts from 0, which is one proxy, to 1"
+
+
 def scenario(whole: Scenario) -> Found:
     """The troubles against the rest."""
     yield from figures(whole)
@@ -102,6 +111,10 @@
     if whole.warm_up_s >= whole.seconds:
         yield "warm_up_s", f"is {whole.warm_up_s:g}, and the whole lasts {whole.seconds:g} s"
     communities = {community.name for community in whole.load.communities}
+    if whole.roll and whole.proxies.count < 2:
+        yield "roll", "needs two proxies at least: the old ones are what the new are held against"
+    if whole.roll and whole.roll.at_s >= whole.seconds:
+        yield "roll.at_s", f"is {whole.roll.at_s:g}, and the whole lasts {whole.seconds:g} s"
     for index, trouble in enumerate(whole.troubles):
         at = f"troubles[{index}]"
         if trouble.at_s >= whole.seconds:
@@ -128,6 +141,7 @@
     Network: network,
     Proxies: proxies,
     Retries: figures,
+    Roll: roll,
     Scenario: scenario,
     Trouble: figures,
 }
--- a/firvane/fleet/scenario.py
+++ b/firvane/fleet/scenario.py
@@ -184,6 +184,28 @@
     step_s: float = 0.0
 
 
+class Roll(Part, frozen=True, kw_only=True):
+    """A rolling change of the proxies' version, in virtual time. Versions: rehearsal/versions.py."""
+
+    version: Literal[
+        "same", "cold", "better", "refuses", "slow", "repeats", "tenant", "leaks", "dies", "misread",
+        "no-drains",
+    ] = "same"  # fmt: skip
+    size: float = 1.0  # of its fault, 1 as it is named
+    at_s: float = 5.0
+    stages: tuple[float, ...] = (0.0, 0.1, 0.5, 1.0)  # parts of the proxies; 0 is one of them
+    soak_s: float = 40.0
+    longest_s: float = 240.0
+    before_s: float = 10.0
+    prove_s: float = 2.0
+    block_s: float = 2.0
+    settle_s: float = 10.0
+    least_requests: int = 40
+    judged_by: Literal["comparison", "errors", "nothing"] = "comparison"
+    most_errors: float = 0.02  # by errors: more than before by that part of the requests is too much
+    then_s: float = 5.0  # the scenario ends so long after the roll has
+
+
 class Scenario(Part, frozen=True, kw_only=True):
     """All of it."""
 
@@ -197,3 +219,4 @@
     network: Network = Network()
     proxies: Proxies = Proxies()
     troubles: tuple[Trouble, ...] = ()
+    roll: Roll | None = None
--- a/firvane/rehearsal/plan.py
+++ b/firvane/rehearsal/plan.py
@@ -171,6 +171,8 @@
         told["recovery"] = {limits.without.replace("-", "_"): False} if limits.without else {}
         if folder and limits.snapshots:
             told["recovery"]["snapshot"] = f"{folder}/{seat.name}.snapshot"
+    if scenario.roll:
+        told["measures"] = True
     if scenario.network.peers:
         told["peer_listen"] = text(plan.peer_listen(number))
         told["peers"] = [text(plan.peer(number, other)) for other in range(plan.proxies)]
