--- a/firvane/cli/files.py
+++ b/firvane/cli/files.py
@@ -15,16 +15,17 @@
 def form_of(raw: dict[str, Any]) -> Form:
     """What bare data is meant to be: by its keys, since all of them may be TOML or JSON.
 
-    The platform's JSON alone has settings, the plan of a rolling change alone a roll, a place's file alone
-    versions. Between the others the one decides that knows more of the keys; a file without any is held to be
-    a configuration. A policy has keys of a configuration, and none of those that say which proxy it is.
+    The platform's JSON alone has settings, the plan of a rolling change alone a roll and no name, a place's
+    file alone versions. Between the others the one decides that knows more of the keys; a file without any is
+    held to be a configuration. A policy has keys of a configuration, and none of those that say which proxy
+    it is.
     """
     from firvane.config.model import File
     from firvane.config.policy import Policy
 
     if "settings" in raw:
         return "platform"
-    if "roll" in raw:
+    if "roll" in raw and "name" not in raw:
         return "plan"
     if "versions" in raw:
         return "place"
--- a/tests/together/versions.py
+++ b/tests/together/versions.py
@@ -1,22 +1,18 @@
 """Versions of the program with a set fault: `python -m tests.together.versions FAULT`.
 
-"none" is the program as it is. Where the program has no door call `measures`, its counts are told from here.
+"none" is the program as it is.
 """
 
 from __future__ import annotations
 
 import asyncio
-import json
 import os
-import resource
 import socket
 import sys
 import time
 from itertools import count
 from typing import Any
 
-BEGUN = time.monotonic()
-
 
 def mute(answers: bool) -> None:
     """Says that it is ready; takes connections and `answers` none, or takes none at all."""
@@ -59,39 +55,6 @@
     Engine.take = half  # type: ignore[method-assign]
 
 
-def measures() -> None:
-    from firvane import proxy
-    from firvane.ops import calls
-
-    if hasattr(calls.Call, "MEASURES"):
-        return
-    asked, answer = calls.asked, proxy.Proxy._answer
-
-    def asked_too(line: bytes) -> Any:
-        return calls.Asked(calls.Call.SHOW_STAT, ("measures",)) if line == b"measures" else asked(line)
-
-    def answer_too(self: Any, said: Any) -> bytes:
-        if said.words != ("measures",):
-            return answer(self, said)
-        classes = {}
-        for name, counts in self.figures().handled.items():
-            taken = counts.passed + counts.dropped + counts.bad_gateway
-            classes[name] = {
-                "taken": taken, "in_time": counts.passed, "late": 0, "refused": counts.dropped,
-                "failed": counts.bad_gateway, "attempts": counts.upstream_tries, "latency": {},
-            }  # fmt: skip
-        used = resource.getrusage(resource.RUSAGE_SELF)
-        told = {
-            "pid": os.getpid(), "uptime_s": time.monotonic() - BEGUN, "classes": classes, "tenants": {},
-            "cpu_s": used.ru_utime + used.ru_stime, "rss_mb": used.ru_maxrss / 1024, "descriptors": 20,
-            "errors": 0,
-        }  # fmt: skip
-        return calls.lines(json.dumps(told))
-
-    calls.asked = asked_too  # type: ignore[assignment]
-    proxy.Proxy._answer = answer_too  # type: ignore[method-assign]
-
-
 def main(fault: str) -> int:
     if fault == "dies":
         return 3
@@ -101,7 +64,6 @@
         mute(fault == "mute")
     if fault == "refuses":
         refuses()
-    measures()
     from firvane.__main__ import main as program
 
     return program()
