--- a/tests/together/harness.py
+++ b/tests/together/harness.py
@@ -289,10 +289,15 @@
         await asyncio.sleep(0)
 
 
-def run(work: Any) -> None:
-    """On the loop that a test is given, with descriptors for a small fleet."""
+def enough_descriptors() -> None:
+    """For a small fleet in this process."""
     import resource
 
     hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
     resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, 1 << 16), hard))
+
+
+def run(work: Any) -> None:
+    """On the loop that a test is given, with descriptors for a small fleet."""
+    enough_descriptors()
     asyncio.run(work)
