Fetch the text of a vote that a voter was told of after it had lost its memory

Need, reasoned: such a voter finishes the vote as all do, but accepts nothing whose text is not here, and asked nobody for it. Change: the text of the vote is wanted as that of the epoch in force is. Measured: tests/quorum/test_edges.py has it, and fails without.

--- a/firvane/quorum/member.py
+++ b/firvane/quorum/member.py
@@ -693,10 +693,13 @@
             del self.texts[old]
 
     def _fetch(self, now: float) -> None:
-        """The text of the epoch in force, where it is not here."""
+        """The text of the epoch in force, and that of the vote that may have to be finished here, where they
+        are not here."""
         value = self.lease.decided
         if value and value.digest not in self.texts:
             self._want(value.digest, value.voters, now)
+        elif self.votes and (vote := self.votes.kept.accepted) and vote[1].digest not in self.texts:
+            self._want(vote[1].digest, self.voters, now)  # told by others, after a loss of memory
 
     def _want(self, digest: bytes, holders: tuple[int, ...], now: float) -> None:
         if now >= self.fetch_at:
--- a/tests/quorum/test_edges.py
+++ b/tests/quorum/test_edges.py
@@ -10,7 +10,7 @@
 from firvane.quorum.messages import Accept, Accepted, Promise, unpack
 from firvane.quorum.proposing import Ballots
 from firvane.quorum.votes import Votes, recovered
-from firvane.quorum.words import NO_BALLOT, Kept, Outcome, Times, Value, digest_of
+from firvane.quorum.words import NO_BALLOT, Ballot, Kept, Outcome, Times, Value, digest_of
 from tests.quorum.world import World
 
 BASE = Value(1, digest_of(b"base"), (0, 1, 2, 3, 4))
@@ -137,3 +137,12 @@
     later = [out for voter in (1, 2) for out in promise(high, voter)]
     assert bool(later) == ignores
     assert accept(later, 2) == ignores  # a vote for another value, above the one that is chosen
+
+
+def test_the_text_of_a_vote_that_was_told_after_a_loss_of_memory_is_fetched() -> None:
+    vote = (Ballot(1, 1, 1), ONE)
+    member = m.Member(
+        0, 5, BASE.voters, Times(), 1, 0.0, Kept(1, BASE, True, vote[0], vote, ()), has=[BASE.digest]
+    )
+    wanted = [action for action in member.handle(m.Tick(), 1.0) if isinstance(action, m.Fetch)]
+    assert wanted == [m.Fetch(ONE.digest, (1, 2, 3, 4))]
