Let a change wait for proxies for five leases at least

Need, by reading: a proxy that has just died is waited for until its lease has run out, and voters that have just started tell nothing for one; with lease_s from 15 on the 15 s of gathering ended before. Change: the larger of the two. Measured: tests/quorum/test_driver.py passes; with the usual lease of 3 s nothing is different.

--- a/firvane/quorum/driver.py
+++ b/firvane/quorum/driver.py
@@ -97,7 +97,7 @@
         self.host, self.told, self.clock, self.loop, self.log = host, told, clock, host.loop, host.log
         self.base = host.config.settings  # what a policy leaves out
         self.me = self.base.me
-        self.times = Times(lease=told.lease, trip=told.trip)
+        self.times = Times(lease=told.lease, trip=told.trip, gather=max(Times.gather, 5 * told.lease))
         self.store = Store(told.folder, host.log, host.loop.call_soon_threadsafe, aside)
         self.member: Member | None = None
         self.value: Value | None = None  # whose policy is in use here
