Take boxes of unknown start for warm by their answers' age, found by a state machine

A state machine over small fleets (power, links, drains, liars, memories) finds the same, and that homes which had found a cold box slow never asked it again. Such a box is now warm once it has answered for as long as a cold one takes, and what was found of a pace fades while nothing is out. The machine takes the place of the property over drawn memories and liars. The mutant without an end by calm is gone: age ends a recovery, too.

--- a/firvane/recovery/recovery.py
+++ b/firvane/recovery/recovery.py
@@ -2,9 +2,9 @@
 
 Rules that hold here and nowhere else:
 
-1. While it lasts, a box that has just started, or that nobody is known to have had an answer from, is sent
-   to by its homes alone, and by them as `steps` allows; by others within what a home has lent them. Any
-   other box is as in ordinary times.
+1. While it lasts, a box that has just started, or whose start nobody tells, or that nobody is known to have
+   had an answer from, is sent to by its homes alone, and by them as `steps` allows; by others within what a
+   home has lent them. Any other box is as in ordinary times.
 2. Until all peers have been heard, or have had `PATIENCE` to be, slices are not dealt alike: each proxy would
    take itself for the home of all. Till then a box's home is the proxy that its salt names.
 3. Trials of boxes that do not answer come at even, short times: an attempt that finds nobody costs no box
@@ -57,7 +57,7 @@
         self.dealt = settings.proxies <= 1 or not settings.limits.peers  # slices are dealt with all that live
         self.turned_away = now  # when a request last found no room
         self.answered_at = now - messages.NEVER  # when a box last did
-        self.proven = set[Backend]()  # have answered in this life
+        self.proven = dict[Backend, float]()  # since when they have answered in this life
         self.begun = dict[Backend, float | None]()  # whose rooms are found by steps, and their starts then
         self.mine = set[Backend]()  # this proxy's, as of the last window
         self.down = dict[Backend, float]()  # since when no connection has come up
@@ -89,8 +89,13 @@
         return server.own >= self.loans.left(server, now) if self.parts.trials else None
 
     def _is_known(self, server: Backend, now: float) -> bool:
-        """Whether a box is as in ordinary times: warm, by its own answers or on peers' word."""
-        return (self.trusting or server in self.proven) and not self.evidence.is_cold(server, now)
+        """Whether a box is as in ordinary times: warm by its age, and there; or on peers' word."""
+        aged = self.trusting or (server in self.proven and self._is_old(server, now))
+        return aged and not self.evidence.is_cold(server, now)
+
+    def _is_old(self, server: Backend, now: float) -> bool:
+        """Whether its start is known, or lies too far back to matter: it is before the first answer."""
+        return server.since is not None or now >= self.proven.get(server, now) + self.settings.rules.cold
 
     def stepped(self, server: Backend) -> bool:
         """Whether its room is found by steps."""
@@ -146,7 +151,7 @@
         """An attempt has ended, which the evidence has seen already."""
         if outcome.result is api.Result.OK:
             self.answered_at = now
-            self.proven.add(server)
+            self.proven.setdefault(server, now)
             self.course.hear(Event.ANSWERED, now, server.entry.id)
             if now > self.down.pop(server, now) + DOWN:
                 if not self.evidence.is_cold(server, now):
@@ -174,13 +179,14 @@
         else:
             self.sources.setdefault("list", f"as last known, version {news.version}")
         self.course.hear(Event.LISTED if servers else Event.LOST, now, f"{len(servers)} boxes")
-        self.proven &= set(servers)
-        for server in self.begun.keys() - set(servers):
+        up = set(servers)
+        self.proven = {s: since for s, since in self.proven.items() if s in up}
+        for server in self.begun.keys() - up:
             del self.begun[server]
         for server, start in self.begun.items():
             if server.since != start:  # it has started anew: what was found of it is void
                 self._step(server, 1.0)
-        for gone in self.down.keys() - set(servers):
+        for gone in self.down.keys() - up:
             del self.down[gone]
         if not self.dealt:
             self._begin(servers, now)
@@ -264,8 +270,9 @@
         if self.struck:
             course.hear(Event.STRUCK, now, f"{colds / weight:.0%}")
         if course.state is State.GROWING and weight:
-            # That a box has answered shows nothing: only one whose start is known is warm by its age.
-            if not cold and not any(s in self.begun and s.since is None for s in mine):
+            # That a box has answered shows little of its age, and that no steps have begun, nothing: a slice
+            # dealt anew, by a drain or a loss, has boxes that begin now.
+            if not cold and (not self.parts.steps or all(self._is_old(s, now) for s in mine)):
                 course.hear(Event.WARM, now)
             elif now >= max(self.turned_away, course.since) + CALM:
                 course.hear(Event.CALM, now)
@@ -274,6 +281,8 @@
             if self.dealt:  # what has another home now is its to find
                 self._leave(self.begun.keys() - self.mine)
             self._begin(mine, now)
+            for server in self.begun:
+                steps.rest(server)
             actions += self._ask(now) + self._lend(rows, now)
         else:
             self.settled = {s: s.since for s in cold}
@@ -288,7 +297,7 @@
         """These have another home now, which finds their rooms."""
         for server in list(servers):
             del self.begun[server]
-            self.proven.discard(server)
+            self.proven.pop(server, None)
 
     def _first_room(self, server: Backend) -> float:
         """Where the steps begin: at one, or at what is remembered of a box that is the same still."""
--- a/firvane/recovery/steps.py
+++ b/firvane/recovery/steps.py
@@ -12,7 +12,8 @@
    room, and what clients gave up, each of which cuts the room. That is what keeps it under the rule on
    falling boxes, whatever its size, and whatever was remembered of it.
 5. What a box needs for a piece of work is what its last answers took for theirs. A request that would take
-   more than its aim there is not sent: its answer is worth nothing, and would slow all others.
+   more than its aim there is not sent: its answer is worth nothing, and would slow all others. That is
+   believed for as long as answers come: a box that nothing is sent to would never show that it has warmed.
 """
 
 from __future__ import annotations
@@ -22,6 +23,7 @@
 
 QUICK, LATE = 0.55, 0.8  # of the aim: an answer's time that allows more, and that is too much
 CUT, DEEP = 0.85, 0.6  # what an answer that is late leaves of a room; what a failure or a turn-away does
+FADES = 0.84  # what is left of that after a window without attempts there: half of it after a second
 APART = 0.1  # s from one cut to the next at the least
 USED = 0.7  # part of the room that has to be out for an answer to say anything of it
 PACE = 0.25  # how far one answer moves the time that a second of work is thought to take
@@ -64,6 +66,12 @@
         server.steps, server.stepped_at = max(1.0, part * server.steps), now
 
 
+def rest(server: Backend) -> None:
+    """Once a window: where nothing is out, what was found of its pace says less."""
+    if not server.own:
+        server.pace *= FADES
+
+
 def fits(server: Backend, work: float | None, left: float) -> bool:
     """Whether it is thought to answer within `left` seconds."""
     return not work or server.pace * work <= FITS * left
--- a/tests/recovery/small_fleet.py
+++ b/tests/recovery/small_fleet.py
@@ -6,6 +6,7 @@
 import itertools
 import random
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 from firvane import interface as api
@@ -32,11 +33,11 @@
         rate: float = 100.0,
         memory: api.Remembered | None = None,
         lies: Callable[[int, bytes], bytes | None] = lambda sender, payload: payload,
-        drained: frozenset[str] = frozenset(),
         back: float = 0.0,
     ) -> None:
         """`lies` is what becomes of a message; None: it is lost. Boxes hear nothing before `back` s."""
         self.now, self.draw, self.lies, self.rate = 0.0, random.Random(seed), lies, rate
+        self.loss = self.late = self.twice = 0.0  # parts of the datagrams lost, 1 s late, and twice there
         self.due: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
         self.order = itertools.count().__next__
         self.boxes: dict[str, Box] = {}
@@ -46,32 +47,52 @@
             kind = Kind(name="k", share=1.0, cores=count, speed=(0.8, 0.8))
             self.boxes[name] = Box(name, kind, WARM, "z", seed + number, back, False)
         self.sent: dict[str, int] = dict.fromkeys(self.boxes, 0)
+        self.after_drain = list[str]()  # attempts at boxes that had drained
         self.calls: dict[str, tuple[int, api.Send, int, float]] = {}
         self.asked: dict[tuple[int, int], tuple[float, str]] = {}
         self.attempts: dict[tuple[int, int], int] = {}
         self.served = self.refused = 0
         self.looked: dict[str, float] = {}
-        self.balancers = []
+        self.entries = {name: api.Server(name, up_since=None) for name in self.boxes}
+        self.version, self.lives = 1, [0] * proxies
+        self.balancers: list[Balancer | None] = [None] * proxies
         for me in range(proxies):
-            told = settings(
-                me=me, proxies=proxies, classes=(READ,), rules=RULES, limits=LIMITS, recovery=api.Recovery()
-            )
-            balancer = Balancer(told, seed + me, 0.0)
-            self.balancers.append(balancer)
-            if memory:
-                assert balancer.recovery
-                balancer.recovery.remember(memory, {"k": 0})
-        entries = tuple(
-            api.Server(
-                name, state=api.ServerState.DRAINING if name in drained else api.ServerState.UP, up_since=None
-            )
-            for name in self.boxes
-        )
-        for me, balancer in enumerate(self.balancers):
-            self._act(me, balancer.start(0.0))
-            self._act(me, balancer.handle(api.ServerList(api.ListKind.CACHED, 1, entries), 0.0))
+            self.start(me, memory)
         self._ask(0)
 
+    # Faults
+
+    def start(self, me: int, memory: api.Remembered | None = None) -> None:
+        """A proxy begins its life with the list as last known."""
+        count, wanted = len(self.lives), api.Recovery()
+        told = settings(me=me, proxies=count, classes=(READ,), rules=RULES, limits=LIMITS, recovery=wanted)
+        self.lives[me] += 1
+        balancer = self.balancers[me] = Balancer(told, self.draw.randrange(1 << 30), self.now)
+        if memory and balancer.recovery:
+            balancer.recovery.remember(memory, {"k": 0})
+        self._act(me, balancer.start(self.now))
+        self._give(me, api.ServerList(api.ListKind.CACHED, self.version, tuple(self.entries.values())))
+
+    def end(self, me: int) -> api.Remembered | None:
+        """Power goes from a proxy, and its connections with it; what it would have kept."""
+        balancer, self.balancers[me] = self.balancers[me], None
+        for call in [call for call, (whose, *_) in self.calls.items() if whose == me]:
+            self.boxes[self.calls.pop(call)[1].server].cancel(self.now, call)
+        recovery = balancer.recovery if balancer else None
+        return recovery.recall(balancer.servers.values(), ["k"]) if balancer and recovery else None
+
+    def tell(self, name: str, **changes: Any) -> None:
+        """Discovery has news of a box for all that are on."""
+        self.version += 1
+        self.entries[name] = entry = replace(self.entries[name], **changes)
+        for me in range(len(self.lives)):
+            self._give(me, api.ServerList(api.ListKind.CHANGES, self.version, (entry,)))
+
+    def stop(self, name: str) -> None:
+        """Power goes from a box; what it had is broken off."""
+        self.boxes[name].silence(self.now)
+        self._advance(name)
+
     def at(self, when: float, act: Callable[..., None], *more: Any) -> None:
         heapq.heappush(self.due, (when, self.order(), act, more))
 
@@ -83,25 +104,29 @@
         return self
 
     def states(self) -> set[State]:
-        return {balancer.recovery.course.state for balancer in self.balancers if balancer.recovery}
+        return {one.recovery.course.state for one in self.balancers if one and one.recovery}
 
     def _ask(self, number: int) -> None:
-        me, work = self.draw.randrange(len(self.balancers)), self.draw.uniform(0.03, 0.05)
+        me, work = self.draw.randrange(len(self.lives)), self.draw.uniform(0.03, 0.05)
         request = api.Request(number + 1, 0, 2.0, key=f"k{self.draw.randrange(50)}", work=work)
         self.asked[me, request.id] = work, request.key or ""
         self.attempts[me, request.id] = 0
         self.at(self.now + self.draw.expovariate(self.rate), self._ask, number + 1)
         self._give(me, request)
 
-    def _give(self, me: int, event: api.Event) -> None:
-        self._act(me, self.balancers[me].handle(event, self.now))
+    def _give(self, me: int, event: api.Event, life: int = 0) -> None:
+        """To this life of a proxy alone, where one is meant."""
+        balancer = self.balancers[me]
+        if balancer and life in (0, self.lives[me]):
+            self._act(me, balancer.handle(event, self.now))
 
     def _act(self, me: int, actions: list[api.Action]) -> None:
         for action in actions:
             if isinstance(action, api.Send):
                 self._send(me, action)
             elif isinstance(action, api.SetTimer):
-                self.at(self.now + action.span, self._give, me, api.TimerFired(action.token))
+                fired = api.TimerFired(action.token)
+                self.at(self.now + action.span, self._give, me, fired, self.lives[me])
             elif isinstance(action, api.Tell):
                 self._tell(me, action)
             elif isinstance(action, api.Cancel):
@@ -110,15 +135,20 @@
                 self.refused += 1
 
     def _tell(self, me: int, told: api.Tell) -> None:
-        for other in range(len(self.balancers)):
+        for other in range(len(self.lives)):
             payload = self.lies(me, told.payload)
-            if other != me and told.peer in (None, other) and payload is not None:
-                late = self.now + self.draw.uniform(0.002, 0.04)
-                self.at(late, self._give, other, api.PeerMessage(me, payload))
+            if other == me or told.peer not in (None, other) or payload is None:
+                continue
+            for _ in range(1 + (self.draw.random() < self.twice)):
+                late = self.draw.uniform(0.002, 0.04) + (self.draw.random() < self.late)
+                if self.draw.random() >= self.loss:
+                    self.at(self.now + late, self._give, other, api.PeerMessage(me, payload))
 
     def _send(self, me: int, send: api.Send) -> None:
         number = self.attempts[me, send.id]
         self.attempts[me, send.id] += 1
+        if self.entries[send.server].state is not api.ServerState.UP:
+            self.after_drain.append(f"{send.server} by {me} at {self.now}")
         box, call = self.boxes[send.server], f"{me}/{send.id}/{number}"
         self.sent[send.server] += 1
         self.calls[call] = me, send, number, self.now
--- a/tests/recovery/test_mutants.py
+++ b/tests/recovery/test_mutants.py
@@ -16,7 +16,7 @@
 from firvane.recovery.recovery import Recovery
 from firvane.snapshots import file, format, words
 from firvane.state import Backend
-from tests.recovery import test_peers, test_small_fleet, test_steps
+from tests.recovery import test_histories, test_peers, test_small_fleet, test_steps
 from tests.snapshots import test_snapshots
 
 
@@ -56,10 +56,12 @@
         caught_by("read-only", Path(folder), patch)
 
 
-def back() -> None:
-    test_small_fleet.test_no_box_is_pushed_over_and_all_proxies_come_back()
+def known(self: Recovery, server: Backend, now: float) -> bool:
+    """Whatever has answered is as in ordinary times."""
+    return server in self.proven
 
 
+back = test_histories.test_whatever_befalls_a_fleet_no_box_falls_and_all_proxies_come_back
 MUTANTS = (
     Mutant("no cut", steps, "_cut", lambda *more: None, cut),
     Mutant("boundless growth", steps, "ended", grows, back),
@@ -74,7 +76,9 @@
            test_peers.test_peers_are_warm_when_most_say_so_and_have_had_answers),
     Mutant("answers without a rate", Told, "may_answer", lambda self, now: True,
            test_peers.test_a_question_is_answered_within_a_rate),
-    Mutant("no way out", recovery, "CALM", 1e9, back),
+    Mutant("a pace that stays", steps, "rest", lambda server: None,
+           test_steps.test_work_that_would_take_more_than_its_aim_is_not_sent),
+    Mutant("an answer shows that a box is warm", Recovery, "_is_old", known, back),
     Mutant("a table without an end", TABLE, State.GROWING.value, {Event.LOST: State.LISTLESS}, back),
     Mutant("a checksum that says nothing", format.google_crc32c, "value", lambda data: 0,
            test_snapshots.test_whatever_is_cut_flipped_or_added_is_refused_in_one_line),
--- a/tests/recovery/test_steps.py
+++ b/tests/recovery/test_steps.py
@@ -127,3 +127,9 @@
     request = api.Request(1, 0, 2.0, work=0.04)
     steps.ended(server, request, AIM, api.Outcome(1, 0, "a", api.Result.OK, 0.4, True), 0, 1.0)
     assert steps.fits(server, 0.05, AIM) and not steps.fits(server, 0.051, AIM)
+    server.own = 1
+    steps.rest(server)  # its answer will tell
+    assert not steps.fits(server, 0.051, AIM)
+    server.own = 0
+    steps.rest(server)
+    assert steps.fits(server, 0.051, AIM) and not steps.fits(server, 0.07, AIM)
--- a/tests/snapshots/test_snapshots.py
+++ b/tests/snapshots/test_snapshots.py
@@ -119,18 +119,20 @@
 
 
 @settings(derandomize=True, max_examples=60, deadline=None)
-@given(st.floats(0, 1e9), st.floats(0, 1e9), st.booleans(), st.integers(0, 5))
+@given(st.floats(0, 1e9), st.floats(0, 1e9), st.booleans(), st.integers(0, 5), st.sampled_from("ab"))
 def test_whatever_was_remembered_a_room_begins_within_its_bound(
-    scale: float, room: float, same: bool, fails: int
+    scale: float, room: float, same: bool, fails: int, name: str
 ) -> None:
     told = made(proxies=1, recovery=api.Recovery())
     own = Recovery(api.Recovery(), told, Evidence(told, random.Random(1), 0.0), random.Random(1), 0.0)
     own.remember(api.Remembered(0.0, scale, {}, {"a": room}, {"a": 5.0 if same else 1.0}), {})
-    box = Backend(api.Server("a", up_since=5.0), 1, 1.0, None)
+    box = Backend(api.Server(name, up_since=5.0), 1, 1.0, None)
     box.fails = fails
     own.listed([box], api.ServerList(api.ListKind.CACHED, 1), 0.0)
     own.window({box}, {}, 0.1)
     assert 1.0 <= box.room <= MOST_FIRST
+    if name != "a":  # a new id gets nothing of another's, wherever it is
+        assert box.room == 1.0
     if not same or fails:
         assert box.room <= max(1.0, told.rules.start_capacity * room)
 
