Let a change that was given up be failed once nothing of it can be on its way, and steps end sooner

Seen: tests of processes waited in vain for the end of changes that were given up within a second of their proxy's start: 'unknown' had no way on. Change: a proposal that was given up is failed when a lease holds, no vote is known, and an earlier life's messages are past. A box of unknown start counts as warm once what a warm one bears could not push it over were it cold.

--- a/firvane/quorum/member.py
+++ b/firvane/quorum/member.py
@@ -146,6 +146,7 @@
     value: Value
     outcome: Outcome = Outcome.OPEN
     why: str = "proxies are being asked whether they are prepared"
+    given_up: bool = False  # before anybody was asked here to accept it
 
 
 class Member:
@@ -630,6 +631,7 @@
         elsewhere."""
         doubted = self._doubted(proposal.value, now)
         proposal.outcome, proposal.why = (Outcome.UNKNOWN if doubted else Outcome.FAILED), why
+        proposal.given_up = True
         self.gathering = self.ballots = None
         for voter in self.voters:
             if voter != self.me:
@@ -718,6 +720,9 @@
             epoch = proposal.value.epoch
             if epoch <= decided.epoch:
                 self._decided(proposal, self.history.get(epoch), now)
+            elif proposal.given_up:
+                if now < self.lease.limit() and not self._doubted(proposal.value, now):
+                    proposal.outcome = Outcome.FAILED
             elif ballots and ballots.wanted == proposal.value and ballots.phase is not Phase.CHOSEN:
                 if now >= ballots.due and ballots.tries and not ballots.said and self._late(now):
                     self._give_up(proposal, "no majority of the voters answers", now)
--- a/firvane/recovery/recovery.py
+++ b/firvane/recovery/recovery.py
@@ -94,8 +94,14 @@
         return aged and not self.evidence.is_cold(server, now)
 
     def _is_old(self, server: Backend, now: float) -> bool:
-        """Whether its start is known, or lies too far back to matter: it is before the first answer."""
-        return server.since is not None or now >= self.proven.get(server, now) + self.settings.rules.cold
+        """Whether its start is known, or lies too far back to matter: it is before the first answer.
+
+        That is where even a box that was cold then could not be pushed over by what a warm one bears.
+        """
+        rules = self.settings.rules
+        need = max(0.0, 1.0 / max(1.0, rules.fall_multiple) - rules.start_capacity)
+        span = rules.cold * min(1.0, need / max(1e-9, 1.0 - rules.start_capacity))
+        return server.since is not None or now >= self.proven.get(server, now) + span
 
     def stepped(self, server: Backend) -> bool:
         """Whether its room is found by steps."""
