--- a/tests/together/test_rollout.py
+++ b/tests/together/test_rollout.py
@@ -16,10 +16,6 @@
 
 STEPS = 12  # more steps than a roll of these has: it would not end
 
-# Open: since the merge of the measures a stage of the live runs is compared for longer than a test waits.
-pytestmark = pytest.mark.skipif("FIRVANE_ROLLS" not in os.environ, reason="comparisons end too late")
-
-
 
 @pytest.fixture(scope="module")
 def fleets(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Fleets]:
