Send on no request whose client has gone while it waited unread

Cause, by reading and then by tests that hold the request: go_on pauses reading while bytes are left over, a lease is wanted or a turn is used up, and a paused transport hears neither FIN nor reset; the loop tells of the end only behind all bytes before it. So what a client had sent and left (a request behind another, one that waited for its turn or for a lease, one sent before its connection had a transport) was taken up and sent on, and a request with bytes behind it went on to further attempts and copies up to its deadline.

An answer that is a connection's last no longer goes with a reset where unread bytes stand behind it. A class is also known by its percent-encoded name, and one that is named up is reached where the request has an id. test_bounds passes both questions on.

--- a/firvane/net/dial.py
+++ b/firvane/net/dial.py
@@ -16,6 +16,7 @@
 # Whether nothing has come on an idle connection, neither bytes nor its end, as far as the kernel knows: the
 # loop may not know yet.
 Quiet = Callable[[], bool]
+Stands = Callable[[], bool]  # whether the other side has not ended it, however much of its is unread
 
 
 class Dialing(Protocol):
@@ -143,3 +144,18 @@
     except OSError:
         pass
     return False
+
+
+ESTABLISHED = 1  # the first byte of TCP_INFO: neither side has ended the connection
+
+
+def stands(sock: socket.socket) -> bool:
+    """Whether the other side has neither closed nor reset it, as far as the kernel knows.
+
+    Bytes that nobody has read yet hide its end from a read, and from a loop that does not read; not from
+    this.
+    """
+    try:
+        return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == ESTABLISHED
+    except OSError:
+        return False
--- a/firvane/net/door.py
+++ b/firvane/net/door.py
@@ -10,7 +10,7 @@
 from typing import Protocol
 
 from firvane.logs import QUIET, Log
-from firvane.net.dial import Quiet, always, is_quiet
+from firvane.net.dial import Quiet, Stands, always, is_quiet, stands
 from firvane.net.hands import Hands
 
 BACKLOG = 1024  # connections that the kernel holds until they are accepted
@@ -20,7 +20,7 @@
 
 
 # Makes a connection's protocol, which may ask what the kernel holds.
-Accept = Callable[[Quiet], asyncio.BaseProtocol]
+Accept = Callable[[Quiet, Stands], asyncio.BaseProtocol]
 
 
 class Door(Protocol):
@@ -46,7 +46,7 @@
         self.sock, self.accept = sock, accept
 
     def wanted(self) -> asyncio.BaseProtocol:
-        return self.accept(partial(is_quiet, self.sock))
+        return self.accept(partial(is_quiet, self.sock), partial(stands, self.sock))
 
     def made(self, protocol: asyncio.BaseProtocol) -> None: ...
 
@@ -148,7 +148,7 @@
         self.server: asyncio.Server | None = None
 
     async def open(self, address: tuple[str, int], accept: Accept) -> None:
-        self.server = await self.loop.create_server(lambda: accept(always), *address)
+        self.server = await self.loop.create_server(lambda: accept(always, always), *address)
 
     def address(self) -> tuple[str, int]:
         if self.server is None:
--- a/firvane/net/front.py
+++ b/firvane/net/front.py
@@ -15,9 +15,9 @@
 from firvane.limits.descriptors import Use
 from firvane.limits.gate import Gate
 from firvane.limits.overload import Measure
-from firvane.net.dial import Quiet, always
+from firvane.net.dial import Quiet, Stands, always
 from firvane.net.guard import Guard
-from firvane.net.http import Fault, Message, refusals
+from firvane.net.http import Fault, Message, refusals, unescaped
 from firvane.net.listener import BUSY, IDLE, Listener
 from firvane.tally import Counts
 
@@ -108,8 +108,8 @@
         """Nobody comes by the settings of before any more."""
         self.former.clear()
 
-    def accept(self, quiet: Quiet = always) -> Listener:
-        return Listener(self, quiet)
+    def accept(self, quiet: Quiet = always, stands: Stands = always) -> Listener:
+        return Listener(self, quiet, stands)
 
     def read(self, message: Message) -> tuple[api.Request, float]:
         """The request that a message holds and its deadline; `Fault` where it holds none."""
@@ -121,6 +121,9 @@
                 raise Fault(400) from None
         name = path.split(b"/", 2)[1]
         known = self.classes.get(name)
+        if known is None and b"%" in name:  # what a path cannot hold as it is comes percent-encoded
+            name = unescaped(name)
+            known = self.classes.get(name)
         if known is None or message.method != method(known[1]):
             known = self.former.get((name, message.method), known)
         if known is None:
@@ -205,7 +208,9 @@
             kept = SHORTEST_IDLE
         for connection in list(self.connections):
             idle = kept[min(2, connection.asked)]
-            if connection.expires <= now or (connection.since <= now - idle and connection.is_idle()):
+            if connection.paused and not connection.stands():
+                connection.has_gone()
+            elif connection.expires <= now or (connection.since <= now - idle and connection.is_idle()):
                 connection.expire()
 
     def no_place(self) -> None:
--- a/firvane/net/http.py
+++ b/firvane/net/http.py
@@ -405,6 +405,15 @@
     return data[5:end].split(b"?", 1)[0].split(b"/", 1)[0]
 
 
+def unescaped(text: bytes) -> bytes:
+    """A part of a path with what is percent-encoded in it decoded; as it is where that makes no sense."""
+    first, *rest = text.split(b"%")
+    try:
+        return first + b"".join(bytes.fromhex(part[:2].decode()) + part[2:] for part in rest)
+    except ValueError:
+        return text
+
+
 def is_again(data: bytes) -> bool:
     """Whether a request says that it is a retry."""
     return AGAIN in data.lower()
--- a/firvane/net/listener.py
+++ b/firvane/net/listener.py
@@ -13,7 +13,7 @@
 from firvane.limits.descriptors import Use
 from firvane.limits.overload import Measure
 from firvane.limits.turns import CHUNKED, DECIDE, READ_ONE
-from firvane.net.dial import Quiet, always
+from firvane.net.dial import Quiet, Stands, always
 from firvane.net.http import (
     LAST_CHUNK,
     Buffered,
@@ -49,14 +49,20 @@
 class Listener(Buffered):
     """One client's connection. It answers requests in their order, one at a time.
 
-    What it holds is bounded whatever its client does: bytes of one read that wait unparsed (reading is paused
-    while there are any that cannot be looked at yet), one request, and one answer: while that is not with the
-    kernel the next request is not taken up.
+    Rules that hold here and nowhere else:
+
+    1. What it holds is bounded whatever its client does: bytes of one read that wait unparsed (reading is
+       paused while there are any that cannot be looked at yet), one request, and one answer: while that is
+       not with the kernel the next request is not taken up.
+    2. Who closes its connection has gone away, and nothing of its goes on any more. The loop tells of that
+       only where it reads, and after all that came before. So the kernel is asked as well: of each request
+       when it is taken up, and of a connection that is not read at every sweep.
     """
 
-    def __init__(self, front: Front, quiet: Quiet = always) -> None:
-        """`quiet` tells whether nothing has come that the loop has yet to hand over."""
-        self.front, self.quiet = front, quiet
+    def __init__(self, front: Front, quiet: Quiet = always, stands: Stands = always) -> None:
+        """`quiet` tells whether nothing has come that the loop has yet to hand over, `stands` whether its
+        client has not ended the connection behind whatever is unread."""
+        self.front, self.quiet, self.stands = front, quiet, stands
         self.reader = Reader(httptools.HttpRequestParser)
         self.flow: Flow[Message, Message] | None = None
         self.keep = True  # the request being served lets the connection live on
@@ -121,6 +127,13 @@
         if flow:
             self._leave(flow)
 
+    def has_gone(self) -> None:
+        """Its client has left, and what it had sent hid that from the loop."""
+        if not self.ending:
+            self.front.engine.endings["client left unread"] += 1
+            self.ending = True  # nothing that is here is taken up before the transport says that it is lost
+            self.transport.abort()
+
     def _leave(self, flow: Flow[Message, Message]) -> None:
         """Nothing is owed to the client any more."""
         if self.front.measures is not None:
@@ -359,9 +372,14 @@
     def _take(self, message: Message) -> None:
         """Take up a request that is here."""
         self.keep = message.keep
-        if message.url == READY_PATH:
+        if message.url == READY_PATH and b"x-call-id" not in message.fields:  # else of a class with that name
             self._ready(message)
             return
+        # Guards against sending on, after a wait for a turn, a lease or an answer before it, what nobody
+        # waits for any more: the end of its connection stands behind bytes that were not read.
+        if not self.stands():
+            self.has_gone()
+            return
         # Asked before anything of the request is decided; a process may have stood still since it was read.
         agreement = self.front.agreement
         if agreement is not None and self.front.ready:
@@ -501,9 +519,10 @@
             self.ending = True
             self.reader.done.clear()
             self.rest, self.at = b"", 0
-            # A close with bytes unread would reset the connection and may destroy the answer on its way.
+            # A close with bytes unread would reset the connection and may destroy the answer on its way: what
+            # cannot be used, and what was not read because a request stood before it.
             self.expires = front.loop.time() + patience
-            if self.lost:
+            if self.lost or self.paused:
                 self.transport.write_eof()
             else:
                 self.transport.close()
--- a/firvane/proxy.py
+++ b/firvane/proxy.py
@@ -169,7 +169,7 @@
         config = self.config
         if config.ops:
             self.desk_hands.start()
-            await self.ops.open(config.ops, lambda quiet: self.desk.caller())
+            await self.ops.open(config.ops, lambda *kernel: self.desk.caller())
             self.log.info("ops", listen="{}:{}".format(*self.ops.address()))
         if config.peer_listen:
             # The process that this one replaces has the same address, and so has the one that comes after it.
--- a/tests/crossings/harness.py
+++ b/tests/crossings/harness.py
@@ -185,7 +185,7 @@
             sock, _ = self.sock.accept()
         except BlockingIOError:
             return False
-        self.links.append(Link(sock))
+        self.links.append(Link(sock))  # the test's from now on
         return True
 
     def close(self) -> None:
@@ -219,7 +219,7 @@
         return link
 
     async def serve(self, answer: bytes = OK) -> None:
-        """Answer everybody alike, for ever: run as a task."""
+        """Answer everybody alike, for ever, on the connections taken before as well: run as a task."""
 
         async def one(link: Link) -> None:
             with contextlib.suppress(EOFError, OSError):
@@ -228,6 +228,8 @@
                     await link.send(answer)
 
         async with asyncio.TaskGroup() as tasks:
+            for link in self.links:
+                tasks.create_task(one(link))
             while True:
                 tasks.create_task(one(await self.link()))
 
@@ -379,13 +381,15 @@
         self.clients.append(link)
         return link
 
-    def listener(self, link: Link) -> Any:
-        """The proxy's own end of a client's connection."""
-        return next(
-            listener
-            for listener in self.proxy.front.connections
-            if listener.transport.get_extra_info("peername") == link.sock.getsockname()
-        )
+    async def listener(self, link: Link) -> Any:
+        """The proxy's own end of a client's connection, once there is one."""
+        name = link.sock.getsockname()
+
+        def found() -> Any:
+            all_of_them = self.proxy.front.connections
+            return next((c for c in all_of_them if c.transport.get_extra_info("peername") == name), None)
+
+        return await self.see(found)
 
     async def see(self, what: Callable[[], Any]) -> Any:
         """Turn the loop until this is true: for what only the proxy's own state tells."""
--- a/tests/crossings/mutants/__init__.py
+++ b/tests/crossings/mutants/__init__.py
@@ -20,7 +20,7 @@
     file: str  # below the root
     old: str  # stands there exactly once
     new: str
-    test: str  # pytest's name of the test or tests: a file, and `::test_name` or `-k` words after a blank
+    test: str  # pytest's words: files, or `file::test_name`, and at the end ` -k ` with what chooses
 
 
 def mutants(topic: str = "") -> list[Mutant]:
--- a/tests/crossings/mutants/__main__.py
+++ b/tests/crossings/mutants/__main__.py
@@ -25,6 +25,12 @@
     return done.returncode == 1
 
 
+def words(test: str) -> list[str]:
+    """As on the command line: what follows `-k` is one word."""
+    names, _, chosen = test.partition(" -k ")
+    return names.split() + (["-k", chosen] if chosen else [])
+
+
 def survives(mutant: Mutant) -> bool:
     with tempfile.TemporaryDirectory() as folder:
         tree = Path(folder) / "tree"
@@ -34,7 +40,7 @@
         if text.count(mutant.old) != 1:
             raise RuntimeError(f"{mutant.promise}: {mutant.old!r} stands {text.count(mutant.old)} times")
         source.write_text(text.replace(mutant.old, mutant.new))
-        return not fails(tree, mutant.test.split())
+        return not fails(tree, words(mutant.test))
 
 
 def main() -> int:
@@ -44,7 +50,7 @@
         lives = survives(mutant)
         left += lives
         print("SURVIVED" if lives else "caught  ", mutant.promise, flush=True)
-    plain = [test for test in dict.fromkeys(mutant.test for mutant in chosen) if fails(ROOT, test.split())]
+    plain = [test for test in dict.fromkeys(mutant.test for mutant in chosen) if fails(ROOT, words(test))]
     for test in plain:
         print("FAILS WITHOUT A MUTANT", test)
     print(f"{len(chosen) - left} of {len(chosen)} caught")
--- /dev/null
+++ b/tests/crossings/mutants/client_gone.py
@@ -0,0 +1,37 @@
+"""Of clients that leave while their requests wait."""
+
+from __future__ import annotations
+
+from tests.crossings.mutants import Mutant
+
+HERE = "tests/crossings/test_client_gone.py"
+MUTANTS = [
+    Mutant(
+        "a request is not taken up whose client has gone",
+        "firvane/net/listener.py",
+        "        if not self.stands():\n",
+        "        if False:\n",
+        f"{HERE} -k asked_and_left or sweep",
+    ),
+    Mutant(
+        "bytes behind a request do not hide that its client left",
+        "firvane/net/front.py",
+        "if connection.paused and not connection.stands():",
+        "if False:",
+        f"{HERE} -k behind_another",
+    ),
+    Mutant(
+        "the end of a connection is seen behind unread bytes",
+        "firvane/net/dial.py",
+        "        return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == ESTABLISHED\n",
+        "        return sock.recv(1, socket.MSG_PEEK) != b''\n",
+        f"{HERE} -k turn_is_used_up",
+    ),
+    Mutant(
+        "an attempt that is out for nobody is given up where the settings allow it",
+        "firvane/engine.py",
+        "            self.give(api.ClientGone(flow.id))\n            self._forget(flow)\n\n    def hasten",
+        "            self._forget(flow)\n\n    def hasten",
+        f"{HERE} -k behind_another",
+    ),
+]
--- a/tests/limits/test_bounds.py
+++ b/tests/limits/test_bounds.py
@@ -305,7 +305,7 @@
 
         door, shared = SocketDoor(loop, hands), front()[0]
         hands.start()
-        await door.open(("127.0.0.1", 0), lambda quiet: Client(shared, quiet))
+        await door.open(("127.0.0.1", 0), lambda *kernel: Client(shared, *kernel))
         door.let(False)
         newcomer = socket.create_connection(door.address())
         await asyncio.sleep(0)
