Never write what nobody waits for any more: withdraw unwritten forwards with their flow

Need: a request whose client has left while it waited must not be sent on. Seen by tests that hold a dial: with `cancel` off in the settings, a forward whose dial was still on its way when its client left, or when another attempt was served, was written whole once it came up; a half-written body was written on. Cause: only the decisions' Cancel gave a forward up, and they send none without leave (`Balancer.close`); `Forwards._up` looked at `run.over` alone. An attempt counts from its last byte, so what is not written yet needs no such leave. With `cancel` on as well: two attempts of a long request in dials at once (a second copy before the first had come up) both poured the same body; the second took it over in its middle and both were spoilt. `Flow.spent` was asked only before a dial (`Engine._send`), never after it. Checked and right: a request held between two attempts. A forward that came up, or was begun, after its deadline was written with 1 ms of budget (`left = max(1, ...)`).

Now: a forward knows whether it is `sent`; where a flow is answered or left, a long answer begins, or a long body goes out, the engine withdraws the flow's other forwards that are not (`Engine._withdraw`, rules 3 to 5 in its head). They end as `WITHDRAWN`, which never ran. `Forwards._barred` is the one gate before a first byte: the target's grace and the run's own time. Hastened flows hand their deadline on to their forwards. The stand-in `Parties` and the receivers' benchmark now say when a forward is written, as real targets do.

--- a/benchmarks/receivers.py
+++ b/benchmarks/receivers.py
@@ -447,6 +447,7 @@
         def done(ending: Ending) -> None:
             exchange.ended(ending, 200 if ending is Ending.SERVED else None)
 
+        exchange.written()
         return self.world.send(request, target, self.zone, done)
 
     def probe(self, target: str, exchange: Exchange[int]) -> Any: ...
--- a/firvane/endings.py
+++ b/firvane/endings.py
@@ -24,6 +24,7 @@
     CANCELLED = "cancelled"
     NO_SOCKET = "no socket free"
     TOO_LATE = "target drained before the send"
+    WITHDRAWN = "given up before it was written"  # nobody waits for it any more, or its time is over
     NOT_ALLOWED = "not allowed"  # over a cap, after the answer, or to a target that no list holds
 
 
@@ -44,5 +45,6 @@
     Ending.CANCELLED: Result.CANCELLED,
     Ending.NO_SOCKET: Result.MOOT,
     Ending.TOO_LATE: Result.MOOT,
+    Ending.WITHDRAWN: Result.MOOT,
     Ending.NOT_ALLOWED: Result.MOOT,
 }
--- a/firvane/engine.py
+++ b/firvane/engine.py
@@ -3,6 +3,18 @@
 The engine knows no wire format: a front hands it flows whose requests and answers it never opens, so that a
 second front can go through the same decisions and the same rules. It upholds what the simulator did for the
 decisions: the caps on attempts and on open flows, the deadlines, and exactly one final answer.
+
+Rules of a flow and its forwards:
+
+1. A flow has one final answer, or none where its client has left (`_close`), and is forgotten once none of
+   its forwards is out (`_forget`).
+2. A forward ends once (`forward_ended`), whoever reports it and whatever is reported later.
+3. A forward is out, and may have run, from the moment its last byte is with the kernel (`sent`). Until then
+   giving it up is nothing that its target could hear as a request, so it needs no leave from the settings.
+4. What is not written whole when its flow ends is not written at all (`_withdraw`): where the flow is
+   answered, its client has left, a long answer has begun, or a long body has gone out on another forward.
+   Only so does a dial that comes up late bring nobody's request to a target.
+5. What was given up before it was sent never ran, and is reported so (`Forward.stop`).
 """
 
 from __future__ import annotations
@@ -161,6 +173,7 @@
         "handle",
         "number",
         "over",
+        "sent",
         "since",
         "target",
         "timer",
@@ -175,13 +188,14 @@
         self.handle: Handle | None = None
         self.timer: TimerHandle | None = None
         self.over = False
+        self.sent = False  # its last byte is with the kernel
         self.took = 0.0  # s until a long answer began
 
     def written(self) -> None:
         self.engine.forward_written(self)
 
     def spent(self) -> None:
-        self.engine.spend(self.flow)
+        self.engine.spend(self)
 
     def begun(self, answer: A) -> None:
         self.engine.forward_begun(self, answer)
@@ -194,7 +208,9 @@
         if not self.over:
             if self.handle:
                 self.handle.cancel()
-            self.ended(ending)
+            # Guards an unsafe request against passing for one that may have run while it was in a dial.
+            unsent = ending is Ending.CANCELLED and not self.sent
+            self.ended(Ending.WITHDRAWN if unsent else ending)
 
 
 class Probing(Generic[Q, A]):
@@ -318,6 +334,7 @@
             if flow.begun:
                 flow.begun.stop(Ending.CANCELLED)
             self.give(api.ClientGone(flow.id))
+            self._withdraw(flow)
             self._forget(flow)
 
     def hasten(self, last: float) -> None:
@@ -329,8 +346,11 @@
                 self.give(api.Hastened(flow.id, max(0.0, last - now)))
 
     def _due(self, flow: Flow[Q, A], deadline: float) -> None:
-        """The flow has another deadline than before."""
+        """The flow has another deadline than before, and so has what is on its way for it."""
         flow.deadline = deadline
+        for forward in flow.forwards:
+            if forward:
+                forward.deadline = min(forward.deadline, deadline)
         if flow.timer:
             flow.timer.cancel()
         flow.timer = self.clock.call_at(deadline, self._deadline, flow)
@@ -400,6 +420,7 @@
             flow.counts.dropped += 1
             self._close(flow)
             flow.client.refused(action.retry_after if self.settings.limits.retry_after else 0.0)
+            self._withdraw(flow)
             self._forget(flow)
 
     def _fail(self, action: api.Fail) -> None:
@@ -409,6 +430,7 @@
             flow.counts.bad_gateway += 1
             self._close(flow)
             flow.client.failed()
+            self._withdraw(flow)
             self._forget(flow)
 
     def _cancel(self, action: api.Cancel) -> None:
@@ -436,14 +458,17 @@
 
     # Long messages
 
-    def spend(self, flow: Flow[Q, A]) -> None:
-        """Part of its body is on its way: no other attempt can be made."""
+    def spend(self, forward: Forward[Q, A]) -> None:
+        """Part of its flow's body is on its way: no other attempt can be made, nor one that is in a dial."""
+        flow = forward.flow
         if not flow.spent:
             flow.spent = True
             self.give(api.Spent(flow.id))
+            self._withdraw(flow, forward)
 
     def forward_written(self, forward: Forward[Q, A]) -> None:
         flow, now = forward.flow, self.clock.time()
+        forward.sent = True
         flow.counts.upstream_tries += 1
         if flow.left and flow.open and not flow.begun:
             # A long request has its time from its last byte on, and so has the target.
@@ -464,6 +489,7 @@
         self.endings["begun"] += 1
         flow.client.begins(answer)
         self.give(api.StreamStarted(flow.id, forward.number, forward.target, forward.took))
+        self._withdraw(flow, forward)
 
     # Ends
 
@@ -507,6 +533,8 @@
             )
         self._forget(flow)
         self.give(api.Outcome(flow.id, forward.number, forward.target, RESULTS[ending], took, not flow.open))
+        if flow.live and not flow.open:
+            self._withdraw(flow)
 
     def probe_ended(self, probing: Probing[Q, A], ending: Ending) -> None:
         if not probing.over:
@@ -531,6 +559,16 @@
         flow.open = False
         self.owed -= 1
 
+    def _withdraw(self, flow: Flow[Q, A], but: Forward[Q, A] | None = None) -> None:
+        """Give up what of a flow that has ended is not written whole (rule 4), whatever the decisions did.
+
+        It comes after they have heard of the end: what they cancel is then over already.
+        """
+        if flow.live:
+            for forward in list(flow.forwards):
+                if forward and forward is not but and not forward.sent:
+                    forward.stop(Ending.CANCELLED)
+
     def _forget(self, flow: Flow[Q, A]) -> None:
         """Drop a flow that is answered and has nothing out; till then it may be cancelled by its id."""
         if not flow.open and not flow.live:
--- a/firvane/net/forward.py
+++ b/firvane/net/forward.py
@@ -1,4 +1,14 @@
-"""The way to the targets: a pool of connections for each, dials, and one exchange at a time on each."""
+"""The way to the targets: a pool of connections for each, dials, and one exchange at a time on each.
+
+Rules of a run (an exchange on its way) and its connection:
+
+1. A run ends once. Who cancels it hears nothing more of it, and nothing more of it is written: its dial is
+   given up, or its connection is closed with whatever of the request the kernel has not taken.
+2. Each way to a run's first byte, over an idle connection or a new one, passes `Forwards._barred`: neither
+   its target's grace nor its own time may be over. What it bars never ran.
+3. A request is written once its last byte is with the kernel. A break before that never ran, one after it may
+   have; where it cannot be told which, it may have.
+"""
 
 from __future__ import annotations
 
@@ -340,8 +350,8 @@
     def forward(self, request: Message, target: str, exchange: Exchange[Message]) -> Run:
         pool = self.pools.get(target) or Pool(target)
         run = Run(request, pool, exchange)
-        if self._drained(pool):
-            run.end(Ending.TOO_LATE)
+        if barred := self._barred(run):
+            run.end(barred)
             return run
         while pool.idle:
             connection = pool.take(self.loop.time() - SETTLE)
@@ -381,11 +391,14 @@
 
     # Connections
 
-    def _drained(self, pool: Pool) -> bool:
-        """Whether the grace after the list's word has passed: a dial may end later than it began."""
+    def _barred(self, run: Run) -> Ending | None:
+        """What forbids a run's first byte now, if anything (rule 2): a dial may end later than it began."""
+        down_since, now = run.pool.down_since, self.loop.time()
         # A first byte sent at the very end of the grace could still be seen after it.
-        grace = 0.9 * self.rules.drain_grace
-        return pool.down_since is not None and self.loop.time() >= pool.down_since + grace
+        if down_since is not None and now >= down_since + 0.9 * self.rules.drain_grace:
+            return Ending.TOO_LATE
+        # Guards a target against a request whose time ran out in the same turn that its dial came up in.
+        return Ending.WITHDRAWN if now >= run.exchange.deadline else None
 
     def _dial(self, run: Run) -> None:
         pool = run.pool
@@ -410,9 +423,9 @@
         if run.over or connection.transport.is_closing():
             connection.close()
             run.end(Ending.BROKE_UNSENT)
-        elif self._drained(run.pool):
+        elif barred := self._barred(run):
             self.park(connection)
-            run.end(Ending.TOO_LATE)
+            run.end(barred)
         else:
             connection.send(run)
 
--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -173,6 +173,7 @@
     def forward(self, request: Any, target: str, exchange: Any) -> Handle:
         handle = Handle()
         self.forwards.append((target, exchange, handle))
+        exchange.written()  # it is out at once: what is not yet would be withdrawn with its flow
         return handle
 
     def probe(self, target: str, exchange: Any) -> Handle:
