Hold signals from the first line until the loop listens, and again at the very end

Seen: a SIGHUP sent while the program imports its modules ended the process (-1, a crash), and so did one that came between the end of the loop and the end of the process; a SIGTERM there ended it with -15 instead of 0. Cause: `loop.add_signal_handler` in `__main__.run` is the first to say anything about signals, some 200 ms after the first line, and the loop's close puts the system's own answer back. Read and ruled out: the handlers themselves (a second order only sets what is set; a reload while the end runs changes settings and no deadline).

SIGTERM, SIGINT and SIGHUP are blocked from the first line on, so they wait in the kernel; they are let through once the handlers stand, and blocked again after the end in order. A held SIGHUP reads the file anew, a held SIGTERM ends a start in order. `firvane serve` does the same from the first line of its command. What is left is the start of the interpreter itself, before any line of the program.

--- a/firvane/__main__.py
+++ b/firvane/__main__.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+from firvane import orders
+
+if __name__ == "__main__":
+    orders.hold()  # before all that takes time: a signal may come from here on
+
 import asyncio
 import gc
 import importlib
@@ -44,6 +49,9 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, told.set)
     loop.add_signal_handler(signal.SIGHUP, proxy.reload, read_again)
+    # Whatever came since the first line comes now: a SIGHUP reads the file anew, which may be newer than what
+    # was read; an order to end is obeyed in order.
+    orders.heed()
     # An order to end is obeyed also while discovery has yet to give the first list.
     waits = loop.create_task(proxy.start()), loop.create_task(told.wait())
     await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
@@ -56,6 +64,8 @@
         await told.wait()
     proxy.log.info("ending", open=proxy.engine.owed)
     await proxy.drain()
+    # The loop closes next, and its handlers go with it: one more order must not end in another exit code.
+    orders.hold()
 
 
 def serve(
--- a/firvane/cli/serve.py
+++ b/firvane/cli/serve.py
@@ -22,8 +22,9 @@
     """
     from functools import partial
 
-    from firvane import native
+    from firvane import native, orders
 
+    orders.hold()  # until the proxy listens for signals: one that comes in its start is not lost
     native.activate()  # before anything that is compiled is imported
 
     from firvane.__main__ import serve
