End in order with short deadlines, with half requests, in the start and with a queue at the door

Seen by forcing each moment on sockets (tests/crossings/test_ends.py), with the lines at fault in proxy.py, net/door.py and ops/states.py: - With a longest deadline of 100 ms, `drain` set `last` to 0.6 s after the order: 0.7 s, plus the deadline, less a margin of 0.2 s that was more than the deadline itself. What came between 0.6 and 0.7 s was refused, and the process was gone before idle connections had been closed. The margin is now at most a quarter of the deadline. - Whoever had sent half a request saw the connection end with the process, without an answer; its last byte may cross that, and then it was taken and lost. Half requests are now refused (503) and unused connections closed shortly before the end, and the rest of the time goes into getting that through. - The longest deadline was taken over all classes that ever were: one that a SIGHUP had dropped moved the end beyond SIGKILL. Only those that may be named count now. - SIGTERM in the start left the start running: it opened the door again or became ready behind the end, and `ready` said yes. The start is cancelled, and the state table has a state for it, which takes nobody.

--- a/firvane/net/door.py
+++ b/firvane/net/door.py
@@ -120,6 +120,11 @@
         self._read(self.wanted)
 
     def close(self) -> None:
+        # Who stands in the queue of a socket of its own has been accepted by this machine and may have asked
+        # already: the close would reset it. What stands in one that others hold is theirs. Where the door is
+        # shut there is no place for anybody.
+        if self.reading and not self.inherited:
+            self._accept()
         self.let(False)
         self.sock.close()
 
--- a/firvane/net/hands.py
+++ b/firvane/net/hands.py
@@ -57,18 +57,25 @@
             standing = await self.line.get()
             self.busy += 1
             try:
-                protocol = standing.wanted()
-                if protocol is None:
-                    raise OSError("given up meanwhile")
-                await self.loop.connect_accepted_socket(partial(_itself, protocol), standing.sock)
-            except OSError:
-                standing.sock.close()
-                standing.unmade()
-            else:
-                standing.made(protocol)
+                await self._make(standing)
+            except Exception as error:
+                # A fault of whoever is told must not cost a hand: without any, nobody would come in again.
+                self.loop.call_exception_handler({"message": "a socket is lost", "exception": error})
             finally:
                 self.busy -= 1
 
+    async def _make(self, standing: Standing) -> None:
+        try:
+            protocol = standing.wanted()
+            if protocol is None:
+                raise OSError("given up meanwhile")
+            await self.loop.connect_accepted_socket(partial(_itself, protocol), standing.sock)
+        except OSError:
+            standing.sock.close()
+            standing.unmade()
+        else:
+            standing.made(protocol)
+
 
 def _itself(protocol: asyncio.BaseProtocol) -> asyncio.BaseProtocol:
     return protocol
--- a/firvane/ops/states.py
+++ b/firvane/ops/states.py
@@ -4,6 +4,7 @@
 
 1. What stands in the table happens; what does not is turned down with a reason and changes nothing.
 2. Handing over and ending are final: who drains may resume, who has been told to end may not.
+3. Who is told to end before the start is over never takes a client: it does not become ready any more.
 """
 
 from __future__ import annotations
@@ -18,6 +19,7 @@
     DRAINING = "draining"  # told to send clients away, and to stay
     HANDING_OVER = "handing over"  # told to end, and another process has its listening socket
     ENDING = "ending"
+    UNSTARTED = "ending before the start was over"
 
 
 class Event(Enum):
@@ -41,14 +43,20 @@
     State.DRAINING: Meaning(up=False, takes=True),
     State.HANDING_OVER: Meaning(up=False, takes=True),
     State.ENDING: Meaning(up=False, takes=True),
+    State.UNSTARTED: Meaning(up=False, takes=False),
 }
 _END = {Event.TERMINATE: State.ENDING, Event.SUCCEEDED: State.HANDING_OVER}
 TABLE: dict[State, dict[Event, State]] = {
-    State.STARTING: {Event.STARTED: State.READY, **_END},
+    State.STARTING: {
+        Event.STARTED: State.READY,
+        Event.TERMINATE: State.UNSTARTED,
+        Event.SUCCEEDED: State.UNSTARTED,
+    },
     State.READY: {Event.DRAIN: State.DRAINING, Event.RESUME: State.READY, **_END},
     State.DRAINING: {Event.DRAIN: State.DRAINING, Event.RESUME: State.READY, **_END},
     State.HANDING_OVER: {Event.TERMINATE: State.HANDING_OVER, Event.SUCCEEDED: State.HANDING_OVER},
     State.ENDING: {Event.TERMINATE: State.ENDING},
+    State.UNSTARTED: {Event.TERMINATE: State.UNSTARTED, Event.SUCCEEDED: State.UNSTARTED},
 }
 
 
--- a/firvane/proxy.py
+++ b/firvane/proxy.py
@@ -25,7 +25,7 @@
 from firvane.net.front import Front
 from firvane.net.guard import Guard, OwnUsage, Usage
 from firvane.net.hands import Hands
-from firvane.net.http import Message
+from firvane.net.http import Fault, Message
 from firvane.net.peers import Peers
 from firvane.net.targets import ListReader, TargetGroup
 from firvane.ops import calls
@@ -37,6 +37,8 @@
 
 LAME = 0.7  # s after SIGTERM for which clients may still come; SIGKILL is the longest deadline away from then
 COUNTED, MARGIN = 3.0, 0.2  # s: the longest that a deadline counts there; kept for the last answers
+MOST_MARGIN = 0.25  # of the longest deadline: where that is short, what is kept must not eat up its time
+LOOK = 0.02  # s at the most from one look at the clients' connections to the next, while the proxy ends
 PATIENCE = 0.5  # s at the start for which discovery's own word is preferred to the list as last known
 SWEEP = 0.1  # s from one look for what has stood for too long to the next
 GRACE = 5.0  # s after SIGHUP in which requests may still come by the settings of before
@@ -152,6 +154,7 @@
         self.desk, self.desk_hands = Desk(loop, self._answer), Hands(loop)
         self.ops: Door = LoopDoor(loop) if dialer else SocketDoor(loop, self.desk_hands, self.log)
         self.agreement = self.front.agreement = agreement(self) if agreement else None
+        self.starting: asyncio.Task[Any] | None = None  # at work on the start
 
     def _listed(self, news: api.ServerList) -> None:
         tables = BOX * len(self.group.servers)
@@ -165,7 +168,14 @@
         self.engine.give(api.PeerMessage(sender, payload))
 
     async def start(self) -> None:
-        """Everything up to answering that the proxy is ready."""
+        """Everything up to answering that the proxy is ready; cancelled where the end is told before."""
+        self.starting = asyncio.current_task()
+        try:
+            await self._start()
+        finally:
+            self.starting = None
+
+    async def _start(self) -> None:
         config = self.config
         if config.ops:
             self.desk_hands.start()
@@ -183,7 +193,8 @@
         if self.agreement:  # what is learnt, recovered and served from here on is by the policy in force
             await self.agreement.start()
         self.engine.start()
-        config = self._recall(config)
+        # As it is now: a SIGHUP may have put other settings into force since the start began.
+        config = self._recall(self.config)
         if config.known:
             try:
                 self.group.learn(config.known, cached=config.discovery is not None)
@@ -331,18 +342,18 @@
             config = read()
             if short := sorted(self.config.shape - config.shape):
                 raise ValueError(f"settings: {short[0]} is missing, and was there before")
+            old, static = self.config, config.discovery is None
+            # The one step that can still fail comes first: a list of no use leaves the rest as it was, too.
+            if static and old.discovery is None:
+                self.group.learn(config.known)  # as a whole: a target that it no longer names is gone
         except (ValueError, OSError) as error:
             self.loads.errors += 1
             for line in str(error).splitlines():
                 self.log.error("config_useless", why=line)
             return
         self.loads.taken += 1
-        old, static = self.config, config.discovery is None
-        if static is (old.discovery is None):
-            if config.discovery:
-                self.group.move(config.discovery)
-            else:
-                self.group.learn(config.known)  # as a whole: a target that it no longer names is gone
+        if config.discovery and old.discovery:
+            self.group.move(config.discovery)
         at = "{}:{}".format(*config.discovery) if config.discovery else None
         self.log.info("config_reread", discovery=at, targets=len(self.group.servers))
         waiting = waits(self.engine.settings, config.settings)
@@ -360,7 +371,9 @@
             return
         if config.settings != old.settings:
             self._retune(config.settings)
-        self.config = replace(old, settings=config.settings, shape=config.shape)
+        # A start that has yet to take in the list it was given takes in this one.
+        known = config.known if old.known else None
+        self.config = replace(old, settings=config.settings, shape=config.shape, known=known)
 
     def fits(self, settings: api.Settings) -> str:
         """Why a policy with these settings has no place here; "" where it has."""
@@ -432,25 +445,51 @@
         leaves time to finish before the platform kills.
         """
         front, told = self.front, self.loop.time()
-        longest = min(COUNTED, max(cls.deadline for cls in self.engine.settings.classes))
+        if self.starting:  # what is not ready has no clients yet, and must not open its door behind this
+            self.starting.cancel()
+        # By the settings in force: a class that a SIGHUP has dropped makes nobody wait longer with SIGKILL.
+        classes = self.engine.settings.classes
+        longest = min(COUNTED, max(classes[number].deadline for number in self.classes))
+        margin = min(MARGIN, MOST_MARGIN * longest)
+        killed = told + LAME + longest  # no sooner than that
         successor = self.config.inherited is not None
         self._hear(Event.SUCCEEDED if successor else Event.TERMINATE)
-        front.last = told + LAME + longest - MARGIN
+        front.last = killed - margin
         self.engine.hasten(front.last)  # those that are open may have far longer than that
+        look = min(LOOK, margin / 10)
         if successor:  # the clients' queue, and what peers tell, are its from now on
             self.door.close()
             self.peers.close()
         else:
             await asyncio.sleep(LAME)
             self.door.close()
-            while front.connections and self.loop.time() < told + LAME + longest / 2:
-                await asyncio.sleep(0.02)
+            while self._has_clients() and self.loop.time() < told + LAME + longest / 2:
+                await asyncio.sleep(look)
         front.closing = True
-        while (front.connections or self.hands.has_work()) and self.loop.time() < front.last + MARGIN / 2:
+        while self._has_clients() and self.loop.time() < killed - margin / 2:
             front.close_idle()
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(look)
+        # All that was taken has its answer by now. The rest is turned out in order: a process that ends with
+        # bytes unread resets the connection, and with it whatever answer is still on its way there.
+        while self._has_clients() and self.loop.time() < killed - margin / 4:
+            self._turn_out()
+            await asyncio.sleep(look)
         self._stop()
 
+    def _has_clients(self) -> bool:
+        """Whether anybody is connected, or is about to be."""
+        return bool(self.front.connections) or self.hands.has_work()
+
+    def _turn_out(self) -> None:
+        """Whoever has asked nothing goes, and whoever is still at it is refused: its last byte may cross the
+        end, and is then answered."""
+        for connection in list(self.front.connections):
+            if connection.started and not connection.owes():
+                connection.fault = Fault(503)
+                connection.go_on()
+            elif connection.is_idle() and connection.quiet():
+                connection.transport.close()
+
     def _stop(self) -> None:
         if self.keeper and self.group.known:
             self.keeper.close(*self._held())
