Force the hand-overs: two processes on one socket, drain and resume, reloads

Need: nothing forced a request to cross a successor's end, the operators' drain, or new settings.

Mutants of each promise are in tests/crossings/mutants/ends.py.

--- /dev/null
+++ b/tests/crossings/mutants/ends.py
@@ -0,0 +1,171 @@
+"""The end of a process, a start that is crossed, hand-overs and reloads."""
+
+from tests.crossings.mutants import Mutant
+
+ENDS, HANDS = "tests/crossings/test_ends.py::", "tests/crossings/test_handovers.py::"
+PROXY, MAIN, DOOR = "firvane/proxy.py", "firvane/__main__.py", "firvane/net/door.py"
+STATES = "firvane/ops/states.py"
+
+MUTANTS = [
+    Mutant(
+        "an order in the start is not lost",
+        MAIN,
+        "    orders.hold()  # before all that takes time",
+        "    pass  # before all that takes time",
+        f"{ENDS}test_a_new_configuration_in_the_start_is_taken_in",
+    ),
+    Mutant(
+        "SIGTERM in the start ends it in order",
+        MAIN,
+        "    orders.hold()  # before all that takes time",
+        "    pass  # before all that takes time",
+        f"{ENDS}test_an_order_to_end_in_the_start_is_obeyed_in_order",
+    ),
+    Mutant(
+        "an order after the end changes nothing",
+        MAIN,
+        "    orders.hold()\n\n",
+        "    orders.heed()\n\n",
+        f"{ENDS}test_orders_that_come_until_the_process_is_gone_change_nothing",
+    ),
+    Mutant(
+        "what comes up to 0.7 s after the order has most of its time",
+        PROXY,
+        "margin = min(MARGIN, MOST_MARGIN * longest)",
+        "margin = MARGIN",
+        f"{ENDS}test_who_goes_on_asking_gets_an_answer_to_each[100]",
+    ),
+    Mutant(
+        "clients that are here are served on after 0.7 s",
+        PROXY,
+        "            self.door.close()\n            while self._has_clients()",
+        "            self.door.close()\n            while False and self._has_clients()",
+        "tests/test_program.py::test_a_request_goes_through_and_a_planned_end_loses_nothing",
+    ),
+    Mutant(
+        "a target that hangs does not hold the answer beyond SIGKILL",
+        PROXY,
+        "        self.engine.hasten(front.last)",
+        "        self.engine.last",
+        f"{ENDS}test_a_target_that_hangs_costs_the_request_and_not_its_answer",
+    ),
+    Mutant(
+        "half a request is answered before the end",
+        PROXY,
+        "            if connection.started and not connection.owes():",
+        "            if False:",
+        f"{ENDS}test_half_a_request_is_refused_before_the_end",
+    ),
+    Mutant(
+        "an end waits for what is out",
+        PROXY,
+        "        while self._has_clients() and self.loop.time() < killed - margin / 2:",
+        "        while False:",
+        f"{ENDS}test_what_has_begun_is_served",
+    ),
+    Mutant(
+        "a class that is gone does not lengthen the end",
+        PROXY,
+        "max(classes[number].deadline for number in self.classes)",
+        "max(cls.deadline for cls in classes)",
+        f"{ENDS}test_a_class_that_is_gone_does_not_lengthen_the_end",
+    ),
+    Mutant(
+        "an end in the start ends the start",
+        PROXY,
+        "            self.starting.cancel()",
+        "            pass",
+        f"{ENDS}test_an_end_before_the_list_is_here_stays_one",
+    ),
+    Mutant(
+        "who ends before the start is over is not ready",
+        STATES,
+        "    State.UNSTARTED: Meaning(up=False, takes=False),",
+        "    State.UNSTARTED: Meaning(up=False, takes=True),",
+        f"{ENDS}test_an_end_before_the_list_is_here_stays_one",
+    ),
+    Mutant(
+        "who stands in the queue of an own door is let in as it closes",
+        DOOR,
+        "        if self.reading and not self.inherited:\n            self._accept()",
+        "        if self.reading and not self.inherited:\n            pass",
+        f"{ENDS}test_who_stands_in_the_queue_as_the_door_closes_is_answered",
+    ),
+    Mutant(
+        "a request that arrives as idle connections close is answered",
+        "firvane/net/front.py",
+        "            if connection.is_idle() and not new and connection.quiet():",
+        "            if connection.is_idle() and not new:",
+        f"{ENDS}test_a_request_that_arrives_as_idle_connections_are_closed_is_answered",
+    ),
+    Mutant(
+        "who comes after the order is the successor's",
+        PROXY,
+        "        if successor:  # the clients' queue",
+        "        if False:  # the clients' queue",
+        f"{HANDS}test_a_connection_accepted_in_the_turn_of_the_order_is_served",
+    ),
+    Mutant(
+        "a successor takes nobody before it is ready",
+        PROXY,
+        "        if config.inherited is None:\n            await self.door.open",
+        "        if True:\n            await self.door.open",
+        f"{HANDS}test_who_comes_while_there_is_no_process_waits_for_the_next",
+    ),
+    Mutant(
+        "who has been accepted is served though the door is closed",
+        PROXY,
+        "        return bool(self.front.connections) or self.hands.has_work()",
+        "        return bool(self.front.connections)",
+        f"{HANDS}test_a_connection_accepted_in_the_turn_of_the_order_is_served",
+    ),
+    Mutant(
+        "a resume serves on whoever is here",
+        PROXY,
+        "            front.closing = False\n",
+        "",
+        f"{HANDS}test_drain_and_resume_cross_each_kind_of_connection",
+    ),
+    Mutant(
+        "a drain that was taken back sends nobody away",
+        PROXY,
+        "self.life.state is State.DRAINING and self.drained_at == since",
+        "self.life.state is State.DRAINING",
+        f"{HANDS}test_a_drain_that_was_taken_back_sends_nobody_away",
+    ),
+    Mutant(
+        "nobody resumes from the end",
+        STATES,
+        "    State.ENDING: {Event.TERMINATE: State.ENDING},",
+        "    State.ENDING: {Event.TERMINATE: State.ENDING, Event.RESUME: State.READY},",
+        f"{HANDS}test_a_drain_that_was_taken_back_sends_nobody_away",
+    ),
+    Mutant(
+        "a class that is dropped keeps its number",
+        "firvane/retune.py",
+        "    classes, numbers = list(old.classes), list[int]()",
+        "    classes, numbers = [], list[int]()\n    known = {}",
+        f"{HANDS}test_a_class_that_is_dropped_keeps_what_is_open_and_what_is_being_read",
+    ),
+    Mutant(
+        "a file of no use changes nothing",
+        PROXY,
+        "        except (ValueError, OSError) as error:",
+        "        except ValueError as error:",
+        f"{HANDS}test_a_file_of_no_use_changes_nothing",
+    ),
+    Mutant(
+        "a list of no use is turned down with the rest",
+        PROXY,
+        "            if static and old.discovery is None:\n",
+        "            if False:\n",
+        f"{HANDS}test_a_list_of_no_use_in_the_file_is_turned_down_with_the_rest",
+    ),
+    Mutant(
+        "settings that come in the start stay in force",
+        PROXY,
+        "        config = self._recall(self.config)",
+        "        config = self._recall(config)",
+        f"{HANDS}test_settings_that_come_in_the_start_are_those_in_force",
+    ),
+]
