--- a/firvane/net/hands.py
+++ b/firvane/net/hands.py
@@ -70,9 +70,11 @@
             if protocol is None:
                 raise OSError("given up meanwhile")
             await self.loop.connect_accepted_socket(partial(_itself, protocol), standing.sock)
-        except OSError:
+        except Exception as error:
             standing.sock.close()
             standing.unmade()
+            if not isinstance(error, OSError):
+                raise
         else:
             standing.made(protocol)
 
--- a/tests/crossings/mutants/ends.py
+++ b/tests/crossings/mutants/ends.py
@@ -98,6 +98,20 @@
         "            if connection.is_idle() and not new:",
         f"{ENDS}test_a_request_that_arrives_as_idle_connections_are_closed_is_answered",
     ),
+    Mutant(
+        "a fault at a connection costs no hand",
+        "firvane/net/hands.py",
+        "            except Exception as error:\n                # A fault",
+        "            except OSError as error:\n                # A fault",
+        f"{ENDS}test_a_fault_at_a_connection_costs_none_of_the_hands",
+    ),
+    Mutant(
+        "what comes after the last moment is answered at once",
+        "firvane/net/listener.py",
+        "min(self.front.loop.time() + left + more, self.front.last)",
+        "self.front.loop.time() + left + more",
+        f"{ENDS}test_what_comes_after_the_last_moment_is_refused_at_once",
+    ),
     Mutant(
         "who comes after the order is the successor's",
         PROXY,
--- a/tests/crossings/test_ends.py
+++ b/tests/crossings/test_ends.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from firvane.net.hands import HANDS
 from firvane.proxy import LAME
 from tests.crossings.harness import (
     ERROR,
@@ -267,6 +268,45 @@
     play(work())
 
 
+def test_what_comes_after_the_last_moment_is_refused_at_once(tmp_path: Path) -> None:
+    # Its connection was not idle when the others were closed: it has an answer, and no target hears of it.
+    async def work() -> None:
+        async with rig(tmp_path) as made:
+            await made.start()
+            client = await made.client()
+            await client.send(request("c1")[:-1])
+            await made.see(lambda: made.proxy.front.connections and made.listener(client).started)
+            made.proxy.front.closing, made.proxy.front.last = True, made.loop.time()
+            made.proxy.engine.hasten(made.proxy.front.last)
+            await client.send(request("c1")[-1:])
+            head = await client.until(b"\r\n\r\n")
+            assert b" 503 " in head and b"Connection: close" in head
+            assert await client.gone() == "fin" and not made.targets[0].waiting()
+
+    play(work())
+
+
+def test_a_fault_at_a_connection_costs_none_of_the_hands(tmp_path: Path) -> None:
+    # There are 16 of them, and without one nobody comes in again, nor does any dial come up.
+    async def work() -> None:
+        async with rig(tmp_path) as made:
+            await made.start()
+            made.later(made.targets[0].serve())
+            made.loop.set_exception_handler(lambda loop, context: None)
+            accept = made.proxy.front.accept
+
+            def fails(quiet: object) -> None:
+                raise RuntimeError("a fault")
+
+            made.proxy.door.accept = fails
+            for _ in range(HANDS):
+                assert await (await made.client()).gone() == "fin"
+            made.proxy.door.accept = accept
+            assert b" 200 " in await asked(await made.client(), "c1")
+
+    play(work())
+
+
 @pytest.mark.parametrize("span", [100, SHORT])
 @pytest.mark.parametrize("size", [30, -1])
 def test_half_a_request_is_refused_before_the_end(tmp_path: Path, span: int, size: int) -> None:
