--- a/tests/crossings/mutants/ends.py
+++ b/tests/crossings/mutants/ends.py
@@ -40,7 +40,7 @@
         PROXY,
         "            self.door.close()\n            while self._has_clients()",
         "            self.door.close()\n            while False and self._has_clients()",
-        "tests/test_program.py::test_a_request_goes_through_and_a_planned_end_loses_nothing",
+        f"{ENDS}test_who_is_here_is_served_on_after_the_door_is_closed",
     ),
     Mutant(
         "a target that hangs does not hold the answer beyond SIGKILL",
@@ -57,11 +57,11 @@
         f"{ENDS}test_half_a_request_is_refused_before_the_end",
     ),
     Mutant(
-        "an end waits for what is out",
+        "half a request may become whole until the very last",
         PROXY,
         "        while self._has_clients() and self.loop.time() < killed - margin / 2:",
         "        while False:",
-        f"{ENDS}test_what_has_begun_is_served",
+        f"{ENDS}test_who_is_here_is_served_on_after_the_door_is_closed",
     ),
     Mutant(
         "a class that is gone does not lengthen the end",
--- a/tests/crossings/test_ends.py
+++ b/tests/crossings/test_ends.py
@@ -104,6 +104,32 @@
     play(work())
 
 
+def test_who_is_here_is_served_on_after_the_door_is_closed(tmp_path: Path) -> None:
+    # Clients may have no other proxy to go to yet; and who is in a request has until the very last to end it.
+    async def work() -> None:
+        async with rig(tmp_path, settings=lasting(2000)) as made:
+            await made.start()
+            made.later(made.targets[0].serve())
+            client, half = await made.client(), await made.client()
+            await half.send(request("h1")[:30])
+            assert b" 200 " in await asked(client, "c1")
+            made.later(made.proxy.drain())
+            await made.see(lambda: made.proxy.door.sock.fileno() < 0)
+            closed = made.loop.time()
+            await made.see(lambda: made.loop.time() > closed + 0.1)
+            head = await asked(client, "c2")
+            assert b" 200 " in head and b"Connection: close" not in head
+            await made.see(lambda: made.proxy.front.closing)
+            closing = made.loop.time()
+            await made.see(lambda: made.loop.time() > closing + 0.1)
+            assert await client.gone() == "fin"
+            await half.send(request("h1")[30:])
+            head = await half.until(b"\r\n\r\n")
+            assert b" 200 " in head and b"Connection: close" in head
+
+    play(work())
+
+
 Act = Callable[[Link, Target], Awaitable[None]]
 
 
