Cross a hand-over with SIGHUP and with a successor told to end in its start

The first stands in the test of requests in flight on both processes, the second is one more case of the queue that is nobody's for a while.

--- a/tests/crossings/test_handovers.py
+++ b/tests/crossings/test_handovers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 import socket
 from collections.abc import Callable, Coroutine
 from dataclasses import replace
@@ -89,6 +90,8 @@
                 await new.ready()
                 old.process.terminate()
                 await old.said("event=state", "handing over")
+                old.signal(signal.SIGHUP)  # which changes nothing of the end
+                await old.said("event=config_reread")
                 # Whoever comes now is the new one's; what the old one has is its own to the end.
                 second = await places.asks("c3")
                 other = await places.target.taken()
@@ -125,7 +128,8 @@
     in_place(tmp_path, work)
 
 
-def test_who_comes_while_there_is_no_process_waits_for_the_next(tmp_path: Path) -> None:
+@pytest.mark.parametrize("how", ["kill", "terminate"])
+def test_who_comes_while_there_is_no_process_waits_for_the_next(tmp_path: Path, how: str) -> None:
     # The old one has ended, and its successor dies in the start: the queue is nobody's, and is kept.
     async def work(places: Places) -> None:
         async with places.process() as old:
@@ -136,7 +140,7 @@
                 old.process.terminate()
                 assert await old.ended() == 0
                 client = await places.asks("c1")
-                new.process.kill()
+                getattr(new.process, how)()
                 await new.ended()
         async with places.process() as last:
             await places.told()
