End a watch in one place, judge its silence by one clock, and take indented lists

- A move (SIGHUP) only cancelled the task that follows discovery.
A line of the old watch that is read in the same turn was learnt after it and set the version: the new discovery was asked from=99 instead of 0.
A move and a stop now end the watch themselves (`Lines.end`), and nothing passes it from then on; a watch that was given up while it was dialled asks nothing.
`Gatherer` gathers lines until the brackets outside of strings are closed, each looked at once, within the bound that stood for one line.
- An unanswered call stood for 4.5 s, and pauses grew to 1 s.
What the agent gets at discovery's return counts at once, and what was asked while it was silent may never be answered: it was heard up to 4.5 s late.
Where calls are free the agent answers immediately: no byte within 0.2 s is a failed call, made again at once; the longest pause is 0.2 s, for a drain's grace may be 0.25 s.
Calls that cost wait as long as before.
- A loop that stood still judged a watch silent whose lines were in the kernel, since it comes to its timers first.
It now looks at its connections once more, and gives up only where nothing came of it.
- An answer that ended in order, or was not 200 and had no body, was held for 4.5 s as a silent one.
- A list that the proxy failed to take in had its version noted all the same and never came again; changes up to an older version were taken on top of a list that they were not said on.
Both ask for the whole list.
- Only lines with a list took pauses back to the first; an empty one is an answer as well.

Ruled out: bytes of a line that was cut by a reset, whole lists of an older version, changes of unknown names, a `since_ms` that goes back, and each way to send to what drains were right; tests keep them.

`test_a_free_call_is_made_at_once_and_soon_again` held pauses to a second; it now holds them to 0.2 s, and tests of the time to hear, silence included, stand beside it.

--- a/firvane/net/targets.py
+++ b/firvane/net/targets.py
@@ -1,11 +1,28 @@
-"""The target group: discovery's list, followed by a watch that is taken up again whenever it fails."""
+"""The target group: discovery's list, followed by a watch that is taken up again whenever it fails.
+
+Rules of a watch, which hold here and nowhere else:
+
+1. A watch ends once, in `Lines.end`, whatever ends it: its connection, a bad line, silence, a move, a stop.
+   From that moment on nothing that it brought is learnt, not even what had come in before.
+2. `move` and `stop` end it themselves, and not the task that they cancel: a line of the old discovery that
+   the loop reads before the task's turn would set the version from which the new one is asked.
+3. When a watch is silent is decided in `limits/pauses.py`, from what has been heard on it. A loop that stood
+   still finds the time over before it has read what came meanwhile: so a watch is given up only where the
+   loop has looked at its connections after that time, and nothing came of it either.
+4. A list is one JSON object, over one line or many: lines are gathered until its brackets are closed. A line
+   that cannot be part of one, and an object beyond what fits, end the watch at once. Empty lines between
+   objects are the sign of life.
+5. What a line meant to say is unknown where it was of no use or could not be taken in, and so is what it was
+   said on top of where changes have an older version than the list that stands here: the next watch asks for
+   the whole list. A whole list is taken whatever its version.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import json
 import random
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from functools import partial
 from typing import Any, cast
 
@@ -13,12 +30,13 @@
 
 from firvane import interface as api
 from firvane.address import Address, parse_address
-from firvane.limits.pauses import Pauses
+from firvane.limits.pauses import Heard, Pauses
 from firvane.logs import QUIET, Log
 
 STATES = {"up": api.ServerState.UP, "draining": api.ServerState.DRAINING, "removed": api.ServerState.GONE}
 WORDS = {state: word for word, state in STATES.items()}
-SILENCE = 4.5  # s: discovery writes a line every 2 s while it lives
+LOOK = 0.001  # s: a timer that takes any time at all has the loop read what had come in before it
+OUTSIDE = b" \t\r:,+-.0123456789Eaeflnrstu"  # what a line of an object has outside of strings and brackets
 
 
 class BadList(ValueError):  # noqa: N818 - discovery's fault, not the program's
@@ -76,8 +94,62 @@
         )
 
 
+def brackets(lines: list[bytes]) -> list[bytes | None]:
+    """Of each line the brackets that stand outside of strings; None where it is no part of a JSON object.
+
+    A string never goes over a line's end, so what is looked at here need not be looked at again.
+    """
+    parts = b"\n".join(lines).replace(b"\\\\", b"").replace(b'\\"', b"").split(b'"')  # every second: a string
+    marks = b"".join(parts[::2]).translate(None, OUTSIDE)
+    bad = len(parts) % 2 == 0 or marks.translate(None, b"{}[]\n") or b"\n" in b"".join(parts[1::2])
+    if not bad:
+        return list(marks.split(b"\n"))
+    return [None] if len(lines) == 1 else [mark for line in lines for mark in brackets([line])]
+
+
+class Gatherer:
+    """Discovery's lines as its objects, whether each stands on one line or on many."""
+
+    def __init__(self, longest: int) -> None:
+        """An object may have `longest` bytes."""
+        self.longest = longest
+        self.begun = bytearray()  # of a line whose end has yet to come
+        self.lines, self.open = bytearray(), 0  # of an object with so many brackets open
+
+    def cut(self, data: bytes) -> Iterator[bytes]:
+        """What is whole with these bytes, or of no use for ever, and empty lines between objects; `BadList`
+        where it is too long."""
+        *ends, rest = data.split(b"\n")
+        if ends:
+            self._fits(len(self.begun) + len(ends[0]))
+            ends[0] = bytes(self.begun) + ends[0]
+            self.begun.clear()
+        for line, marks in zip(ends, brackets(ends) if ends else [], strict=True):
+            if not self.open and line.lstrip()[:1] != b"{":
+                yield line  # a sign of life, or of no use to anybody
+                continue
+            self._fits(len(line))
+            self.lines += line
+            if marks is not None:  # else nothing that follows could make it whole
+                self.open += 2 * (marks.count(b"{") + marks.count(b"[")) - len(marks)
+                if self.open > 0:
+                    self.lines += b"\n"
+                    continue
+            whole = bytes(self.lines)
+            self.lines.clear()
+            self.open = 0
+            yield whole
+        self._fits(len(self.begun) + len(rest))
+        self.begun += rest
+
+    def _fits(self, size: int) -> None:
+        """So many bytes beside the lines that are here."""
+        if len(self.lines) + size > self.longest:
+            raise BadList(f"a line of more than the {self.longest} bytes that fit in limits.memory_mb")
+
+
 class Lines(asyncio.Protocol):
-    """One watch: the lines of a chunked answer, however they are cut."""
+    """One watch: the objects of a chunked answer, however they are cut."""
 
     def __init__(
         self,
@@ -85,48 +157,69 @@
         longest: int,
         on_line: Callable[[bytes], None],
         on_end: Callable[[str], None],
+        clock: Callable[[], float] = float,
     ) -> None:
-        self.request, self.longest, self.on_line, self.on_end = request, longest, on_line, on_end
+        self.request, self.on_line, self.on_end, self.clock = request, on_line, on_end, clock
         self.parser = httptools.HttpResponseParser(self)
-        self.begun, self.size = list[bytes](), 0  # the pieces of a line whose end has yet to come
-        self.ready = list[bytes]()
+        self.gatherer = Gatherer(longest)
+        self.came = list[bytes]()  # of the body, in what is being read
+        self.headed = self.whole = False  # the answer's head is here; its end
         self.transport: asyncio.Transport | None = None
+        self.over = False
+        self.heard = Heard(clock(), None, None, None)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        if self.over:  # it was given up while it was dialled
+            self.transport.abort()
+            return
+        self.heard = self.heard._replace(asked=self.clock())
         self.transport.write(self.request)
 
+    def on_headers_complete(self) -> None:
+        self.headed = True
+
     def on_body(self, body: bytes) -> None:
-        *lines, rest = body.split(b"\n")
-        if lines:
-            lines[0] = b"".join([*self.begun, lines[0]])
-            self.begun, self.size = [], 0
-            self.ready += lines
-        if rest and self.size <= self.longest:
-            self.begun.append(rest)
-            self.size += len(rest)
+        if not self.whole:
+            self.came.append(body)
+
+    def on_message_complete(self) -> None:
+        """An answer that ends in order is no watch any more, though its connection may stand."""
+        self.whole = True
 
     def data_received(self, data: bytes) -> None:
+        if self.over:
+            return
+        self.heard = self.heard._replace(byte=self.clock())
         try:
             self.parser.feed_data(data)
-            if self.ready and self.parser.get_status_code() != 200:
-                raise BadList("discovery's answer is not 200")
-            if self.size > self.longest:
-                raise BadList(f"a line of more than the {self.longest} bytes that fit in limits.memory_mb")
-            ready, self.ready = self.ready, []
-            for line in ready:
+            if self.headed and self.parser.get_status_code() != 200:
+                raise BadList(f"discovery's answer is {self.parser.get_status_code()}, not 200")
+            came, self.came = self.came, []
+            for line in self.gatherer.cut(b"".join(came)):
+                self.heard = self.heard._replace(line=self.clock())
                 self.on_line(line)
+                if self.over:  # by what the line had for a consequence
+                    return
+            if self.whole:
+                self.end("the answer ended")
         except (httptools.HttpParserError, BadList) as error:
             self.end(str(error) or type(error).__name__)
+        except BaseException:
+            self.end("a line could not be taken in")
+            raise
 
     def connection_lost(self, error: Exception | None) -> None:
         self.end("the connection ended")
 
     def end(self, why: str) -> None:
-        transport, self.transport = self.transport, None
-        if transport:  # once, also where the abort itself reports that the connection is lost
-            transport.abort()
-            self.on_end(why)
+        """Once; nothing that has come or comes is passed on from here."""
+        if self.over:
+            return
+        self.over = True
+        if self.transport:
+            self.transport.abort()
+        self.on_end(why)
 
 
 class TargetGroup:
@@ -155,8 +248,8 @@
         self.addresses: dict[str, Address] | None = None  # kept where the list is to be written down
         self.known = False  # some list was taken in, be it an old one
         self.heard = asyncio.Event()  # discovery itself has told of the list
-        self.last = 0.0  # when anything last came
         self.task: asyncio.Task[None] | None = None
+        self.watch: Lines | None = None  # the only one that is listened to
         self.logged = float("-inf")
 
     def learn(self, data: Any, cached: bool = False) -> None:
@@ -220,6 +313,8 @@
     def stop(self) -> None:
         if self.task:
             self.task.cancel()
+        if self.watch:  # at once: it may be read before the task hears of its end
+            self.watch.end("it is no longer followed")
 
     def move(self, address: Address) -> None:
         """Follow discovery at another address from now on.
@@ -239,46 +334,69 @@
         """Watch for as long as the proxy lives, or until discovery moves."""
         await asyncio.sleep(self.pauses.before_first(self.known))
         while self.address:
-            await self._watch_once(self.address)
-            await asyncio.sleep(self.pauses.before_next())
+            silent = await self._watch_once(self.address)
+            await asyncio.sleep(self.pauses.before_next(silent))
 
-    async def _watch_once(self, address: Address) -> None:
-        ended = asyncio.Event()
+    async def _watch_once(self, address: Address) -> bool:
+        """Until it ends; whether that was for its silence."""
+        ended, silent = asyncio.Event(), False
         host = f"{address[0]}:{address[1]}"
         request = f"GET /discovery/hosts?watch=1&from={self.index} HTTP/1.1\r\nHost: {host}\r\n\r\n"
-        watch = Lines(request.encode(), self.reader.line, self._line, lambda why: self._ended(why, ended))
-        self.last = self.loop.time()
+        on_end = partial(self._ended, ended)
+        watch = Lines(request.encode(), self.reader.line, self._line, on_end, self.loop.time)
+        self.watch = watch
+        dial = self.loop.create_task(self._dial(watch, address))
         try:
-            async with asyncio.timeout_at(self.last + SILENCE):
-                await self.loop.create_connection(lambda: watch, *address)
-            while not ended.is_set():
+            while not watch.over:
+                heard = watch.heard
                 try:
-                    async with asyncio.timeout_at(self.last + SILENCE):
+                    async with asyncio.timeout_at(self.pauses.silent_at(heard)):
                         await ended.wait()
                 except TimeoutError:
-                    if self.loop.time() >= self.last + SILENCE:
+                    if heard is not watch.heard:
+                        continue
+                    await asyncio.sleep(LOOK)
+                    # The same as before the look, not only as old: the loop may have stood still in it, too.
+                    if heard is watch.heard and not watch.over:
+                        silent = True
+                        self.pauses.gave_up(heard)
                         watch.end("discovery has fallen silent")
-        except (OSError, TimeoutError) as error:
-            self._note("discovery_unreachable", str(error) or type(error).__name__)
         finally:
-            watch.end(f"it is no longer followed at {host}")  # nothing old may speak after a move
+            dial.cancel()
+            watch.end(f"it is no longer followed at {host}")
+        return silent
 
-    def _line(self, line: bytes) -> None:
-        self.last = self.loop.time()
-        if not line.strip():
-            return
+    async def _dial(self, watch: Lines, address: Address) -> None:
         try:
-            self.learn(json.loads(line))
-        except (ValueError, RecursionError) as error:
-            # What it meant to say is not known, so the next watch begins with the whole list.
-            self.index = 0
-            raise BadList(f"bad line from discovery: {error}") from None
+            await self.loop.create_connection(lambda: watch, *address)
+        except OSError as error:
+            watch.end(str(error) or type(error).__name__)
+
+    def _line(self, line: bytes) -> None:
+        if line.strip():
+            # What it meant to say is not known where it is not taken in, by whatever fault: the next watch
+            # begins with the whole list then.
+            index, self.index = self.index, 0
+            try:
+                data = json.loads(line)
+                if isinstance(data, dict) and data.get("snapshot") is not True:
+                    at = data.get("index")
+                    if isinstance(at, int) and at < index:
+                        raise BadList(f"changes up to {at} on a list of {index}")
+                self.learn(data)
+            except (ValueError, RecursionError) as error:
+                self.index = 0
+                raise BadList(f"bad line from discovery: {error}") from None
+            except BaseException:
+                self.index = 0
+                raise
+            self.heard.set()
         self.pauses.told()
-        self.heard.set()
 
-    def _ended(self, why: str, ended: asyncio.Event) -> None:
+    def _ended(self, ended: asyncio.Event, why: str) -> None:
         ended.set()
-        self._note("watch_ended", why)
+        up = self.watch and self.watch.heard.asked is not None
+        self._note("watch_ended" if up else "discovery_unreachable", why)
 
     def _note(self, event: str, why: str) -> None:
         """At most one a second."""
--- /dev/null
+++ b/tests/crossings/mutants/lists.py
@@ -0,0 +1,135 @@
+"""What breaks a promise about the list."""
+
+from __future__ import annotations
+
+from tests.crossings.mutants import Mutant
+
+TARGETS, PAUSES, FORWARD = "firvane/net/targets.py", "firvane/limits/pauses.py", "firvane/net/forward.py"
+TESTS = "tests/crossings/test_lists.py"
+
+MUTANTS = [
+    Mutant(
+        "a list may come indented", TARGETS,
+        "                if self.open > 0:\n", "                if False:\n",
+        f"{TESTS}::test_a_list_comes_whole_however_it_is_indented_and_cut",
+    ),
+    Mutant(
+        "what a string holds is no bracket", TARGETS,
+        'b"".join(parts[::2]).translate', 'b"".join(parts).translate',
+        f"{TESTS}::test_a_list_comes_whole_however_it_is_indented_and_cut",
+    ),
+    Mutant(
+        "a list is looked at once", TARGETS,
+        "        self.begun += rest\n",
+        "        brackets([bytes(self.begun + rest)])\n        self.begun += rest\n",
+        f"{TESTS}::test_a_list_that_comes_byte_by_byte_is_looked_at_once",
+    ),
+    Mutant(
+        "garbage ends the watch at once", TARGETS,
+        "    return [None] if len(lines) == 1 else", '    return [b"{"] if len(lines) == 1 else',
+        f"{TESTS}::test_what_cannot_become_a_list_is_told_at_once",
+    ),
+    Mutant(
+        "a list of many lines is bounded", TARGETS,
+        "if len(self.lines) + size > self.longest", "if size > self.longest",
+        f"{TESTS}::test_a_list_of_many_lines_is_bounded_as_one_of_one_line_is",
+    ),
+    Mutant(
+        "a silent watch is opened anew", PAUSES,
+        "return heard.line + SILENCE", "return heard.line + 100.0",
+        f"{TESTS}::test_a_watch_that_falls_silent_is_opened_anew",
+    ),
+    Mutant(
+        "an answer that stops after its head is called again", PAUSES,
+        "return min(heard.byte + self.begun, asked + SILENCE)", "return asked + 100.0",
+        f"{TESTS}::test_a_watch_that_falls_silent_is_opened_anew",
+    ),
+    Mutant(
+        "a call that is not answered is made again soon", PAUSES,
+        "        return asked + ANSWER\n", "        return asked + SILENCE\n",
+        f"{TESTS}::test_a_call_that_is_not_answered_is_made_again_until_one_is",
+    ),
+    Mutant(
+        "a call that may wait in a queue does", PAUSES,
+        "        if self.span:\n            return heard.called + SILENCE\n", "",
+        f"{TESTS}::test_a_call_that_may_wait_in_a_queue_is_not_made_again_so_soon",
+    ),
+    Mutant(
+        "a loop that stood still reads before it judges", TARGETS,
+        "                    await asyncio.sleep(LOOK)\n", "",
+        f"{TESTS}::test_a_loop_that_stood_still_reads_before_it_judges",
+    ),
+    Mutant(
+        "an answer that ends in order is no watch any more", TARGETS,
+        "            if self.whole:\n", "            if False:\n",
+        f"{TESTS}::test_a_watch_that_ends_is_opened_from_where_it_was",
+    ),
+    Mutant(
+        "an answer other than 200 ends the watch at once", TARGETS,
+        "if self.headed and self.parser", "if False and self.parser",
+        f"{TESTS}::test_an_answer_of_no_use_ends_the_watch_at_once",
+    ),
+    Mutant(
+        "an agent that was away is called again soon", PAUSES,
+        "FIRST, LONGEST = 0.1, 0.2", "FIRST, LONGEST = 0.1, 2.0",
+        f"{TESTS}::test_an_agent_that_is_away_is_called_again_soon_however_long_it_was_away",
+    ),
+    Mutant(
+        "a watch that was given up while dialled asks nothing", TARGETS,
+        "        if self.over:  # it was given up while it was dialled\n", "        if False:\n",
+        f"{TESTS}::test_who_was_given_up_while_dialled_asks_nothing",
+    ),
+    Mutant(
+        "nothing that has come is learnt after the end", TARGETS,
+        "if self.over:  # by what the line had for a consequence\n", "if False:\n",
+        f"{TESTS}::test_nothing_that_has_come_is_learnt_after_the_end",
+    ),
+    Mutant(
+        "a list that was not taken in is asked for again", TARGETS,
+        "except BaseException:\n                self.index = 0\n", "except BaseException:\n",
+        f"{TESTS}::test_a_list_that_the_proxy_failed_to_take_in_is_asked_for_again",
+    ),
+    Mutant(
+        "the old discovery is not heard after a move", TARGETS,
+        "        if self.watch:  # at once: it may be read before the task hears of its end\n",
+        "        if False and self.watch:\n",
+        f"{TESTS}::test_what_the_old_discovery_said_last_is_not_heard_after_a_move",
+    ),
+    Mutant(
+        "changes up to an older version are not taken", TARGETS,
+        "if isinstance(at, int) and at < index:", "if False:",
+        f"{TESTS}::test_a_whole_list_is_taken_whatever_its_version_and_changes_only_onwards",
+    ),
+    Mutant(
+        "a whole list is taken whatever its version", TARGETS,
+        'if isinstance(data, dict) and data.get("snapshot") is not True:', "if isinstance(data, dict):",
+        f"{TESTS}::test_a_whole_list_is_taken_whatever_its_version_and_changes_only_onwards",
+    ),
+    Mutant(
+        "who started at another time is another", TARGETS,
+        "if old and up and old.up_since != server.up_since:", "if False:",
+        f"{TESTS}::test_who_started_at_another_time_is_another",
+    ),
+    Mutant(
+        "a dial that comes up late sends nothing to what drains by then", FORWARD,
+        "        elif self._drained(run.pool):\n", "        elif False:\n",
+        f"{TESTS}::test_a_dial_that_comes_up_late_sends_nothing_to_what_drains_by_then",
+    ),
+    Mutant(
+        "nothing is begun after the grace, whoever asks for it", FORWARD,
+        "        if self._drained(pool):\n", "        if False:\n",
+        f"{TESTS}::test_whoever_asks_for_it_nothing_is_begun_after_the_grace",
+    ),
+    Mutant(
+        "an idle connection to what drains is closed", FORWARD,
+        "            pool.down_since = self.loop.time()\n            pool.close_idle()\n",
+        "            pool.down_since = self.loop.time()\n",
+        f"{TESTS}::test_an_idle_connection_to_what_drains_is_closed_and_not_used",
+    ),
+    Mutant(
+        "a connection that was busy when its target began to drain is not used again", FORWARD,
+        "        if pool.down_since is not None:\n            connection.close()\n",
+        "        if False:\n            connection.close()\n",
+        f"{TESTS}::test_a_connection_that_was_busy_when_its_target_began_to_drain_is_not_used_again",
+    ),
+]  # fmt: skip
