Play every ending of the protocol's table for every kind of class, counted at the targets

Need: a class unsafe to repeat is sent again only where the attempt before surely never ran, and never has two out. 27 endings (answers, turn-aways, breaks at each byte that matters, silence, answers without end), each with five kinds of class at once, `cancel` and `second-copies` on and off, `send-cap` 1 and 3: what arrived whole is counted at the targets, and who else was out then is asked of the kernel. Beside it: breaks before the last byte of a body that the kernel does not hold, answers before it, idle connections that end between the last look and the write, dials that fail. No fault was found: behind a reset the write fails, which uvloop reports at once (the transport is closing, and nothing counts as written); behind an end in order the kernel takes all of it, and that may have run.

--- a/tests/crossings/test_attempts.py
+++ b/tests/crossings/test_attempts.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
@@ -18,6 +18,8 @@
 from firvane.net.forward import Connection, Forwards
 from firvane.net.hands import Hands
 from tests.crossings.harness import (
+    CHUNKED,
+    ERROR,
     FULL,
     MS,
     OK,
@@ -25,6 +27,7 @@
     Rig,
     Target,
     a_class,
+    entry,
     params,
     play,
     request,
@@ -352,3 +355,329 @@
         target.close()
 
     play(work())
+
+
+# Every ending of the protocol's table, for every kind of class
+
+
+KINDS = {"read": "", "all": "all", "zone": "zone", "cell": "cell", "pay": ""}  # classes: what drops repeats
+PLACES = {"s1": ("a", 0), "s2": ("a", 1), "s3": ("b", 0)}  # zone and cell of each target
+Ends = Callable[[Link], Awaitable[None]]
+
+
+def kinds(**limits: Any) -> dict[str, Any]:
+    """A safe class, three that drop repeats by key, and one unsafe to repeat; a copy follows after 30 ms."""
+    classes = [a_class("read", **{"slo-ns": 75 * MS, "give-up-ns": 900 * MS})]
+    for scope in ("all", "zone", "cell"):
+        times = {"slo-ns": 75 * MS, "give-up-ns": 900 * MS, "window-ns": 60_000 * MS}
+        classes.append(a_class(scope, repeat="token", **{"dedup-scope": scope, **times}))
+    classes.append(a_class("pay", repeat="side_effect", **{"slo-ns": 75 * MS, "give-up-ns": 900 * MS}))
+    return params(classes=classes, dcs=["a", "b"], limits={"dial-timeout-ns": 800 * MS, **limits})
+
+
+class Arrivals:
+    """What came whole to which target, and how many attempts were out then, that one included."""
+
+    def __init__(self) -> None:
+        self.at: dict[str, list[str]] = {}
+        self.most: dict[str, int] = {}
+        self.links: dict[str, list[Link]] = {}
+
+    def came(self, call: str, name: str, link: Link) -> None:
+        self.at.setdefault(call, []).append(name)
+        out = [other for other in self.links.setdefault(call, []) if still_open(other)]
+        self.links[call].append(link)
+        self.most[call] = max(self.most.get(call, 0), len(out) + 1)
+
+    def over(self, call: str, link: Link) -> None:
+        self.links[call].remove(link)
+
+
+def still_open(link: Link) -> bool:
+    """Whether the other side has neither closed it nor ended its sending, as the kernel knows."""
+    if link.ended or link.sock.fileno() < 0:
+        return False
+    try:
+        return link.sock.recv(1, socket.MSG_PEEK) != b""
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+
+
+async def scripted(name: str, target: Target, ends: Ends, arrivals: Arrivals) -> None:
+    """A target on which every request comes whole and then ends like this."""
+
+    async def one(link: Link) -> None:
+        with contextlib.suppress(EOFError, OSError, ValueError):
+            while True:
+                await target.ask(link)
+                call = target.calls[-1]
+                arrivals.came(call, name, link)
+                await ends(link)
+                arrivals.over(call, link)
+
+    async with asyncio.TaskGroup() as tasks:
+        while True:
+            tasks.create_task(one(await target.link()))
+
+
+def answers(data: bytes) -> Ends:
+    async def ends(link: Link) -> None:
+        await link.send(data)
+
+    return ends
+
+
+def breaks(data: bytes, how: str) -> Ends:
+    """The connection ends behind these bytes of an answer."""
+
+    async def ends(link: Link) -> None:
+        if data:
+            await link.send(data)
+        link.leave(how)
+
+    return ends
+
+
+def hangs(data: bytes = b"") -> Ends:
+    """Nothing follows behind these bytes, for as long as the proxy waits."""
+
+    async def ends(link: Link) -> None:
+        if data:
+            await link.send(data)
+        await link.gone()
+
+    return ends
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"
+HALF = HEAD + b"half"
+NEVER, MAY, RAN = "never", "may", "ran"  # whether it has run
+ENDINGS: dict[str, tuple[Ends, str]] = {
+    "served": (answers(OK), RAN),
+    "served-twice": (answers(OK + OK), RAN),
+    "served-then-reset": (breaks(OK, "reset"), RAN),
+    "error": (answers(ERROR), MAY),
+    "full-503": (answers(FULL), NEVER),
+    "full-504": (answers(FULL.replace(b"503", b"504")), NEVER),
+    "no-place": (answers(FULL.replace(b"X-R", b"Connection: close\r\nX-R")), NEVER),
+    "503-unsaid": (answers(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"), MAY),
+    "rejected-0": (answers(FULL.replace(b"X-Rejected: 1", b"X-Rejected: 0")), MAY),
+    "at-fault-400": (answers(b"HTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n"), MAY),
+    "unknown-404": (answers(b"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n"), MAY),
+    "no-http": (answers(b"rubbish\r\n\r\n"), MAY),
+    "fin-before-the-answer": (breaks(b"", "fin"), MAY),
+    "reset-before-the-answer": (breaks(b"", "reset"), MAY),
+    "fin-in-the-head": (breaks(HEAD[:20], "fin"), MAY),
+    "reset-after-the-head": (breaks(HEAD, "reset"), MAY),
+    "fin-after-the-head": (breaks(HEAD, "fin"), MAY),
+    "reset-in-mid-body": (breaks(HALF, "reset"), MAY),
+    "fin-in-mid-body": (breaks(HALF, "fin"), MAY),
+    "fin-in-a-chunk": (breaks(CHUNKED + b"5\r\nhal", "fin"), MAY),
+    "fin-without-a-length": (breaks(b"HTTP/1.1 200 OK\r\n\r\nhalf?", "fin"), MAY),
+    "full-cut-in-its-body": (breaks(FULL.replace(b"Length: 0", b"Length: 9"), "reset"), MAY),
+    "nothing": (hangs(), MAY),
+    "head-without-end": (hangs(HEAD[:20]), MAY),
+    "answer-without-end": (hangs(HALF), MAY),
+    "chunks-without-end": (hangs(CHUNKED + b"2\r\nhi\r\n"), MAY),
+    "full-without-end": (hangs(FULL.replace(b"Length: 0", b"Length: 9")), MAY),
+}
+SETTINGS = [
+    {"cancel": cancel, "second-copies": copies, "send-cap": cap}
+    for cancel in (True, False)
+    for copies in (True, False)
+    for cap in (1, 3)
+]
+
+
+def allowed(kind: str, ran: str, at: list[str]) -> bool:
+    """Whether a class may have been sent to these targets in this order, by the protocol's table."""
+    if kind == "read" or ran == NEVER or len(at) < 2:
+        return True
+    if kind == "pay":
+        return False
+    zone, cell = PLACES[at[0]]
+    return all({"all": True, "zone": PLACES[n][0] == zone, "cell": PLACES[n][1] == cell}[kind] for n in at)
+
+
+@pytest.mark.parametrize("name", ENDINGS)
+def test_over_every_ending_a_class_is_sent_again_only_as_it_may_be(tmp_path: Path, name: str) -> None:
+    ends, ran = ENDINGS[name]
+
+    async def one(number: int, limits: dict[str, Any]) -> None:
+        arrivals = Arrivals()
+        (folder := tmp_path / str(number)).mkdir()
+        async with rig(folder, targets=3, settings=kinds(**limits)) as made:
+            starting = made.later(made.proxy.start())
+            watch = await made.agent.watch()
+            places = zip(PLACES.items(), made.targets, strict=True)
+            await watch.tell(1, *(entry(n, t, zone=z, group=g) for (n, (z, g)), t in places))
+            await starting
+            for target, place in zip(made.targets, PLACES, strict=True):
+                made.later(scripted(place, target, ends, arrivals))
+            asked = [made.later(ask(made, kind)) for kind in KINDS]
+            statuses = dict(zip(KINDS, [await one for one in asked], strict=True))
+            await at_rest(made)
+            for kind in KINDS:
+                said = f"{kind} {limits}: {arrivals.at.get(kind)}, {arrivals.most}, {statuses[kind]}"
+                at = arrivals.at.get(kind, [])
+                assert allowed(kind, ran, at) and len(at) <= limits["send-cap"], said
+                alone = kind == "pay" or not limits["second-copies"]
+                assert arrivals.most[kind] == 1 or not alone, said
+                if ran == RAN:
+                    assert statuses[kind] == 200, said
+                elif ran == NEVER:
+                    assert statuses[kind] == 503, said
+                elif kind == "pay":  # refused would say that a further try is harmless
+                    assert statuses[kind] not in (200, 429, 503), said
+                else:
+                    assert statuses[kind] != 200, said
+
+    async def ask(made: Rig, kind: str) -> int:
+        client = await made.client()
+        await client.send(request(kind, f"/{kind}/x", budget=850, body=b"" if kind == "read" else b"body"))
+        status = int((await client.until(b"\r\n"))[9:12])
+        length = (await client.until(b"\r\n\r\n")).lower().partition(b"content-length: ")[2].split()
+        await client.exactly(int(length[0]))
+        assert client.buffer == b""  # exactly one
+        return status
+
+    async def work() -> None:
+        async with asyncio.TaskGroup() as tasks:
+            for number, limits in enumerate(SETTINGS):
+                tasks.create_task(one(number, limits))
+
+    play(work())
+
+
+class Narrow:
+    """A dialer on whose connections the kernel holds little of what is written."""
+
+    def __init__(self, real: Any) -> None:
+        self.real = real
+
+    def dial(self, address: Any, deadline: float, factory: Any, up: Any, ended: Any) -> Any:
+        def made(quiet: Any) -> Any:
+            quiet.args[0].setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            return factory(quiet)
+
+        return self.real.dial(address, deadline, made, up, ended)
+
+
+async def narrow(made: Rig) -> None:
+    """Started, with all targets up; a body of 60 kB is more than the kernel takes for any of them."""
+    for target in made.targets:
+        target.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    made.dialer.real = Narrow(made.dialer.real)
+    await made.start()
+
+
+@CANCEL
+@LEAVES
+@pytest.mark.parametrize("read", [0, 30, 5000], ids=["head-unread", "in-the-head", "in-the-body"])
+def test_broken_before_its_last_byte_an_unsafe_request_is_sent_again(
+    tmp_path: Path, how: str, cancel: bool, read: int
+) -> None:
+    async def work() -> None:
+        async with rig(tmp_path, targets=2, settings=params(limits={"cancel": cancel})) as made:
+            await narrow(made)
+            client = await made.client()
+            await client.send(request("c1", "/pay/x", body=bytes(60_000)))
+            target = await made.see(lambda: next((one for one in made.targets if one.waiting()), None))
+            await target.links[0].exactly(read)
+            assert not made.proxy.engine.tally.of("pay").upstream_tries  # its last byte is still here
+            target.links[0].leave(how)
+            link, whole = await first(made)
+            assert len(whole) > 60_000
+            await link.send(OK)
+            await client.until(b"hi")
+            assert [one.calls for one in made.targets if one is not target] == [["c1"]] and not target.calls
+
+    play(work())
+
+
+@CANCEL
+@pytest.mark.parametrize("early", [OK, ERROR, FULL], ids=["served", "error", "full"])
+def test_an_answer_before_the_last_byte_of_its_request(tmp_path: Path, cancel: bool, early: bytes) -> None:
+    # What is not written then is not written any more, and the connection goes with it.
+    async def work() -> None:
+        async with rig(tmp_path, targets=2, settings=params(limits={"cancel": cancel})) as made:
+            await narrow(made)
+            client = await made.client()
+            await client.send(request("c1", "/pay/x", body=bytes(60_000)))
+            target = await made.see(lambda: next((one for one in made.targets if one.waiting()), None))
+            await target.links[0].until(b"\r\n\r\n")
+            await target.links[0].send(early)
+            if early is FULL:
+                link, _ = await first(made)
+                await link.send(OK)
+            status = (await client.until(b"\r\n"))[9:12]
+            assert status == (b"502" if early is ERROR else b"200")
+            await target.links[0].gone()
+            assert len(target.links[0].buffer) < 60_000 and not target.calls
+            assert sum(len(one.calls) for one in made.targets) == (early is FULL)
+
+    play(work())
+
+
+@CANCEL
+@pytest.mark.parametrize(("ends", "again"), [("reset", True), ("fin", False)])
+def test_an_unsafe_request_on_an_idle_connection_that_ends_between_look_and_write(
+    tmp_path: Path, cancel: bool, ends: str, again: bool
+) -> None:
+    # Behind a reset the write fails and nothing has gone; behind an end in order the kernel takes all of it,
+    # and only the target could tell that it never ran.
+    async def work() -> None:
+        async with rig(tmp_path, targets=2, settings=params(limits={"cancel": cancel})) as made:
+            await started(made, s2="draining")
+            ends_at_the_look(*await idle(made), ends, False, lambda: listed(made, s2="up"))
+            client = await made.client()
+            await client.send(request("c1", "/pay/x", body=b"money"))
+            if again:
+                link = await made.targets[1].taken()
+                await link.send(OK)
+            assert (await client.until(b"\r\n"))[9:12] == (b"200" if again else b"502")
+            written = made.proxy.engine.tally.of("pay").upstream_tries
+            assert (written, made.targets[1].calls) == (1, ["c1"] if again else [])
+
+    play(work())
+
+
+class Astray:
+    """A dialer whose first dial goes to nobody who would take it, and is soon given up."""
+
+    def __init__(self, real: Any, address: Any) -> None:
+        self.real, self.address = real, address
+
+    def dial(self, address: Any, deadline: float, factory: Any, up: Any, ended: Any) -> Any:
+        if self.address:
+            address, self.address, deadline = self.address, None, self.real.loop.time() + 0.02
+        return self.real.dial(address, deadline, factory, up, ended)
+
+
+@CANCEL
+@pytest.mark.parametrize("why", ["refused", "never-up"])
+def test_what_never_connected_is_sent_again_and_once_only(tmp_path: Path, cancel: bool, why: str) -> None:
+    async def work() -> None:
+        async with rig(tmp_path, targets=2, settings=params(limits={"cancel": cancel})) as made:
+            await made.start()
+            with socket.socket() as nobody, contextlib.ExitStack() as waiting:
+                nobody.bind(("127.0.0.1", 0))
+                if why == "never-up":
+                    nobody.listen(0)  # nobody accepts, and two wait at the most
+                    for _ in range(4):
+                        one = waiting.enter_context(socket.socket())
+                        one.setblocking(False)
+                        one.connect_ex(nobody.getsockname())
+                made.dialer.real = Astray(made.dialer.real, nobody.getsockname())
+                client = await made.client()
+                await client.send(request("c1", "/pay/x", body=b"money"))
+                link, _ = await first(made)
+                await link.send(OK)
+                await client.until(b"hi")
+                endings = made.proxy.engine.endings
+                assert endings[Ending.REFUSED.value if why == "refused" else Ending.DIAL_EXPIRED.value] == 1
+                assert [call for target in made.targets for call in target.calls] == ["c1"]
+
+    play(work())
