Never use a connection that has only just been given back: a late second answer is nobody's

Seen by a test that answers twice, the second time after the connection was given back and the next request written: the second answer went to the next client, as served, for an unsafe class as well. Cause: `Pool.take` fell back to the oldest idle connection where none had rested for SETTLE; architecture.md says "or dials". An answer names no request, so nothing later can tell. Ruled out: a second answer that comes before the next write is seen by `usable`.

Now `Pool.take` has none to give then, and the run dials (rule 4 in the head of net/forward.py).

--- a/firvane/net/forward.py
+++ b/firvane/net/forward.py
@@ -8,6 +8,8 @@
    its target's grace nor its own time may be over. What it bars never ran.
 3. A request is written once its last byte is with the kernel. A break before that never ran, one after it may
    have; where it cannot be told which, it may have.
+4. A connection whose answer has come rests for `SETTLE` before the next run: a second answer comes late by
+   milliseconds, and no answer says whose it is. Until then a run dials.
 """
 
 from __future__ import annotations
@@ -54,12 +56,13 @@
         self.down_since: float | None = None  # when the list said that it drains or is gone
         self.idle: list[Connection] = []
 
-    def take(self, settled: float) -> Connection:
-        """The newest one that has been idle since then, or else the oldest of all."""
-        place = len(self.idle) - 1
-        while place and self.idle[place].idle_since > settled:
-            place -= 1
-        return self.idle.pop(place)
+    def take(self, settled: float) -> Connection | None:
+        """The newest one that has been idle since then, or none: on one that came back later, more of its
+        last answer may still be on its way, and would be taken for the next one's (rule 4)."""
+        for place in range(len(self.idle) - 1, -1, -1):
+            if self.idle[place].idle_since <= settled:
+                return self.idle.pop(place)
+        return None
 
     def close_idle(self, before: float = float("inf")) -> None:
         while self.idle and self.idle[0].idle_since < before:
@@ -353,8 +356,7 @@
         if barred := self._barred(run):
             run.end(barred)
             return run
-        while pool.idle:
-            connection = pool.take(self.loop.time() - SETTLE)
+        while pool.idle and (connection := pool.take(self.loop.time() - SETTLE)):
             if connection.usable():
                 connection.send(run)
                 return run
