--- a/firvane/net/forward.py
+++ b/firvane/net/forward.py
@@ -353,10 +353,11 @@
     def forward(self, request: Message, target: str, exchange: Exchange[Message]) -> Run:
         pool = self.pools.get(target) or Pool(target)
         run = Run(request, pool, exchange)
-        if barred := self._barred(run):
+        now = self.loop.time()
+        if barred := self._barred(run, now):
             run.end(barred)
             return run
-        while pool.idle and (connection := pool.take(self.loop.time() - SETTLE)):
+        while pool.idle and (connection := pool.take(now - SETTLE)):
             if connection.usable():
                 connection.send(run)
                 return run
@@ -378,11 +379,14 @@
     def listed(self, name: str, address: tuple[str, int] | None, up: bool) -> None:
         """What the list says of a target takes effect at once; without an address it is gone."""
         pool = self.pools.get(name) or Pool(name)
+        if address and pool.address and address != pool.address:
+            # Guards the new address against what is out to the old one: parked in one pool, its connections
+            # would be taken for the new one's, and a dial on its way there would bring requests beyond the
+            # grace. The old pool is left as one that is gone.
+            self.listed(name, None, False)
+            pool = Pool(name)
         if address:
-            self.pools[name] = pool
-            if address != pool.address:
-                pool.close_idle()
-                pool.address = address
+            self.pools[name], pool.address = pool, address
         else:
             self.pools.pop(name, None)  # what is still out on it keeps it until its end
         if up:
@@ -393,9 +397,9 @@
 
     # Connections
 
-    def _barred(self, run: Run) -> Ending | None:
+    def _barred(self, run: Run, now: float) -> Ending | None:
         """What forbids a run's first byte now, if anything (rule 2): a dial may end later than it began."""
-        down_since, now = run.pool.down_since, self.loop.time()
+        down_since = run.pool.down_since
         # A first byte sent at the very end of the grace could still be seen after it.
         if down_since is not None and now >= down_since + 0.9 * self.rules.drain_grace:
             return Ending.TOO_LATE
@@ -425,7 +429,7 @@
         if run.over or connection.transport.is_closing():
             connection.close()
             run.end(Ending.BROKE_UNSENT)
-        elif barred := self._barred(run):
+        elif barred := self._barred(run, self.loop.time()):
             self.park(connection)
             run.end(barred)
         else:
--- a/tests/crossings/mutants/attempts.py
+++ b/tests/crossings/mutants/attempts.py
@@ -134,4 +134,32 @@
         "return True or",
         f"{FILE} -k reset-in-mid-body",
     ),
+    Mutant(
+        "what is given up in its dial never ran",
+        ENGINE,
+        "unsent = ending is Ending.CANCELLED and not self.sent",
+        "unsent = False",
+        f"{FILE} -k given_up",
+    ),
+    Mutant(
+        "and what is given up once it is written may have",
+        ENGINE,
+        "unsent = ending is Ending.CANCELLED and not self.sent",
+        "unsent = ending is Ending.CANCELLED",
+        f"{FILE} -k given_up",
+    ),
+    Mutant(
+        "a target that moves leaves nothing to its new address",
+        FORWARD,
+        "            self.listed(name, None, False)\n            pool = Pool(name)\n",
+        "            pool.close_idle()\n",
+        f"{FILE} -k moves",
+    ),
+    Mutant(
+        "nothing is written to a target whose grace is over",
+        FORWARD,
+        "            return Ending.TOO_LATE\n",
+        "            return None\n",
+        f"{FILE} -k grace_is_over",
+    ),
 ]
--- a/tests/crossings/test_attempts.py
+++ b/tests/crossings/test_attempts.py
@@ -6,6 +6,7 @@
 import contextlib
 import socket
 from collections.abc import Awaitable, Callable
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -283,6 +284,36 @@
     play(work())
 
 
+# An attempt that the decisions give up
+
+
+@pytest.mark.parametrize("out", [False, True], ids=["in-its-dial", "written"])
+def test_an_unsafe_request_given_up_is_sent_again_only_from_its_dial(tmp_path: Path, out: bool) -> None:
+    async def work() -> None:
+        async with rig(tmp_path, targets=2) as made:
+            await made.start()
+            made.dialer.holding = not out
+            client = await made.client()
+            await client.send(request("c1", "/pay/x", body=b"money"))
+            if out:
+                link, _ = await first(made)
+            else:
+                await made.dialer.came.wait()
+            made.proxy.engine._act([api.Cancel(next(iter(made.proxy.engine.flows)), 0)])
+            if out:
+                assert await link.gone() and (await client.until(b"\r\n"))[9:12] == b"502"
+            else:
+                assert len(made.dialer.waiting) == 2
+                made.dialer.let_go()
+                link, _ = await first(made)
+                await link.send(OK)
+                await client.until(b"hi")
+            assert await after(made) == ["c1", "last"]
+            await at_rest(made)
+
+    play(work())
+
+
 # A flow that is answered, or has begun to be
 
 
@@ -719,3 +750,97 @@
             assert not made.targets[0].waiting()
 
     play(work())
+
+
+# Targets that move or drain
+
+
+@pytest.mark.parametrize("at", ["idle", "out", "in-a-dial", "in-a-late-dial"])
+def test_a_target_that_moves_leaves_nothing_to_its_new_address(tmp_path: Path, at: str) -> None:
+    # What was dialled at the old address is never used for the new one, whenever it is given back.
+    async def work() -> None:
+        async with rig(tmp_path, targets=2) as made:
+            await started(made, s2="draining")
+            old, new = made.targets
+            client = await made.client()
+            link = None
+            if at == "idle":
+                link, _ = await idle(made)
+            making = Making(made.dialer.real)
+            if at != "idle":
+                made.proxy.forwards.dialer = making if at != "out" else made.dialer  # type: ignore[assignment]
+                await client.send(request("c1", budget=1900))
+            if at == "out":
+                link = await old.taken()
+            elif at != "idle":
+                await making.came.wait()
+                made.proxy.forwards.dialer = made.dialer  # type: ignore[assignment]
+            group, entries = made.proxy.group, [entry("s1", new)]
+            pool = made.proxy.forwards.pools["s1"]
+            group.learn({"index": group.index + 1, "snapshot": True, "endpoints": entries})
+            if at == "in-a-late-dial":  # the grace is over
+                assert pool.down_since is not None
+                pool.down_since -= made.proxy.forwards.rules.drain_grace
+            if at in ("in-a-dial", "in-a-late-dial"):
+                making.ups[0]()
+            if at == "in-a-dial":
+                link = await old.taken()
+            if at in ("out", "in-a-dial") and link:
+                await link.send(OK)
+                await client.until(b"hi")
+            if link:
+                assert await link.gone()
+            made.later(new.serve())
+            if at == "in-a-late-dial":  # nobody else has room for it
+                await client.until(b"refused\n")
+            await client.send(request("c2"))
+            await client.until(b"hi")
+            before = {"idle": ["before"], "in-a-late-dial": []}.get(at, ["c1"])
+            assert old.calls == before and new.calls[-1] == "c2"
+
+    play(work())
+
+
+@pytest.mark.parametrize("way", ["dial", "idle", "copy", "probe"])
+def test_nothing_is_written_to_a_target_whose_grace_is_over(tmp_path: Path, way: str) -> None:
+    async def work() -> None:
+        async with rig(tmp_path, targets=2, settings=brisk(probing=True)) as made:
+            await started(made, s2="up" if way == "copy" else "draining")
+            forwards = made.proxy.forwards
+            client = await made.client()
+            first_at = None
+            if way == "idle":
+                await idle(made)
+            if way == "copy":
+                await client.send(request("c1"))
+                first_at, _ = await first(made)
+            made.dialer.holding = True
+            if way == "dial":
+                await client.send(request("c1"))
+            if way in ("dial", "copy"):
+                await made.dialer.came.wait()
+            kept = {name: pool.address for name, pool in forwards.pools.items()}
+            drains = [n for n, t in zip(("s1", "s2"), made.targets, strict=True) if first_at not in t.links]
+            for name in drains:
+                forwards.listed(name, kept[name], False)
+                pool = forwards.pools[name]
+                assert pool.down_since is not None and not pool.idle
+                pool.down_since -= forwards.rules.drain_grace
+            if way in ("idle", "probe"):
+                over = Ended(made.loop.time() + 5.0)
+                (forwards.probe if way == "probe" else partial(forwards.forward, message()))("s1", over)
+                assert over.endings == [Ending.TOO_LATE]
+            made.dialer.let_go()
+            if way == "copy" and first_at:
+                await made.see(lambda: made.proxy.engine.endings[Ending.TOO_LATE.value])
+                await first_at.send(OK)
+                await client.until(b"hi")
+            if way == "dial":
+                await made.see(lambda: made.proxy.engine.endings[Ending.TOO_LATE.value])
+            said = [target.calls for n, target in zip(("s1", "s2"), made.targets, strict=True) if n in drains]
+            assert all(calls in ([], ["before"]) for calls in said)
+            for target in made.targets:
+                while target.waiting():
+                    assert await target.links[-1].gone() and target.links[-1].buffer == b""
+
+    play(work())
