--- a/tests/crossings/test_attempts.py
+++ b/tests/crossings/test_attempts.py
@@ -5,7 +5,8 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -15,9 +16,11 @@
 from firvane.endings import Ending
 from firvane.limits.descriptors import Use
 from firvane.net.dial import SocketDialer
-from firvane.net.forward import Connection, Forwards
+from firvane.net.forward import SETTLE, Connection, Forwards
 from firvane.net.hands import Hands
 from tests.crossings.harness import (
+    CHUNKED,
+    ERROR,
     FULL,
     MS,
     OK,
@@ -25,6 +28,7 @@
     Rig,
     Target,
     a_class,
+    entry,
     params,
     play,
     request,
@@ -97,13 +101,14 @@
 
 
 async def idle(made: Rig, call: str = "before") -> tuple[Link, Connection]:
-    """A connection that has served and is idle: the target's end, the proxy's."""
+    """A connection that has served, is idle and has rested: the target's end, the proxy's."""
     client = await made.client()
     await client.send(request(call))
     link, _ = await first(made)
     await link.send(OK)
     await client.until(b"hi")
     pool = next(pool for pool in made.proxy.forwards.pools.values() if pool.idle)
+    await made.see(lambda: made.loop.time() > pool.idle[0].idle_since + SETTLE)
     return link, pool.idle[0]
 
 
@@ -269,6 +274,36 @@
     play(work())
 
 
+# An attempt that the decisions give up
+
+
+@pytest.mark.parametrize("out", [False, True], ids=["in-its-dial", "written"])
+def test_an_unsafe_request_given_up_is_sent_again_only_from_its_dial(tmp_path: Path, out: bool) -> None:
+    async def work() -> None:
+        async with rig(tmp_path, targets=2) as made:
+            await made.start()
+            made.dialer.holding = not out
+            client = await made.client()
+            await client.send(request("c1", "/pay/x", body=b"money"))
+            if out:
+                link, _ = await first(made)
+            else:
+                await made.dialer.came.wait()
+            made.proxy.engine._act([api.Cancel(next(iter(made.proxy.engine.flows)), 0)])
+            if out:
+                assert await link.gone() and (await client.until(b"\r\n"))[9:12] == b"502"
+            else:
+                assert len(made.dialer.waiting) == 2
+                made.dialer.let_go()
+                link, _ = await first(made)
+                await link.send(OK)
+                await client.until(b"hi")
+            assert await after(made) == ["c1", "last"]
+            await at_rest(made)
+
+    play(work())
+
+
 # A flow that is answered, or has begun to be
 
 
@@ -334,6 +369,8 @@
             await asyncio.sleep(0)
         making.ups.pop()()
         assert late.endings == [Ending.WITHDRAWN] and len(forwards.pools["s"].idle) == 1
+        while loop.time() <= forwards.pools["s"].idle[0].idle_since + SETTLE:
+            await asyncio.sleep(0)
         forwards.forward(message(), "s", in_time := Ended(loop.time() + 5.0))
         await (await target.taken()).send(OK)
         await in_time.over.wait()
@@ -342,3 +379,458 @@
         target.close()
 
     play(work())
+
+
+# Every ending of the protocol's table, for every kind of class
+
+
+KINDS = {"read": "", "all": "all", "zone": "zone", "cell": "cell", "pay": ""}  # classes: what drops repeats
+PLACES = {"s1": ("a", 0), "s2": ("a", 1), "s3": ("b", 0)}  # zone and cell of each target
+Ends = Callable[[Link], Awaitable[None]]
+
+
+def kinds(**limits: Any) -> dict[str, Any]:
+    """A safe class, three that drop repeats by key, and one unsafe to repeat; a copy follows after 30 ms."""
+    classes = [a_class("read", **{"slo-ns": 75 * MS, "give-up-ns": 900 * MS})]
+    for scope in ("all", "zone", "cell"):
+        times = {"slo-ns": 75 * MS, "give-up-ns": 900 * MS, "window-ns": 60_000 * MS}
+        classes.append(a_class(scope, repeat="token", **{"dedup-scope": scope, **times}))
+    classes.append(a_class("pay", repeat="side_effect", **{"slo-ns": 75 * MS, "give-up-ns": 900 * MS}))
+    return params(classes=classes, dcs=["a", "b"], limits={"dial-timeout-ns": 800 * MS, **limits})
+
+
+class Arrivals:
+    """What came whole to which target, and how many attempts were out then, that one included."""
+
+    def __init__(self) -> None:
+        self.at: dict[str, list[str]] = {}
+        self.most: dict[str, int] = {}
+        self.links: dict[str, list[Link]] = {}
+
+    def came(self, call: str, name: str, link: Link) -> None:
+        self.at.setdefault(call, []).append(name)
+        out = [other for other in self.links.setdefault(call, []) if still_open(other)]
+        self.links[call].append(link)
+        self.most[call] = max(self.most.get(call, 0), len(out) + 1)
+
+    def over(self, call: str, link: Link) -> None:
+        self.links[call].remove(link)
+
+
+def still_open(link: Link) -> bool:
+    """Whether the other side has neither closed it nor ended its sending, as the kernel knows."""
+    if link.ended or link.sock.fileno() < 0:
+        return False
+    try:
+        return link.sock.recv(1, socket.MSG_PEEK) != b""
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+
+
+async def scripted(name: str, target: Target, ends: Ends, arrivals: Arrivals) -> None:
+    """A target on which every request comes whole and then ends like this."""
+
+    async def one(link: Link) -> None:
+        with contextlib.suppress(EOFError, OSError, ValueError):
+            while True:
+                await target.ask(link)
+                call = target.calls[-1]
+                arrivals.came(call, name, link)
+                await ends(link)
+                arrivals.over(call, link)
+
+    async with asyncio.TaskGroup() as tasks:
+        while True:
+            tasks.create_task(one(await target.link()))
+
+
+def answers(data: bytes) -> Ends:
+    async def ends(link: Link) -> None:
+        await link.send(data)
+
+    return ends
+
+
+def breaks(data: bytes, how: str) -> Ends:
+    """The connection ends behind these bytes of an answer."""
+
+    async def ends(link: Link) -> None:
+        if data:
+            await link.send(data)
+        link.leave(how)
+
+    return ends
+
+
+def hangs(data: bytes = b"") -> Ends:
+    """Nothing follows behind these bytes, for as long as the proxy waits."""
+
+    async def ends(link: Link) -> None:
+        if data:
+            await link.send(data)
+        await link.gone()
+
+    return ends
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"
+HALF = HEAD + b"half"
+NEVER, MAY, RAN = "never", "may", "ran"  # whether it has run
+ENDINGS: dict[str, tuple[Ends, str]] = {
+    "served": (answers(OK), RAN),
+    "served-twice": (answers(OK + OK), RAN),
+    "served-then-reset": (breaks(OK, "reset"), RAN),
+    "error": (answers(ERROR), MAY),
+    "full-503": (answers(FULL), NEVER),
+    "full-504": (answers(FULL.replace(b"503", b"504")), NEVER),
+    "no-place": (answers(FULL.replace(b"X-R", b"Connection: close\r\nX-R")), NEVER),
+    "503-unsaid": (answers(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"), MAY),
+    "rejected-0": (answers(FULL.replace(b"X-Rejected: 1", b"X-Rejected: 0")), MAY),
+    "at-fault-400": (answers(b"HTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n"), MAY),
+    "unknown-404": (answers(b"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n"), MAY),
+    "no-http": (answers(b"rubbish\r\n\r\n"), MAY),
+    "fin-before-the-answer": (breaks(b"", "fin"), MAY),
+    "reset-before-the-answer": (breaks(b"", "reset"), MAY),
+    "fin-in-the-head": (breaks(HEAD[:20], "fin"), MAY),
+    "reset-after-the-head": (breaks(HEAD, "reset"), MAY),
+    "fin-after-the-head": (breaks(HEAD, "fin"), MAY),
+    "reset-in-mid-body": (breaks(HALF, "reset"), MAY),
+    "fin-in-mid-body": (breaks(HALF, "fin"), MAY),
+    "fin-in-a-chunk": (breaks(CHUNKED + b"5\r\nhal", "fin"), MAY),
+    "fin-without-a-length": (breaks(b"HTTP/1.1 200 OK\r\n\r\nhalf?", "fin"), MAY),
+    "full-cut-in-its-body": (breaks(FULL.replace(b"Length: 0", b"Length: 9"), "reset"), MAY),
+    "nothing": (hangs(), MAY),
+    "head-without-end": (hangs(HEAD[:20]), MAY),
+    "answer-without-end": (hangs(HALF), MAY),
+    "chunks-without-end": (hangs(CHUNKED + b"2\r\nhi\r\n"), MAY),
+    "full-without-end": (hangs(FULL.replace(b"Length: 0", b"Length: 9")), MAY),
+}
+SETTINGS = [
+    {"cancel": cancel, "second-copies": copies, "send-cap": cap}
+    for cancel in (True, False)
+    for copies in (True, False)
+    for cap in (1, 3)
+]
+
+
+def allowed(kind: str, ran: str, at: list[str]) -> bool:
+    """Whether a class may have been sent to these targets in this order, by the protocol's table."""
+    if kind == "read" or ran == NEVER or len(at) < 2:
+        return True
+    if kind == "pay":
+        return False
+    zone, cell = PLACES[at[0]]
+    return all({"all": True, "zone": PLACES[n][0] == zone, "cell": PLACES[n][1] == cell}[kind] for n in at)
+
+
+@pytest.mark.parametrize("name", ENDINGS)
+def test_over_every_ending_a_class_is_sent_again_only_as_it_may_be(tmp_path: Path, name: str) -> None:
+    ends, ran = ENDINGS[name]
+
+    async def one(number: int, limits: dict[str, Any]) -> None:
+        arrivals = Arrivals()
+        (folder := tmp_path / str(number)).mkdir()
+        async with rig(folder, targets=3, settings=kinds(**limits)) as made:
+            starting = made.later(made.proxy.start())
+            watch = await made.agent.watch()
+            places = zip(PLACES.items(), made.targets, strict=True)
+            await watch.tell(1, *(entry(n, t, zone=z, group=g) for (n, (z, g)), t in places))
+            await starting
+            for target, place in zip(made.targets, PLACES, strict=True):
+                made.later(scripted(place, target, ends, arrivals))
+            asked = [made.later(ask(made, kind)) for kind in KINDS]
+            statuses = dict(zip(KINDS, [await one for one in asked], strict=True))
+            await at_rest(made)
+            for kind in KINDS:
+                said = f"{kind} {limits}: {arrivals.at.get(kind)}, {arrivals.most}, {statuses[kind]}"
+                at = arrivals.at.get(kind, [])
+                assert allowed(kind, ran, at) and len(at) <= limits["send-cap"], said
+                alone = kind == "pay" or not limits["second-copies"]
+                assert arrivals.most[kind] == 1 or not alone, said
+                if ran == RAN:
+                    assert statuses[kind] == 200, said
+                elif ran == NEVER:
+                    assert statuses[kind] == 503, said
+                elif kind == "pay":  # refused would say that a further try is harmless
+                    assert statuses[kind] not in (200, 429, 503), said
+                else:
+                    assert statuses[kind] != 200, said
+
+    async def ask(made: Rig, kind: str) -> int:
+        client = await made.client()
+        await client.send(request(kind, f"/{kind}/x", budget=850, body=b"" if kind == "read" else b"body"))
+        status = int((await client.until(b"\r\n"))[9:12])
+        length = (await client.until(b"\r\n\r\n")).lower().partition(b"content-length: ")[2].split()
+        await client.exactly(int(length[0]))
+        assert client.buffer == b""  # exactly one
+        return status
+
+    async def work() -> None:
+        async with asyncio.TaskGroup() as tasks:
+            for number, limits in enumerate(SETTINGS):
+                tasks.create_task(one(number, limits))
+
+    play(work())
+
+
+class Narrow:
+    """A dialer on whose connections the kernel holds little of what is written."""
+
+    def __init__(self, real: Any) -> None:
+        self.real = real
+
+    def dial(self, address: Any, deadline: float, factory: Any, up: Any, ended: Any) -> Any:
+        def made(quiet: Any) -> Any:
+            quiet.args[0].setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            return factory(quiet)
+
+        return self.real.dial(address, deadline, made, up, ended)
+
+
+async def narrow(made: Rig) -> None:
+    """Started, with all targets up; a body of 60 kB is more than the kernel takes for any of them."""
+    for target in made.targets:
+        target.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    made.dialer.real = Narrow(made.dialer.real)
+    await made.start()
+
+
+@CANCEL
+@LEAVES
+@pytest.mark.parametrize("read", [0, 30, 5000], ids=["head-unread", "in-the-head", "in-the-body"])
+def test_broken_before_its_last_byte_an_unsafe_request_is_sent_again(
+    tmp_path: Path, how: str, cancel: bool, read: int
+) -> None:
+    async def work() -> None:
+        async with rig(tmp_path, targets=2, settings=params(limits={"cancel": cancel})) as made:
+            await narrow(made)
+            client = await made.client()
+            await client.send(request("c1", "/pay/x", body=bytes(60_000)))
+            target = await made.see(lambda: next((one for one in made.targets if one.waiting()), None))
+            await target.links[0].exactly(read)
+            assert not made.proxy.engine.tally.of("pay").upstream_tries  # its last byte is still here
+            target.links[0].leave(how)
+            link, whole = await first(made)
+            assert len(whole) > 60_000
+            await link.send(OK)
+            await client.until(b"hi")
+            assert [one.calls for one in made.targets if one is not target] == [["c1"]] and not target.calls
+
+    play(work())
+
+
+@CANCEL
+@pytest.mark.parametrize("early", [OK, ERROR, FULL], ids=["served", "error", "full"])
+def test_an_answer_before_the_last_byte_of_its_request(tmp_path: Path, cancel: bool, early: bytes) -> None:
+    # What is not written then is not written any more, and the connection goes with it.
+    async def work() -> None:
+        async with rig(tmp_path, targets=2, settings=params(limits={"cancel": cancel})) as made:
+            await narrow(made)
+            client = await made.client()
+            await client.send(request("c1", "/pay/x", body=bytes(60_000)))
+            target = await made.see(lambda: next((one for one in made.targets if one.waiting()), None))
+            await target.links[0].until(b"\r\n\r\n")
+            await target.links[0].send(early)
+            if early is FULL:
+                link, _ = await first(made)
+                await link.send(OK)
+            status = (await client.until(b"\r\n"))[9:12]
+            assert status == (b"502" if early is ERROR else b"200")
+            await target.links[0].gone()
+            assert len(target.links[0].buffer) < 60_000 and not target.calls
+            assert sum(len(one.calls) for one in made.targets) == (early is FULL)
+
+    play(work())
+
+
+@CANCEL
+@pytest.mark.parametrize(("ends", "again"), [("reset", True), ("fin", False)])
+def test_an_unsafe_request_on_an_idle_connection_that_ends_between_look_and_write(
+    tmp_path: Path, cancel: bool, ends: str, again: bool
+) -> None:
+    # Behind a reset the write fails and nothing has gone; behind an end in order the kernel takes all of it,
+    # and only the target could tell that it never ran.
+    async def work() -> None:
+        async with rig(tmp_path, targets=2, settings=params(limits={"cancel": cancel})) as made:
+            await started(made, s2="draining")
+            ends_at_the_look(*await idle(made), ends, False, lambda: listed(made, s2="up"))
+            client = await made.client()
+            await client.send(request("c1", "/pay/x", body=b"money"))
+            if again:
+                link = await made.targets[1].taken()
+                await link.send(OK)
+            assert (await client.until(b"\r\n"))[9:12] == (b"200" if again else b"502")
+            written = made.proxy.engine.tally.of("pay").upstream_tries
+            assert (written, made.targets[1].calls) == (1, ["c1"] if again else [])
+
+    play(work())
+
+
+class Astray:
+    """A dialer whose first dial goes to nobody who would take it, and is soon given up."""
+
+    def __init__(self, real: Any, address: Any) -> None:
+        self.real, self.address = real, address
+
+    def dial(self, address: Any, deadline: float, factory: Any, up: Any, ended: Any) -> Any:
+        if self.address:
+            address, self.address, deadline = self.address, None, self.real.loop.time() + 0.02
+        return self.real.dial(address, deadline, factory, up, ended)
+
+
+@CANCEL
+@pytest.mark.parametrize("why", ["refused", "never-up"])
+def test_what_never_connected_is_sent_again_and_once_only(tmp_path: Path, cancel: bool, why: str) -> None:
+    async def work() -> None:
+        async with rig(tmp_path, targets=2, settings=params(limits={"cancel": cancel})) as made:
+            await made.start()
+            with socket.socket() as nobody, contextlib.ExitStack() as waiting:
+                nobody.bind(("127.0.0.1", 0))
+                if why == "never-up":
+                    nobody.listen(0)  # nobody accepts, and two wait at the most
+                    for _ in range(4):
+                        one = waiting.enter_context(socket.socket())
+                        one.setblocking(False)
+                        one.connect_ex(nobody.getsockname())
+                made.dialer.real = Astray(made.dialer.real, nobody.getsockname())
+                client = await made.client()
+                await client.send(request("c1", "/pay/x", body=b"money"))
+                link, _ = await first(made)
+                await link.send(OK)
+                await client.until(b"hi")
+                endings = made.proxy.engine.endings
+                assert endings[Ending.REFUSED.value if why == "refused" else Ending.DIAL_EXPIRED.value] == 1
+                assert [call for target in made.targets for call in target.calls] == ["c1"]
+
+    play(work())
+
+
+# Answers that do not keep to their request
+
+
+@CANCEL
+@pytest.mark.parametrize("kind", ["read", "pay"])
+def test_a_second_answer_that_comes_late_is_nobody_s(tmp_path: Path, cancel: bool, kind: str) -> None:
+    # The connection is given back already, and the next request is on its way at once: what comes there now
+    # was made for the last one, and nothing in it says so.
+    async def work() -> None:
+        async with rig(tmp_path, settings=params(limits={"cancel": cancel})) as made:
+            await made.start()
+            client = await made.client()
+            await client.send(request("c1", f"/{kind}/x", body=b"" if kind == "read" else b"money"))
+            link = await made.targets[0].taken()
+            await link.send(OK)
+            await client.until(b"hi")
+            await client.send(request("c2", f"/{kind}/x", body=b"" if kind == "read" else b"money"))
+            await made.see(lambda: made.proxy.engine.owed)
+            await link.send(OK.replace(b"hi", b"no"))
+            other = await made.targets[0].taken()
+            await other.send(OK.replace(b"hi", b"mi"))
+            assert (await client.until(b"mi")).startswith(b"HTTP/1.1 200 ") and await link.gone()
+            assert made.targets[0].calls == ["c1", "c2"]
+            # One that has rested is used again, and what came on it till then was noticed.
+            [connection] = made.proxy.forwards.pools["s1"].idle
+            await made.see(lambda: made.loop.time() > connection.idle_since + SETTLE)
+            await client.send(request("c3", f"/{kind}/x", body=b"" if kind == "read" else b"money"))
+            await made.targets[0].ask(other)
+            await other.send(OK)
+            await client.until(b"hi")
+            assert not made.targets[0].waiting()
+
+    play(work())
+
+
+# Targets that move or drain
+
+
+@pytest.mark.parametrize("at", ["idle", "out", "in-a-dial", "in-a-late-dial"])
+def test_a_target_that_moves_leaves_nothing_to_its_new_address(tmp_path: Path, at: str) -> None:
+    # What was dialled at the old address is never used for the new one, whenever it is given back.
+    async def work() -> None:
+        async with rig(tmp_path, targets=2) as made:
+            await started(made, s2="draining")
+            old, new = made.targets
+            client = await made.client()
+            link = None
+            if at == "idle":
+                link, _ = await idle(made)
+            making = Making(made.dialer.real)
+            if at != "idle":
+                made.proxy.forwards.dialer = making if at != "out" else made.dialer  # type: ignore[assignment]
+                await client.send(request("c1", budget=1900))
+            if at == "out":
+                link = await old.taken()
+            elif at != "idle":
+                await making.came.wait()
+                made.proxy.forwards.dialer = made.dialer  # type: ignore[assignment]
+            group, entries = made.proxy.group, [entry("s1", new)]
+            pool = made.proxy.forwards.pools["s1"]
+            group.learn({"index": group.index + 1, "snapshot": True, "endpoints": entries})
+            if at == "in-a-late-dial":  # the grace is over
+                assert pool.down_since is not None
+                pool.down_since -= made.proxy.forwards.rules.drain_grace
+            if at in ("in-a-dial", "in-a-late-dial"):
+                making.ups[0]()
+            if at == "in-a-dial":
+                link = await old.taken()
+            if at in ("out", "in-a-dial") and link:
+                await link.send(OK)
+                await client.until(b"hi")
+            if link:
+                assert await link.gone()
+            made.later(new.serve())
+            if at == "in-a-late-dial":  # nobody else has room for it
+                await client.until(b"refused\n")
+            await client.send(request("c2"))
+            await client.until(b"hi")
+            before = {"idle": ["before"], "in-a-late-dial": []}.get(at, ["c1"])
+            assert old.calls == before and new.calls[-1] == "c2"
+
+    play(work())
+
+
+@pytest.mark.parametrize("way", ["dial", "idle", "copy", "probe"])
+def test_nothing_is_written_to_a_target_whose_grace_is_over(tmp_path: Path, way: str) -> None:
+    async def work() -> None:
+        async with rig(tmp_path, targets=2, settings=brisk(probing=True)) as made:
+            await started(made, s2="up" if way == "copy" else "draining")
+            forwards = made.proxy.forwards
+            client = await made.client()
+            first_at = None
+            if way == "idle":
+                await idle(made)
+            if way == "copy":
+                await client.send(request("c1"))
+                first_at, _ = await first(made)
+            made.dialer.holding = True
+            if way == "dial":
+                await client.send(request("c1"))
+            if way in ("dial", "copy"):
+                await made.dialer.came.wait()
+            kept = {name: pool.address for name, pool in forwards.pools.items()}
+            drains = [n for n, t in zip(("s1", "s2"), made.targets, strict=True) if first_at not in t.links]
+            for name in drains:
+                forwards.listed(name, kept[name], False)
+                pool = forwards.pools[name]
+                assert pool.down_since is not None and not pool.idle
+                pool.down_since -= forwards.rules.drain_grace
+            if way in ("idle", "probe"):
+                over = Ended(made.loop.time() + 5.0)
+                (forwards.probe if way == "probe" else partial(forwards.forward, message()))("s1", over)
+                assert over.endings == [Ending.TOO_LATE]
+            made.dialer.let_go()
+            if way == "copy" and first_at:
+                await made.see(lambda: made.proxy.engine.endings[Ending.TOO_LATE.value])
+                await first_at.send(OK)
+                await client.until(b"hi")
+            if way == "dial":
+                await made.see(lambda: made.proxy.engine.endings[Ending.TOO_LATE.value])
+            said = [target.calls for n, target in zip(("s1", "s2"), made.targets, strict=True) if n in drains]
+            assert all(calls in ([], ["before"]) for calls in said)
+            for target in made.targets:
+                while target.waiting():
+                    assert await target.links[-1].gone() and target.links[-1].buffer == b""
+
+    play(work())
