--- a/tests/crossings/mutants/lists.py
+++ b/tests/crossings/mutants/lists.py
@@ -112,12 +112,12 @@
     ),
     Mutant(
         "a dial that comes up late sends nothing to what drains by then", FORWARD,
-        "        elif self._drained(run.pool):\n", "        elif False:\n",
+        "elif barred := self._barred(run):\n", "elif (barred := self._barred(run)) and False:\n",
         f"{TESTS}::test_a_dial_that_comes_up_late_sends_nothing_to_what_drains_by_then",
     ),
     Mutant(
         "nothing is begun after the grace, whoever asks for it", FORWARD,
-        "        if self._drained(pool):\n", "        if False:\n",
+        "if down_since is not None and now >= down_since", "if down_since is not None and now < down_since",
         f"{TESTS}::test_whoever_asks_for_it_nothing_is_begun_after_the_grace",
     ),
     Mutant(
