Let a proxy over its memory be killed in its test, and wait for that

Cause: it gave the proxy 16 MB, with which the program does not start ("limits.memory_mb is 16: at least 21 are needed", exit 2): on a quiet machine that exit was the crash that the test saw, and with the machine's look at memory taken out it passed all the same. On a busy one the look came first, and "more than a proxy may hold" was found as well.

Change: 21 MB, with which the program starts and which it holds more than; the test waits for the end of the process, by SIGKILL and no code of its own, and judges the records: both rules are broken. With the look at memory taken out it does not end.

--- a/tests/rehearsal/test_live.py
+++ b/tests/rehearsal/test_live.py
@@ -19,6 +19,7 @@
 from firvane.rehearsal.machines import used
 from firvane.rehearsal.pipe import KINDS, Merger, pack, unpack
 from firvane.rehearsal.plan import claim_net
+from firvane.rehearsal.result import Witness
 from firvane.rehearsal.run import rehearse
 from firvane.rehearsal.stand import stand
 from tests.net_helpers import run
@@ -140,11 +141,40 @@
         rehearse(replace(SMALL, boxes=Boxes(count=10**7)), 1, "live")
 
 
-def test_a_proxy_over_its_memory_is_killed_which_is_a_crash(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("firvane.rehearsal.live.READY_S", 0.5)  # it will not be
-    tight = replace(SMALL, seconds=1.0, troubles=(), proxies=Proxies(count=1, memory_mb=16, back_s=60.0))
-    result = rehearse(tight, 1, "live")
-    assert [(breach.rule, breach.proxy) for breach in result.broken_rules] == [(Rule.CRASHED, "proxy-0")]
+def test_a_proxy_over_its_memory_is_killed_which_is_a_crash(tmp_path: Path) -> None:
+    # The least memory that a proxy starts with, and less than it holds: with any less it would end by itself,
+    # and the run could be over before the one or the other has come.
+    tight = replace(SMALL, troubles=(), proxies=Proxies(count=1, memory_mb=21, back_s=3600.0))
+
+    async def work() -> None:
+        seen: list[Record] = []
+        net, claim = claim_net()
+        live = LiveRun(asyncio.get_running_loop(), tight, 1, seen.append, tmp_path, net)
+        ended = asyncio.Event()
+        hear = live.machines.on_ended
+
+        def heard(number: int, code: int) -> None:
+            hear(number, code)
+            ended.set()
+
+        live.machines.on_ended = heard
+        playing = asyncio.ensure_future(live.play())
+        try:
+            await ended.wait()
+        finally:
+            playing.cancel()
+            live.close()
+            claim.close()
+        live.merger.add(0, 0.0, live.batch)
+        live.merger.end()
+        lives = [(record.state, record.code) for record in seen if isinstance(record, ProxyState)]
+        assert lives[0] == ("started", 0) and lives[-1] == ("ended", -signal.SIGKILL)
+        witness = Witness(tight, 1, "live")
+        for record in seen:
+            witness.see(record)
+        assert {breach.rule for breach in witness.result().broken_rules} == {Rule.CRASHED, Rule.OVER}
+
+    run(work())
 
 
 def test_boxes_alone_serve_any_client_and_discovery_tells_of_them() -> None:
