Begin measuring memory once the proxy has given back what the warm-up took

Change: the warm-up waits until the proxy's descriptors are back to those of before and of its connections to boxes.

--- a/benchmarks/rig/memory.py
+++ b/benchmarks/rig/memory.py
@@ -70,7 +70,9 @@
             await self.clients[-1].answer()
 
     async def warm_up(self) -> None:
-        """Have every path run, so that what is made only once is there."""
+        """Have every path run, so that what is made only once is there, and wait until the proxy has given
+        back what it took: where it is late with that, what comes next seems to cost less than nothing."""
+        before = self.descriptors() - await self.count("connections")
         some = [await Client.make(self.proxy.port) for _ in range(20)]
         for _ in range(5):
             for client in some:
@@ -79,6 +81,8 @@
                 await client.answer()
         for client in some:
             client.writer.close()
+        while self.descriptors() > before + await self.count("connections"):
+            await asyncio.sleep(0.005)
 
     async def count(self, what: str) -> int:
         """`connections` to the boxes, or `open` requests there."""
@@ -92,6 +96,9 @@
             while await self.count("open") < min(at + AT_ONCE, end):
                 await asyncio.sleep(0.005)
 
+    def descriptors(self) -> int:
+        return Usage.of(self.proxy.pid).descriptors
+
     def rss(self) -> float:
         return Usage.of(self.proxy.pid).rss
 
