--- a/tests/crossings/harness.py
+++ b/tests/crossings/harness.py
@@ -185,7 +185,7 @@
             sock, _ = self.sock.accept()
         except BlockingIOError:
             return False
-        self.links.append(Link(sock))
+        self.links.append(Link(sock))  # the test's from now on
         return True
 
     def close(self) -> None:
@@ -219,15 +219,17 @@
         return link
 
     async def serve(self, answer: bytes = OK) -> None:
-        """Answer everybody alike, for ever: run as a task."""
+        """Answer everybody alike, for ever, on the connections taken before as well: run as a task."""
 
         async def one(link: Link) -> None:
-            with contextlib.suppress(EOFError, OSError):
-                while True:
+            with contextlib.suppress(EOFError, OSError, ValueError):  # one that the test has ended
+                while link.sock.fileno() >= 0:
                     await self.ask(link)
                     await link.send(answer)
 
         async with asyncio.TaskGroup() as tasks:
+            for link in self.links:
+                tasks.create_task(one(link))
             while True:
                 tasks.create_task(one(await self.link()))
 
@@ -327,12 +329,20 @@
 class Rig:
     """A whole proxy in this loop, one agent, and targets `s1`, `s2`, …; `proxy`, `dialer` are its seams."""
 
-    def __init__(self, folder: Path, targets: int, settings: dict[str, Any], changes: dict[str, Any]) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        targets: int,
+        settings: dict[str, Any],
+        changes: dict[str, Any],
+        env: dict[str, str] | None = None,
+    ) -> None:
         self.loop, self.folder = asyncio.get_running_loop(), folder
         self.agent = Agent()
         self.targets = [Target() for _ in range(targets)]
         self.lines: list[str] = []  # the log's
-        self.env = configured(folder, self.agent, settings, **changes)
+        self.port = 0  # for clients
+        self.env = configured(folder, self.agent, settings, **changes) | (env or {})
         log = logs.make("info", "logfmt", self._logged)
         self.proxy = Proxy(self.loop, read_config(self.env), log=log)
         self.dialer = Held(self.proxy.dialer)
@@ -341,6 +351,10 @@
         self.tasks: list[asyncio.Task[Any]] = []
         self.changed = asyncio.Event()
 
+    def read_again(self) -> Any:
+        """The file as it is now, as SIGHUP reads it."""
+        return read_config(self.env, again=True)
+
     def _logged(self, line: str) -> None:
         self.lines.append(line)
         self.changed.set()
@@ -374,18 +388,21 @@
         return self.tasks[-1]
 
     async def client(self) -> Link:
-        """A connection to the proxy."""
-        link = await connect(self.proxy.door.address()[1])
+        """A connection to the proxy; `ConnectionRefusedError` where its door is closed."""
+        self.port = self.port or self.proxy.door.address()[1]  # which a closed door does not tell any more
+        link = await connect(self.port)
         self.clients.append(link)
         return link
 
-    def listener(self, link: Link) -> Any:
-        """The proxy's own end of a client's connection."""
-        return next(
-            listener
-            for listener in self.proxy.front.connections
-            if listener.transport.get_extra_info("peername") == link.sock.getsockname()
-        )
+    async def listener(self, link: Link) -> Any:
+        """The proxy's own end of a client's connection, once there is one."""
+        name = link.sock.getsockname()
+
+        def found() -> Any:
+            all_of_them = self.proxy.front.connections
+            return next((c for c in all_of_them if c.transport.get_extra_info("peername") == name), None)
+
+        return await self.see(found)
 
     async def see(self, what: Callable[[], Any]) -> Any:
         """Turn the loop until this is true: for what only the proxy's own state tells."""
@@ -420,10 +437,14 @@
 
 @contextlib.asynccontextmanager
 async def rig(
-    folder: Path, targets: int = 1, settings: dict[str, Any] | None = None, **changes: Any
+    folder: Path,
+    targets: int = 1,
+    settings: dict[str, Any] | None = None,
+    env: dict[str, str] | None = None,
+    **changes: Any,
 ) -> AsyncIterator[Rig]:
-    """Made, not started: `start` does that. `changes` go into the platform's file."""
-    made = Rig(folder, targets, settings or params(), changes)
+    """Made, not started: `start` does that. `changes` go into the platform's file, `env` beside its name."""
+    made = Rig(folder, targets, settings or params(), changes, env)
     try:
         yield made
     finally:
