Hold no turn of the loop for an overload where the shortest aim is below 40 ms

Need: another customer's settings may have aims of some ms. At fault: Guard.retune took a quarter of the shortest aim as what lateness may cost, 1.25 ms of 5, while the loop's clock counts whole ms and a turn with requests in it takes some 3 ms. Ruled out: load (300 requests, 10 ms apart).

Change: that quarter is 10 ms at the least; aims of 40 ms and more are judged as before.

--- a/firvane/net/guard.py
+++ b/firvane/net/guard.py
@@ -22,6 +22,7 @@
 
 PERIOD = 0.25  # s from one look at what is used to the next
 LATE = 0.25  # of the shortest aim: a loop that is this late costs requests their worth
+LEAST_LATE = 0.01  # s, whatever the aim: the loop counts whole ms, and a turn with requests takes some 3
 WAIT = 0.1  # of the shortest aim: the longest that a request may wait for its turn
 CORE = 1500.0  # requests a second that a core carries at the least, until that is seen
 STATM, PAGE = "/proc/self/statm", resource.getpagesize()
@@ -90,7 +91,8 @@
     def retune(self, settings: api.Settings) -> None:
         """How late a turn, and how long a wait, is too long: by the shortest aim."""
         aim = min(cls.aim for cls in settings.classes)
-        self.late, self.turns.most_wait = LATE * aim, WAIT * aim
+        # Aims shorter than any turn must not make each turn a sign of overload, for that would never end.
+        self.late, self.turns.most_wait = max(LEAST_LATE, LATE * aim), WAIT * aim
 
     def start(self) -> None:
         self.loop.call_at(self.loop.time() + PERIOD, self._look, self.loop.time() + PERIOD)
