Turn bad settings down whole, in one line with file, key and mend; test other customers'

Need: settings come from other customers, and bad ones must end in one line at start and change nothing at SIGHUP. Nothing played the program on settings other than its own.

Only how they compare counts, so all are now alike; - an aim of 0 divided by zero at each answer and in the guard's look, which then never came again: turned down; - a name with half a character (as JSON lets pass) ended in a traceback at start, and at SIGHUP in settings half taken over, since front.retune came after engine.retune: turned down; - a zone above 255 does not fit the rows: traceback at start; turned down. ops with few sockets likewise: the door's 20 descriptors were not counted; - null: limits.sockets, measures, seed and others took it for a value, and the shape of a file at SIGHUP for a key that is there; it counts as absent now. A name of null was served as 'None'; - two classes or tenants of one name: the first was never served; flags, weights, counted-by and log of a wrong type passed for a no. - a dial-timeout of 0 ns can serve nobody: turned down.

Change: the checks stand in the settings' one parser; the platform's reader puts the file in front, and an address from the environment names its variable. Two older tests wanted the line to begin with the key: they now want the file before it, which is stricter.

Tests: 26 customers, odd names, what is not allowed (retry-after, cancel, second copies, send-cap, peers, probing), deadlines of 100 ms and 10 s, 35 bad files at start and at SIGHUP, any value in any place.

--- a/firvane/cli/check.py
+++ b/firvane/cli/check.py
@@ -52,7 +52,8 @@
         try:
             told = read_config({"NODE_CONFIG": file})
         except (ValueError, OSError) as error:
-            raise checked.Faults([checked.Fault(file, "", str(error).removeprefix(f"{file} "))]) from None
+            why = str(error).removeprefix(file).lstrip(": ")
+            raise checked.Faults([checked.Fault(file, "", why)]) from None
         return f"the platform's configuration of {told.name}, {len(told.settings.classes)} classes"
     if form == "policy":
         from pathlib import Path
--- a/firvane/cli/policy.py
+++ b/firvane/cli/policy.py
@@ -93,7 +93,7 @@
     try:
         return read_config({**os.environ, "NODE_CONFIG": file})
     except ValueError as error:
-        raise Bad(f"{file}: {error}") from None
+        raise Bad(str(error)) from None
 
 
 @command.command("propose")
--- a/firvane/config/platform.py
+++ b/firvane/config/platform.py
@@ -11,9 +11,11 @@
 from firvane.address import Address, parse_address
 from firvane.config.node import Config, PolicyTold
 from firvane.limits.costs import derive
+from firvane.limits.descriptors import LEAST
 from firvane.logs import FORMATS, LEVELS
-from firvane.settings import is_number, parse_settings, shape
+from firvane.settings import SHOWN, is_number, parse_settings, shape
 
+DOOR = 20  # descriptors that the operators' door keeps, as in ops/desk.py
 LIMITS = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}  # where the configuration says nothing
 
 
@@ -21,11 +23,11 @@
     """The configuration; `ValueError` or `OSError` with a plain message where it is of no use.
 
     The environment goes before the file at the start; where the file is read `again` it is the other way,
-    since the environment is as old as the process.
+    since the environment is as old as the process. A message is one line: the file, the key, and the mend.
     """
     path = environment.get("NODE_CONFIG")
     if not path:
-        raise ValueError("NODE_CONFIG is not set")
+        raise ValueError("NODE_CONFIG is not set: give the path of the configuration")
     with open(path, encoding="utf-8") as file:
         try:
             data = json.load(file)
@@ -35,44 +37,66 @@
             raise ValueError(f"{path} is nested too deep") from None
     if not isinstance(data, dict):
         raise ValueError(f"{path} does not hold an object")
+    try:
+        # Whatever holds null is as if it were not there, here as in the settings.
+        told = {key: value for key, value in data.items() if value is not None}
+        return _read(told, environment, again)
+    except ValueError as error:
+        # One line whatever a value holds, and the file that is to be mended.
+        raise ValueError(f"{path}: {' '.join(str(error).split())}") from None
+
+
+def _read(data: dict[str, Any], environment: Mapping[str, str], again: bool) -> Config:
+    """The configuration that the file's object holds; `ValueError` names the key."""
 
     def address(key: str, variable: str = "") -> Address:
+        given = [(environment.get(variable), variable), (data.get(key), key)]
+        (first, name), second = reversed(given) if again else given
+        value, name = (first, name) if first else second
         try:
-            given = [environment.get(variable), data.get(key)]
-            first, second = reversed(given) if again else given
-            return parse_address(first or second)
+            return parse_address(value)
         except ValueError as error:
-            raise ValueError(f"{key}: {error}") from None
-
-    def names(key: str) -> tuple[str, ...]:
-        values = (data.get("settings") or {}).get(key) or []
-        if not isinstance(values, list):
-            raise ValueError(f"settings: {key} is not a list")
-        return tuple(map(str, values))
+            raise ValueError(f"{name or key}: {error}") from None
 
     raw = data.get("settings")
     if not isinstance(raw, dict):
         raise ValueError("settings is missing or not an object")
+
+    def names(key: str) -> tuple[str, ...]:
+        values = raw.get(key)
+        if values is not None and not isinstance(values, list):
+            raise ValueError(f"settings: {key} is not a list: put it in brackets")
+        return tuple(map(str, values or ()))
+
     settings = replace(parse_settings(raw), recovery=_recovery(data.get("recovery")))
-    limits = data.get("limits") or {}
+    limits = data.get("limits", {})
     if not isinstance(limits, dict):
         raise ValueError("limits is not an object")
-    numbers = {key: limits.get(key, most) for key, most in LIMITS.items()}
+    numbers = {key: most if (value := limits.get(key)) is None else value for key, most in LIMITS.items()}
     for key, value in numbers.items():
         if not is_number(value):
             raise ValueError(f"limits.{key} is {value!r}, not a number")
-    derive(numbers["memory_mb"], int(numbers["sockets"]), numbers["cores"])
+    ops = address("ops", "NODE_OPS") if data.get("ops") or environment.get("NODE_OPS") else None
+    sockets = int(numbers["sockets"])
+    derive(numbers["memory_mb"], sockets, numbers["cores"])
+    # The operators' door takes its part of them before the proxy deals out the rest.
+    if ops and sockets < (least := LEAST + DOOR):
+        raise ValueError(
+            f"limits.sockets is {sockets}: at least {least} are needed, of which the door of ops keeps {DOOR}"
+        )
     kept = data.get("recovery") or {}
-    log = _log(environment, data.get("log") or {})
-    peers = data.get("peers") or []
+    log = _log(environment, data.get("log", {}))
+    peers = data.get("peers", [])
     if not isinstance(peers, list):
         raise ValueError("peers is not a list")
     try:
         seed = int(str(data.get("seed", "0")), 16)
+    except ValueError:
+        raise ValueError(f"seed is {str(data['seed'])[:SHOWN]!r}, not hexadecimal digits") from None
+    try:
         tier = tuple(map(parse_address, peers))
     except ValueError as error:
-        raise ValueError(f"seed or peers: {error}") from None
-    ops = address("ops", "NODE_OPS") if data.get("ops") or environment.get("NODE_OPS") else None
+        raise ValueError(f"peers: {error}") from None
     policy = _policy(data.get("policy"))
     if policy:
         if ops is None or not tier or not data.get("peer_listen"):
@@ -90,7 +114,7 @@
         listen=address("listen", "NODE_LISTEN"),
         discovery=address("discovery", "NODE_DISCOVERY"),
         seed=seed,
-        sockets=int(numbers["sockets"]),
+        sockets=sockets,
         cores=numbers["cores"],
         memory_mb=numbers["memory_mb"],
         peer_listen=address("peer_listen") if data.get("peer_listen") else None,
@@ -121,6 +145,7 @@
         raise ValueError("recovery is not an object")
     wanted: dict[str, type | tuple[type, ...]] = {field.name: bool for field in fields(api.Recovery)}
     wanted |= {"snapshot": str, "snapshot_every": (int, float)}
+    given = {key: value for key, value in given.items() if value is not None}
     for key, value in given.items():
         if key not in wanted:
             raise ValueError(f"recovery.{key} is not one of {', '.join(sorted(wanted))}")
@@ -170,9 +195,11 @@
 
 def _log(environment: Mapping[str, str], given: Any) -> dict[str, str]:
     """How to log: as the file says, or else the environment; `ValueError` for what there is not."""
+    if not isinstance(given, dict):
+        raise ValueError("log is not an object")
     told = {}
     for key, known in (("level", tuple(LEVELS)), ("format", FORMATS)):
-        value = given.get(key) if isinstance(given, dict) else None
+        value = given.get(key)
         told[key] = str(
             value or environment.get(f"FIRVANE_LOG_{key.upper()}") or getattr(Config, f"log_{key}")
         )
--- a/firvane/settings.py
+++ b/firvane/settings.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from dataclasses import replace
 from typing import Any
 
 from firvane.interface import (
@@ -21,6 +22,9 @@
 
 NS = 1e9
 LARGEST = 1e300
+LAST_ZONE = 255  # in a byte of the rows that proxies announce
+SHOWN = 60  # characters of a value that a message shows
+WEIGHTS = ("silent", "nominal", "rough", "live")
 REPEATS = {"pure": Repeat.SAFE, "token": Repeat.KEYED, "side_effect": Repeat.UNSAFE}
 REPORTS = {"piggyback": Reports.ANSWERS, "pull": Reports.PROBES, "silent": Reports.NONE}
 
@@ -30,12 +34,21 @@
     return isinstance(value, int | float) and not isinstance(value, bool) and abs(value) < LARGEST
 
 
+def _shown(value: Any) -> str:
+    """A value as a message shows it: on its line, and not longer than that."""
+    text = repr(value)
+    return text if len(text) <= SHOWN else f"{text[:SHOWN]}..."
+
+
 class _Section:
-    """One object of the settings; names the key that is missing or holds an impossible value."""
+    """One object of the settings; names the key that is missing or holds an impossible value, and the mend.
+
+    A key that holds null counts as absent.
+    """
 
     def __init__(self, values: Any, path: str) -> None:
         if not isinstance(values, dict):
-            raise ValueError(f"settings: {path or 'params'} is not an object")
+            raise ValueError(f"settings: {path or 'params'} is not an object: put it in braces")
         self.values = values
         self.path = path
 
@@ -46,11 +59,19 @@
         value = self.values.get(key)
         value = default if value is None else value
         if value is None:
-            raise ValueError(f"settings: {self._name(key)} is missing")
+            raise ValueError(f"settings: {self._name(key)} is missing: give a number from {low:g} on")
         if not is_number(value):
-            raise ValueError(f"settings: {self._name(key)} is not a number")
+            raise ValueError(
+                f"settings: {self._name(key)} is not a number: {_shown(value)}; give one from {low:g} on"
+            )
         if value < low:
-            raise ValueError(f"settings: {self._name(key)} is {value}, below {low:g}")
+            raise ValueError(f"settings: {self._name(key)} is {value}, below {low:g}: give that or more")
+        return value
+
+    def positive(self, key: str, default: float | None = None) -> float:
+        """A span in seconds that may not be 0: what is reckoned in parts of it would have no end."""
+        if not (value := self.span(key, default)):
+            raise ValueError(f"settings: {self._name(key)} is 0, not above it: give a number above 0")
         return value
 
     def span(self, key: str, default: float | None = None) -> float:
@@ -60,20 +81,39 @@
         value = self.values.get(key)
         value = default if value is None else value
         if value is None:
-            raise ValueError(f"settings: {self._name(key)} is missing")
+            raise ValueError(f"settings: {self._name(key)} is missing: give one of {', '.join(choices)}")
         if not isinstance(value, str) or value not in choices:
-            raise ValueError(f"settings: {self._name(key)} is {value!r}, not one of {', '.join(choices)}")
+            known = ", ".join(choices)
+            raise ValueError(f"settings: {self._name(key)} is {_shown(value)}, not one of {known}")
         return choices[value]
 
     def flag(self, key: str) -> bool:
-        return self.values.get(key) is True
+        """Whether it is allowed; absent: no. Anything else in its place would pass for a no unnoticed."""
+        value = self.values.get(key)
+        if value is not None and not isinstance(value, bool):
+            raise ValueError(f"settings: {self._name(key)} is {_shown(value)}, not true or false")
+        return value is True
+
+    def name(self, key: str = "name") -> str:
+        """A text that can stand in a request; "" where there is none."""
+        value = self.values.get(key)
+        text = "" if value is None else value
+        if not isinstance(text, str):
+            raise ValueError(f"settings: {self._name(key)} is not a text: {_shown(value)}; put it in quotes")
+        try:
+            text.encode()
+        except UnicodeEncodeError:  # half of a pair, as JSON lets pass: no request can hold it
+            raise ValueError(
+                f"settings: {self._name(key)} is {_shown(value)}: half a character, give all of it"
+            ) from None
+        return text
 
     def items(self, key: str) -> list[Any]:
         value = self.values.get(key)
         if value is None:
             return []
         if not isinstance(value, list):
-            raise ValueError(f"settings: {self._name(key)} is not a list")
+            raise ValueError(f"settings: {self._name(key)} is not a list: put it in brackets")
         return value
 
     def sections(self, key: str) -> Iterable[_Section]:
@@ -81,31 +121,43 @@
             yield _Section(item, f"{self._name(key)}[{index}]")
 
     def section(self, key: str, required: bool = False) -> _Section:
-        if required and key not in self.values:
-            raise ValueError(f"settings: {self._name(key)} is missing")
-        return _Section(self.values.get(key) or {}, self._name(key))
+        value = self.values.get(key)
+        if required and value is None:
+            raise ValueError(f"settings: {self._name(key)} is missing: give an object")
+        return _Section({} if value is None else value, self._name(key))
 
 
 def shape(params: dict[str, Any]) -> frozenset[str]:
-    """The keys that are there, of classes and tenants those that each of them has."""
-    found = set(params)
+    """The keys that are there, of classes and tenants those that each of them has; null counts as absent."""
+    found = _told(params)
     for key in ("limits", "obligations"):
         if isinstance(part := params.get(key), dict):
-            found.update(f"{key}.{name}" for name in part)
+            found.update(f"{key}.{name}" for name in _told(part))
     for key in ("classes", "tenants"):
         items = params.get(key)
         if isinstance(items, list) and items and all(isinstance(item, dict) for item in items):
-            found.update(f"{key}[].{name}" for name in set.intersection(*map(set, items)))
+            found.update(f"{key}[].{name}" for name in set.intersection(*map(_told, items)))
     return frozenset(found)
 
 
+def _told(part: dict[str, Any]) -> set[str]:
+    return {key for key, value in part.items() if value is not None}
+
+
+def _once(key: str, names: list[str]) -> None:
+    """Requests name a class or a tenant: of two with one name nobody could tell which is meant."""
+    for index, name in enumerate(names):
+        if (first := names.index(name)) < index:
+            raise ValueError(
+                f"settings: {key}[{index}].name is {_shown(name)}, as in {key}[{first}]: give it its own"
+            )
+
+
 def _request_class(section: _Section) -> RequestClass:
-    if section.number("give-up-ns") <= 0:
-        raise ValueError(f"settings: {section.path}.give-up-ns is 0, not above it")
     return RequestClass(
-        name=str(section.values.get("name", "")),
-        aim=section.span("slo-ns"),
-        deadline=section.span("give-up-ns"),
+        name=section.name(),
+        aim=section.positive("slo-ns"),
+        deadline=section.positive("give-up-ns"),
         worth=section.number("worth", 1.0),
         late_share=section.number("late-share", 0.0),
         repeat=section.choice("repeat", REPEATS),
@@ -124,11 +176,24 @@
     report = top.section("report")
     classes = tuple(_request_class(section) for section in top.sections("classes"))
     if not classes:
-        raise ValueError("settings: classes is missing or empty")
+        raise ValueError("settings: classes is missing or empty: give one at the least")
+    _once("classes", [cls.name for cls in classes])
+    if not any(cls.worth for cls in classes):
+        # Only how they compare counts, and nothing can be compared with 0: then all are alike.
+        classes = tuple(replace(cls, worth=1.0) for cls in classes)
+    tenants = tuple(
+        Tenant(t.name(), t.number("fraction", 0.0), t.number("quota-rps", 0.0))
+        for t in top.sections("tenants")
+    )
+    _once("tenants", [tenant.name for tenant in tenants])
     proxies = int(top.number("siblings", low=1))
     me = int(top.number("me"))
     if me >= proxies:
-        raise ValueError(f"settings: me is {me}, not below siblings, {proxies}")
+        raise ValueError(f"settings: me is {me}, not below siblings, {proxies}: they count from 0")
+    zone = int(top.number("az", 0))
+    if zone > LAST_ZONE:
+        raise ValueError(f"settings: az is {_shown(zone)}, above {LAST_ZONE}: peers are told it in a byte")
+    weights = top.choice("weights", {name: name for name in WEIGHTS}, "silent")
     return Settings(
         me=me,
         proxies=proxies,
@@ -152,22 +217,19 @@
             retry_after=limits.flag("retry-after"),
             max_retry_after=limits.span("max-retry-after-ns", 0.0),
             max_open=int(limits.number("open-cap", 1 << 30)),
-            connect_timeout=limits.span("dial-timeout-ns", 0.25),
+            connect_timeout=limits.positive("dial-timeout-ns", 0.25),
             connection_idle=limits.span("conn-idle-ns", 60.0),
             requests_per_connection=int(limits.number("streams-per-conn", 1)),
         ),
-        tenants=tuple(
-            Tenant(str(t.values.get("name", "")), t.number("fraction", 0.0), t.number("quota-rps", 0.0))
-            for t in top.sections("tenants")
-        ),
-        zone=int(top.number("az", 0)),
+        tenants=tenants,
+        zone=zone,
         zones=max(1, len(top.items("dcs"))),
         ask=top.choice("discovery", {"push": False, "ask": True}, "push"),
-        weighted=top.values.get("weights", "silent") != "silent",
-        live_weights=top.values.get("weights") == "live",
+        weighted=weights != "silent",
+        live_weights=weights == "live",
         reports=report.choice("how", REPORTS, "silent"),
         report_fields=tuple(str(name) for name in report.items("fields")),
-        counted_by_work=top.values.get("counted-by") == "work",
+        counted_by_work=top.choice("counted-by", {"request": False, "work": True}, "request"),
         over_share_worth=top.number("over-share-worth", 1.0),
         warm_keys=top.section("family-info").flag("warm-keys"),
         prices={
--- a/tests/config/test_policy.py
+++ b/tests/config/test_policy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import re
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -197,9 +198,10 @@
     ],
 )  # fmt: skip
 def test_the_platform_s_form_is_checked(key: str, value: Any, why: str, tmp_path: Path) -> None:
-    with pytest.raises(ValueError, match=rf"^policy\.{key}{why}"):
+    file = re.escape(str(tmp_path / "config.json"))
+    with pytest.raises(ValueError, match=rf"^{file}: policy\.{key}{why}"):
         told(tmp_path, **{key: value})
     whole = {"folder": "x", "doors": DOORS}
     for policy, lacks in (([], "is not an object"), ({}, ".folder is missing"), (whole, " needs ops")):
-        with pytest.raises(ValueError, match=f"^policy *{lacks}"):
+        with pytest.raises(ValueError, match=f"^{file}: policy *{lacks}"):
             read_config(platform(tmp_path, policy=policy))
--- /dev/null
+++ b/tests/crossings/mutants/others.py
@@ -0,0 +1,110 @@
+"""Settings of other customers."""
+
+from __future__ import annotations
+
+from tests.crossings.mutants import Mutant
+
+TEST = "tests/crossings/test_others.py"
+
+MUTANTS = [
+    Mutant(
+        "classes of no worth are served alike",
+        "firvane/settings.py",
+        "if not any(cls.worth for cls in classes):",
+        "if False:",
+        f"{TEST}::test_settings_of_a_customer_start_and_serve",
+    ),
+    Mutant(
+        "null counts as absent",
+        "firvane/settings.py",
+        "        value = default if value is None else value\n        if value is None:\n"
+        '            raise ValueError(f"settings: {self._name(key)} is missing: give a number',
+        "        value = value or default\n        if value is None:\n"
+        '            raise ValueError(f"settings: {self._name(key)} is missing: give a number',
+        f"{TEST} -k spans_of_nothing or one_line",
+    ),
+    Mutant(
+        "an aim of nothing is turned down",
+        "firvane/settings.py",
+        'aim=section.positive("slo-ns"),',
+        'aim=section.span("slo-ns"),',
+        f"{TEST} -k aim_of_0 or one_line",
+    ),
+    Mutant(
+        "two classes of one name are turned down",
+        "firvane/settings.py",
+        '    _once("classes", [cls.name for cls in classes])\n',
+        "",
+        f"{TEST}::test_bad_settings_are_one_line_that_names_file_and_key",
+    ),
+    Mutant(
+        "a name is one that a request can hold",
+        "firvane/settings.py",
+        "            text.encode()\n",
+        "            text\n",
+        f"{TEST}::test_bad_settings_are_one_line_that_names_file_and_key",
+    ),
+    Mutant(
+        "a zone has its place in a row",
+        "firvane/settings.py",
+        "    if zone > LAST_ZONE:",
+        "    if zone > 10 * LAST_ZONE:",
+        f"{TEST}::test_bad_settings_are_one_line_that_names_file_and_key",
+    ),
+    Mutant(
+        "a line names the file",
+        "firvane/config/platform.py",
+        "raise ValueError(f\"{path}: {' '.join(str(error).split())}\") from None",
+        "raise",
+        f"{TEST}::test_bad_settings_are_one_line_that_names_file_and_key",
+    ),
+    Mutant(
+        "the door's descriptors are counted before the start",
+        "firvane/config/platform.py",
+        "    if ops and sockets < (least := LEAST + DOOR):",
+        "    if ops and sockets < (least := LEAST):",
+        f"{TEST}::test_the_program_says_it_and_ends_with_2",
+    ),
+    Mutant(
+        "a key that has become null at SIGHUP is missing",
+        "firvane/settings.py",
+        "return {key for key, value in part.items() if value is not None}",
+        "return set(part)",
+        f"{TEST}::test_a_key_that_has_become_null_at_sighup_is_missing",
+    ),
+    Mutant(
+        "Retry-After only where it is allowed",
+        "firvane/engine.py",
+        "flow.client.refused(action.retry_after if self.settings.limits.retry_after else 0.0)",
+        "flow.client.refused(action.retry_after)",
+        f"{TEST}::test_retry_after_only_where_it_is_allowed",
+    ),
+    Mutant(
+        "an attempt is given up only where that is allowed",
+        "firvane/choice.py",
+        "        if self.settings.limits.cancel:\n            self.actions.extend(",
+        "        if True:\n            self.actions.extend(",
+        f"{TEST}::test_cancel_only_where_it_is_allowed",
+    ),
+    Mutant(
+        "peers are told something only where that is allowed",
+        "firvane/choice.py",
+        "        if self.settings.limits.peers and self.settings.proxies > 1:",
+        "        if self.settings.proxies > 1:",
+        f"{TEST}::test_peers_hear_something_only_where_it_is_allowed",
+    ),
+    Mutant(
+        "a deadline holds whatever it is",
+        "firvane/net/front.py",
+        "return request, min(int(budget) / 1000, cls.deadline)",
+        "return request, int(budget) / 1000",
+        f"{TEST}::test_a_deadline_holds_whatever_it_is",
+    ),
+    Mutant(
+        "a short aim is no overload",
+        "firvane/net/guard.py",
+        "max(LEAST_LATE, LATE * aim)",
+        "LATE * aim",
+        f"{TEST}::test_what_any_turn_takes_is_no_pressure_however_short_the_aim",
+    ),
+]
