--- a/tests/crossings/mutants/others.py
+++ b/tests/crossings/mutants/others.py
@@ -15,20 +15,20 @@
         f"{TEST}::test_settings_of_a_customer_start_and_serve",
     ),
     Mutant(
-        "null counts as absent",
+        "0 is a value, null is none",
         "firvane/settings.py",
         "        value = default if value is None else value\n        if value is None:\n"
         '            raise ValueError(f"settings: {self._name(key)} is missing: give a number',
         "        value = value or default\n        if value is None:\n"
         '            raise ValueError(f"settings: {self._name(key)} is missing: give a number',
-        f"{TEST} -k spans_of_nothing or one_line",
+        f"{TEST}::test_settings_of_a_customer_start_and_serve",
     ),
     Mutant(
         "an aim of nothing is turned down",
         "firvane/settings.py",
         'aim=section.positive("slo-ns"),',
         'aim=section.span("slo-ns"),',
-        f"{TEST} -k aim_of_0 or one_line",
+        f"{TEST}::test_bad_settings_are_one_line_that_names_file_and_key",
     ),
     Mutant(
         "two classes of one name are turned down",
--- a/tests/crossings/test_others.py
+++ b/tests/crossings/test_others.py
@@ -767,8 +767,8 @@
 # Of the sites that the operators have given.
 GIVEN = [
     "profile-view", "profile-web", "lagos", "abuja", "ibadan", "ikeja", "lekki", "yaba", "big-box",
-    "small-box",     "rate-lookup", "transit-check", "quote-save", "rate-workers", "std-box", "mobay-port", "montego",
-    "falmouth",
+    "small-box", "rate-lookup", "transit-check", "quote-save", "rate-workers", "std-box", "mobay-port",
+    "montego", "falmouth",
 ]  # fmt: skip
 # Stand-ins for a fleet, and the help of the operators' commands: no proxy loads them.
 ASIDE = ("fleet", "cli", "rehearsal", "control", "rollout")
