Tell in the test of doors by the kernel's word whether a try hangs, on a net of the run's own

The test dialled a fixed address, which two runs of the tests at once both took, and took a try that the loop had not seen up within 0.1 s for one that hangs: a stall of the test looked like a door that does not answer. It then reset the newest connection that it knew, which was the first one where the loop had not accepted the second yet: the other end waited for a reset that went elsewhere.

Change: a net that is claimed; the state of the socket in the kernel's table, which a stall does not change; and the connection whose far end is the one that is awaited.

--- a/tests/rehearsal/test_standins.py
+++ b/tests/rehearsal/test_standins.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 import pytest
 from hypothesis import given
@@ -11,7 +12,7 @@
 
 from firvane.fleet.records import Arrived, BoxState, Dropped, Finished, Probed, Sent
 from firvane.rehearsal.doors import Door, SocketDoor, reset
-from firvane.rehearsal.plan import Plan
+from firvane.rehearsal.plan import Plan, claim_net
 from firvane.rehearsal.relay import Relay
 from firvane.rehearsal.wire import AnyJobs, Ask, Seals, field, head_of, quick_answer, quick_ask
 from tests.net_helpers import run as on_sockets
@@ -233,26 +234,34 @@
 
 # Doors on real sockets
 
+SYN_SENT = 2  # in the kernel's table of states
+
 
 def test_a_door_takes_refuses_and_hangs_and_resets_are_told() -> None:
     async def work() -> None:
         loop = asyncio.get_running_loop()
         made: list[Noted] = []
-        address = ("127.19.0.1", 7007)
+        net, claim = claim_net()  # another run of the tests has another
+        address = (f"127.{net}.0.1", 7007)
 
         def factory() -> Noted:
             made.append(Noted())
             return made[-1]
 
+        def theirs(one: Noted) -> object:
+            return one.transport and one.transport.get_extra_info("peername")
+
         async def dial() -> str:
-            try:
-                async with asyncio.timeout(0.1):
-                    await loop.create_connection(asyncio.Protocol, *address)
-            except TimeoutError:
-                return "hangs"
-            except ConnectionRefusedError:
-                return "refused"
-            return "up"
+            """What the kernel says of it: a try that it has not answered within 0.1 s hangs."""
+            with socket.socket() as sock:
+                sock.setblocking(False)
+                sock.connect_ex(address)
+                until = loop.time() + 0.1
+                while sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == SYN_SENT:
+                    if loop.time() > until:
+                        return "hangs"
+                    await asyncio.sleep(0.001)
+                return "refused" if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) else "up"
 
         door: Door = SocketDoor(loop, address, factory)
         try:
@@ -261,12 +270,13 @@
             door.hang()
             assert [await dial() for _ in range(3)] == ["hangs"] * 3
             door.accept()
-            _, near = await loop.create_connection(Noted, *address)
-            while not made or made[-1].transport is None:
+            transport, near = await loop.create_connection(Noted, *address)
+            ours = transport.get_extra_info("sockname")
+            while not (far := [one for one in made if theirs(one) == ours]):
                 await asyncio.sleep(0)
             door.refuse()
             assert await dial() == "refused"
-            reset(made[-1].transport)
+            reset(far[0].transport)
             while len(near.heard()) < 2:
                 await asyncio.sleep(0)
             assert near.heard()[-1] == "ConnectionResetError"
@@ -274,6 +284,7 @@
             assert await dial() == "hangs"
         finally:
             door.refuse()
+            claim.close()
 
     on_sockets(work())
 
