Let a proxy in virtual time ask its connections whether their clients stand

Need: a client that sends much at once and goes is noticed by asking the kernel (`stands`).

Cause: `LoopDoor.open` knows no transport when the protocol is made. `MemoryDoor` takes the connection that is being accepted from the listening side, and hands over its `stands`: no end or reset has arrived, however much lies unread before it.

Checked: who does not read hears of neither end nor reset, in memory as on uvloop's sockets, with and without bytes unread before it. That was right already; one test now runs both loops and compares.

--- a/firvane/rehearsal/arrivals.py
+++ b/firvane/rehearsal/arrivals.py
@@ -174,6 +174,13 @@
         flight = self.flight
         return not (self.inbox or (flight and flight[0][0] <= self.memory.loop.now))
 
+    def stands(self) -> bool:
+        """Whether the other side has neither ended nor reset it, as a kernel knows: bytes that lie unread do
+        not hide that, nor does a pause in reading."""
+        now = self.memory.loop.now
+        arrived = [*self.inbox, *(item for at, item in self.flight if at <= now)]
+        return not (self.closing or self.broken or Mark.END in arrived or Mark.RESET in arrived)
+
     def is_reading(self) -> bool:
         return self.reads
 
--- a/firvane/rehearsal/memory.py
+++ b/firvane/rehearsal/memory.py
@@ -40,10 +40,12 @@
         self.process = PROCESS.get()
         self.context = copy_context()
         self.hangs = False  # neither takes connections nor refuses them
+        self.newcomer: End | None = None  # whose protocol is being made
 
     def accept(self, end: End) -> None:
         """A client is here."""
         if self.is_serving() and not self.hangs:
+            self.newcomer = end
             try:
                 protocol = self.context.copy().run(self.factory)
             except Exception as error:
--- a/firvane/rehearsal/virtual_proxy.py
+++ b/firvane/rehearsal/virtual_proxy.py
@@ -9,12 +9,13 @@
 import logging
 from collections.abc import Callable
 from functools import partial
-from typing import Any, Generic, TypeVar
+from typing import Any, Generic, TypeVar, cast
 
 from firvane.config.node import Config
 from firvane.endings import Ending
 from firvane.logs import Log
-from firvane.net.dial import Dialing, Quiet
+from firvane.net.dial import Dialing, Quiet, always
+from firvane.net.door import Accept, LoopDoor
 from firvane.net.guard import Usage
 from firvane.proxy import Proxy
 from firvane.rehearsal.memory import Memory
@@ -92,6 +93,18 @@
     def close(self) -> None: ...
 
 
+class MemoryDoor(LoopDoor):
+    """A proxy's way in, in memory: whoever is accepted can be asked whether it has left, as a kernel can."""
+
+    async def open(self, address: tuple[str, int], accept: Accept) -> None:
+        def made() -> asyncio.BaseProtocol:
+            assert server.newcomer
+            return accept(always, server.newcomer.stands)
+
+        server = cast(VirtualLoop, self.loop).memory.listen(address, made)
+        self.server = cast(asyncio.Server, server)
+
+
 class Marked:
     """Lets answers tell which file a proxy's policy is from, where there is no agreement that would."""
 
@@ -146,6 +159,7 @@
             keeper=keeper, agreement=agreement,
         )  # fmt: skip
         self.proxy = process.call(make)
+        self.proxy.door = MemoryDoor(self.loop)
         if epoch:
             self.proxy.front.agreement = Marked(epoch)
         if self.shim:
--- a/tests/rehearsal/test_memory.py
+++ b/tests/rehearsal/test_memory.py
@@ -13,12 +13,13 @@
 from hypothesis import strategies as st
 
 from firvane.rehearsal.arrivals import READ
+from firvane.rehearsal.doors import reset
 from firvane.rehearsal.link import HIGH, WINDOW
 from firvane.rehearsal.memory import MOST_DATAGRAMS
 from firvane.rehearsal.process import Process
 from firvane.rehearsal.virtual import VirtualLoop as Loop
 from firvane.rehearsal.zones import Zones
-from tests.net_helpers import seeded
+from tests.net_helpers import run, seeded
 from tests.rehearsal.virtual_helpers import CLIENT, SERVER, Filled, Net, Noted, pair, virtual
 
 RESET = "ConnectionResetError"
@@ -188,6 +189,74 @@
     assert far.heard()[-1] == "lost" and near.heard()[-1] == RESET
 
 
+async def _gone_behind_bytes(
+    loop: asyncio.AbstractEventLoop, factory: Any, address: tuple[str, int], by_reset: bool, unread: bool
+) -> tuple[list[Any], list[Any]]:
+    """What a side hears that does not read while the other one leaves, and what it hears once it reads."""
+    made: list[Any] = []
+    came = asyncio.Event()
+
+    def accept() -> Any:
+        made.append(factory())
+        came.set()
+        return made[0]
+
+    server = await loop.create_server(accept, *address)
+    client, _ = await loop.create_connection(asyncio.Protocol, *server.sockets[0].getsockname()[:2])
+    await came.wait()
+    await asyncio.sleep(0.05)
+    far = made[0]
+    far.transport.pause_reading()
+    if unread:
+        client.write(b"behind this")
+        await asyncio.sleep(0.05)
+    reset(client) if by_reset else client.close()
+    await asyncio.sleep(0.2)
+    before = list(far.heard())
+    far.transport.resume_reading()
+    await asyncio.sleep(0.2)
+    server.close()
+    return before, far.heard()
+
+
+@pytest.mark.parametrize("unread", [False, True])
+@pytest.mark.parametrize("by_reset", [False, True])
+def test_who_does_not_read_notices_neither_an_end_nor_a_reset_as_on_sockets(
+    by_reset: bool, unread: bool
+) -> None:
+    # What clients that left unseen are judged by in virtual time must be as it is on the loop of the program.
+    heard: list[Any] = []
+
+    @virtual
+    async def in_memory(loop: Loop, net: Net) -> None:
+        heard.append(await _gone_behind_bytes(loop, Noted, (SERVER[0], 0), by_reset, unread))
+
+    async def on_sockets() -> None:
+        loop = asyncio.get_running_loop()
+        heard.append(await _gone_behind_bytes(loop, Noted, ("127.0.0.1", 0), by_reset, unread))
+
+    in_memory()
+    run(on_sockets())
+    assert heard[0] == heard[1] and heard[0][0] == ["made"] and heard[0][1][-1] in ("lost", RESET)
+
+
+@pytest.mark.parametrize("by_reset", [False, True])
+@virtual
+async def test_a_side_can_be_asked_whether_the_other_stands_behind_bytes_that_lie_unread(
+    loop: Loop, net: Net, by_reset: bool
+) -> None:
+    near, far = await pair(loop)
+    far.transport.pause_reading()
+    near.transport.write(b"unread")
+    await asyncio.sleep(1)
+    assert far.transport.stands() and near.transport.stands()
+    (near.transport.abort if by_reset else near.transport.close)()
+    await asyncio.sleep(0.005)
+    assert far.transport.stands()  # its word is on its way
+    await asyncio.sleep(1)
+    assert not far.transport.stands() and far.heard() == ["made"]
+
+
 @virtual
 async def test_a_cut_is_silent_and_what_was_sent_meanwhile_arrives_after_it(loop: Loop, net: Net) -> None:
     near, far = await pair(loop)
