--- a/benchmarks/situations.py
+++ b/benchmarks/situations.py
@@ -13,6 +13,7 @@
 from itertools import pairwise
 from typing import Any, NamedTuple
 
+from firvane.fleet.judge import LEFT_PART
 from firvane.fleet.network import seats
 from firvane.fleet.records import Arrived, Asked, BoxState, Finished, ProxyState, Record, Rolled, Told
 from firvane.fleet.scenario import Scenario, Trouble
@@ -422,7 +423,17 @@
     return checks
 
 
+def leave(result: Result, sight: Sight) -> Checks:
+    found = result.leavers
+    return [
+        Check("clients that left, of the tries", found.left / result.tries.asked, 0.3, 0.5),
+        Check("of them while their request waited", found.waiting / (found.left or 1), 0.3, 1.0),
+        Check("of these sent on over 0.3 s later", found.share, 0.0, LEFT_PART, True),
+    ]
+
+
 SITUATIONS: dict[str, Situation] = {
+    "clients-leave": leave,
     "roll-good": rolled("done"),
     "roll-bad": rolled("back"),
     "roll-in-a-herd": rolled("done"),
--- a/firvane/fleet/checks.py
+++ b/firvane/fleet/checks.py
@@ -27,17 +27,19 @@
 Found = Iterator[tuple[str, str]]
 
 OF_ONE = re.compile(
-    r"(.*_)?(share|part|loss|chance|error|saves|abandon|vanishing|slow_readers|batch|crowded_from"
+    r"(.*_)?(share|part|loss|chance|error|saves|abandon|vanishing|leaving|leave_reset|slow_readers|batch|crowded_from"
     r"|never|late)$"
 )
 LEAST = {"share": 1e-6, "cores": 0.01, "speed": 0.01, "proxy": -1, "other": -1}  # 0 where it is not here
 LEAST |= {"step_s": -1e9}
-LEAST |= dict.fromkeys(("count", "slots_per_core", "connections", "keys"), 1)
+LEAST |= dict.fromkeys(("count", "slots_per_core", "connections", "keys", "at_once"), 1)
 LEAST |= dict.fromkeys(("quota", "warm_s", "aim_s", "deadline_s", "rate", "work_ms"), 1e-3)
 LEAST |= {"lease_s": 0.5}
+LEAST |= {"leave_s": 1e-3}
 LEAST |= dict.fromkeys(("fall_multiple", "times", "part_speed", "every_s", "beat_s"), 1e-3)
 LEAST |= {"seconds": 1.0, "memory_mb": 21, "sockets": 64, "back_s": 0.01}
 MOST = {"most": 10, "count": 5000, "rate": 200_000.0, "seconds": 86_400.0, "keys": 10_000_000}
+MOST |= {"at_once": 64}
 MOST |= {"body_bytes": 65_536, "popularity": 5.0, "cores": 1024, "fall_chance": 10.0, "connections": 100_000}
 MOST_PROXIES, MOST_VOTERS = 64, 5
 
--- a/firvane/fleet/crowd.py
+++ b/firvane/fleet/crowd.py
@@ -25,6 +25,14 @@
 from firvane.fleet.scenario import Load, Network, Proxies
 
 CHUNK = 64  # arrivals drawn at once, in the mean
+LEAVES = 0x1EAF5  # told apart by it: the draws of who leaves
+
+
+class Leave(NamedTuple):
+    """How a client goes that does not wait for its answer."""
+
+    after: float  # s from when it sent its request
+    by_reset: bool
 
 
 class Try(NamedTuple):
@@ -173,6 +181,19 @@
             marked=habits.marked,
         )
 
+    def leave(self, try_: Try) -> Leave | None:
+        """How the client of this try leaves while it waits; None for one that stays. By its call alone."""
+        load = self.load
+        if not load.leaving:
+            return None
+        bits = mix(int(try_.call, 16) ^ LEAVES)
+        if part(bits) >= load.leaving:
+            return None
+        low, high = load.leave_s
+        bits = mix(bits)
+        after = low + (high - low) * part(bits)
+        return Leave(after, part(mix(bits)) < load.leave_reset)
+
     def burst(self, now: float, community: str, times: float, until: float) -> None:
         """This community asks `times` its usual rate until then. ValueError for one that there is not."""
         which = self._names.index(community)
--- a/firvane/fleet/figures.py
+++ b/firvane/fleet/figures.py
@@ -62,6 +62,19 @@
     spread: list[int] = []  # requests that took 0, 1, 2 ... attempts; the last also what took more
 
 
+class Leavers(Struct, kw_only=True):
+    """Requests whose clients left before their time, those of the warm-up too."""
+
+    left: int = 0
+    waiting: int = 0  # of them, with no attempt out at a box when the client left
+    sent_on: int = 0  # of those that waited, with an attempt that came whole to a box over 0.3 s later
+
+    @property
+    def share(self) -> float:
+        """The part of those that waited that was sent on."""
+        return self.sent_on / self.waiting if self.waiting else 0.0
+
+
 class Waste(Struct, kw_only=True):
     """Work that the boxes did, and what of it made no answer that a client got; warm-up left out."""
 
--- a/firvane/fleet/judge.py
+++ b/firvane/fleet/judge.py
@@ -14,6 +14,11 @@
    virtual time; where a machine may stall it may be a race, and is graded as costing.
 5. A request is forgotten some time after its end: memory is bounded by the rate, not by the length of the
    run.
+6. A request whose client has left while it waited is not sent on `LEFT` s later; over `LEFT_PART` of such
+   cases break a rule. It waited if no attempt of it was out at a box when its client left: none had come
+   whole to one, or all that had were over. One that is sent on that late waited somewhere, whatever else
+   was out. When a client left is known at its own side, when an attempt came whole at the box's; the
+   figure is the operators' own, with no slack. What a proxy was asked before it stood still is left out.
 
 Cold boxes are judged in `cold.py`, what proxies hold in `lives.py`.
 """
@@ -26,6 +31,7 @@
 from typing import Any
 
 from firvane.fleet.cold import ColdBoxes
+from firvane.fleet.figures import Leavers
 from firvane.fleet.lives import LAME, Life, Lives
 from firvane.fleet.records import (
     Abandoned,
@@ -50,12 +56,17 @@
 HELD_PART = 0.5  # of a request's time, after which a refusal without an attempt was held back
 KEPT = 10.0  # s for which a request that is over is remembered, at least
 REFUSALS = (429, 503)
+LEFT = 0.3  # s after its client has left in which a request that waited may still be sent on
+LEFT_PART = 0.25  # of such cases, beyond which they break a rule
 
 
 class Try:
     """One request as its client knows it."""
 
-    __slots__ = ("answered", "asked", "attempts", "due", "ended", "life", "out", "ran", "written")
+    __slots__ = (
+        "answered", "asked", "attempts", "done", "due", "ended", "left", "life", "out", "ran", "unheard",
+        "waited", "written",
+    )  # fmt: skip
 
     def __init__(self, asked: Asked, life: Life) -> None:
         self.asked = asked
@@ -67,6 +78,10 @@
         self.written = False  # whether any was written whole
         self.out: list[str] = []  # the boxes that may still answer
         self.ran = ""  # the box that took it first
+        self.done = False  # a box has made its answer
+        self.unheard = False  # an attempt is out at a box that does not hear it, and never ends there
+        self.left = -1.0  # when its client went before its time; below 0 where it did not
+        self.waited = False  # and nothing of it was out then; or it was sent on late, and has been counted
 
 
 class Judge:
@@ -75,6 +90,8 @@
     def __init__(self, scenario: Scenario, *, strict: bool = True, replay: str = "") -> None:
         self.strict = strict
         self.may_repeat = scenario.load.may_repeat
+        self.leavers = Leavers()
+        self._late: Breach | None = None  # the first that was sent on for a client that had left
         self.findings = Findings(replay)
         self.lives = Lives(scenario, self.findings)
         self.cold = ColdBoxes(scenario.boxes, self.findings)
@@ -88,7 +105,7 @@
             Answered: self._answered,
             Abandoned: self._abandoned,
             Arrived: self._arrived,
-            Finished: lambda record: self._in(record.call, record.box),
+            Finished: self._finished,
             Dropped: lambda record: self._in(record.call, record.box),
             BoxState: self.cold.see,
             Told: lambda record: self.lives.of(record.proxy).told(record),
@@ -108,6 +125,14 @@
         self._pass(at)
         self.cold.end()
         self.lives.end(at)
+        found, late = self.leavers, self._late
+        if late and found.sent_on > LEFT_PART * found.waiting:
+            text = (
+                f"of {found.waiting} requests whose clients left while they waited {found.sent_on} were sent"
+                f" on over {LEFT:g} s later, {found.share:.0%} (at most {LEFT_PART:.0%}); this the first:"
+                f" {late.text}"
+            )
+            self.findings.add(late.rule, late.at, text, call=late.call, box=late.box, proxy=late.proxy)
 
     def breaches(self, grade: Grade = Grade.BROKEN) -> list[Breach]:
         """The findings of one grade in the order of their times."""
@@ -135,6 +160,7 @@
         old = self.tries.get(record.call)
         if old and old.ended < 0:  # sent again on another connection: one request, whose attempts add up
             one.attempts, one.written, one.out, one.ran = old.attempts, old.written, old.out, old.ran
+            one.done, one.unheard = old.done, old.unheard
         else:
             life.open += 1
         self.tries[record.call] = one
@@ -176,8 +202,18 @@
         if record.at >= one.asked.deadline - 0.001:
             self._unanswered(one, record.at)
         else:  # an impatient client: nobody owes it anything
+            self._left(one, record.at)
             self._close(one, record.at)
 
+    def _left(self, one: Try, at: float) -> None:
+        """A client has gone before its time."""
+        if one.life.excuses(one.asked.at):
+            return
+        one.left = at
+        one.waited = not (one.out or one.done or one.unheard)
+        self.leavers.left += 1
+        self.leavers.waiting += one.waited
+
     def _unanswered(self, one: Try, at: float) -> None:
         text = f"not answered by {one.asked.deadline:.3f} s, its time"
         if one.life.excuses(one.asked.at):
@@ -215,9 +251,27 @@
                 self._at_box(Rule.UNKNOWN, record, "no client sent it, or long ago")
             return
         one.written = True
-        if record.verdict != "unheard":
+        if one.left >= 0 and record.at > one.left + LEFT:
+            self._sent_on(one, record)
+        if record.verdict == "unheard":
+            one.unheard = True
+        else:
             self._attempt(one, record)
 
+    def _sent_on(self, one: Try, record: Arrived) -> None:
+        """An attempt for a client that left long ago; a request counts once."""
+        if one.life.excuses(one.asked.at):  # it stood still since
+            return
+        if self._late is None:
+            text = f"asked at {one.asked.at:.3f} s, its client left at {one.left:.3f} s"
+            self._late = Breach(
+                rule=Rule.SENT_ON, at=record.at, text=text, call=record.call, box=record.box,
+                proxy=record.proxy,
+            )  # fmt: skip
+        self.leavers.waiting += not one.waited
+        self.leavers.sent_on += 1
+        one.waited, one.left = True, -1.0
+
     def _at_box(self, rule: Rule, record: Arrived, text: str) -> None:
         self.findings.add(rule, record.at, text, call=record.call, box=record.box, proxy=record.proxy)
 
@@ -239,6 +293,11 @@
             if len(one.out) > AT_ONCE:
                 self._on(one, Rule.COPIES, at, f"out at once at {', '.join(one.out)}", box=box)
 
+    def _finished(self, record: Finished) -> None:
+        if record.wanted and (one := self.tries.get(record.call)):
+            one.done = True
+        self._in(record.call, record.box)
+
     def _in(self, call: str, box: str) -> None:
         """An attempt is out no longer."""
         one = self.tries.get(call)
--- a/firvane/fleet/scenario.py
+++ b/firvane/fleet/scenario.py
@@ -106,6 +106,11 @@
     abandon: Range = (0.34, 1.0)  # part of the deadline after which a try is given up
     connections: int = 40  # kept by the clients of each proxy
     vanishing: float = 0.0  # part of the tries whose client goes away long before its time
+    leaving: float = 0.0  # part of the tries whose client closes its connection `leave_s` after it was sent
+    leave_s: Range = (0.02, 0.6)
+    leave_beat_s: float = 0.0  # and waits for the next beat of that length, so that they leave in a burst
+    leave_reset: float = 0.5  # part of them that leave by a reset, the others by the end of their connection
+    at_once: int = 1  # requests that such a client sends in one write, one behind the other, before it goes
     slow_readers: float = 0.0  # part of the tries whose client lets its answer lie for 0.1 s
     body_bytes: int = 2000  # of an answer
 
@@ -130,6 +135,7 @@
     memory_mb: int = 64
     sockets: int = 512
     back_s: float = 1.0  # from a kill or an end to the next start
+    cancel: bool = True  # whether they may give an attempt up that is out
     recovery: bool = False  # the proxies come back from a power loss by their order of service
     without: Literal["", "trials", "steps", "first-tries", "ask"] = ""  # with one part of that switched off
     snapshots: bool = False  # each keeps what it has learnt on a disk of its own
--- a/firvane/fleet/verdict.py
+++ b/firvane/fleet/verdict.py
@@ -16,6 +16,7 @@
     FOREIGN = "an answer that no box made for it"
     HELD_BACK = "an answer held back"
     AFTER_END = "an attempt after the request's end"
+    SENT_ON = "requests sent on for clients that had left"
     UNKNOWN = "an id that no client sent"
     ATTEMPTS = "too many attempts"
     COPIES = "more than one second copy"
--- a/firvane/rehearsal/clients.py
+++ b/firvane/rehearsal/clients.py
@@ -4,6 +4,9 @@
 2. Every try ends once: answered, cut off (status 0), or given up, and its connection closed, at its deadline.
 3. A request that crosses the close of a connection used before is sent once more, on a new connection.
 4. A client waits for what is slack in the rules beyond its deadline, so that an answer in it is seen.
+5. Clients that leave (`Load.leaving`) close or reset their connection while they wait. Where `at_once` says
+   so, those of one proxy are one client that sends so many requests in one write, when the last of them
+   falls due, on a connection of its own, and leaves them all together.
 """
 
 from __future__ import annotations
@@ -11,16 +14,17 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable, Iterator
-from math import inf
+from math import floor, inf
 from typing import cast
 
 import httptools
 
-from firvane.fleet.crowd import Crowd, Try
+from firvane.fleet.crowd import Crowd, Leave, Try
 from firvane.fleet.records import Abandoned, Answered, Asked, Decided
 from firvane.net.http import Fault, Reader
 from firvane.rehearsal.boxes import Sink
 from firvane.rehearsal.clock import Clock, Timer
+from firvane.rehearsal.doors import reset
 from firvane.rehearsal.front import Front, Seen
 from firvane.rehearsal.plan import Address
 from firvane.rehearsal.wire import Seals, field, head_of, quick_answer
@@ -29,6 +33,7 @@
 SLACK_S = 0.05  # s beyond a deadline in which an answer still counts
 VANISH = (0.05, 0.5)  # part of its time after which a client goes that does not wait
 SLOW_S = 0.1  # s for which a slow reader leaves its answer lying
+EARLY_S = 0.05  # s before its deadline at which one leaves at the latest that leaves early
 FINE = 200
 ORDER = b"Content-Length: 5\r\n\r\ndo it"
 
@@ -158,6 +163,11 @@
             body_of = clients.seals.made_for(body) if status == FINE else ""
             clients.answered(run, clients.clock.now(), bank.name, status, retry_after, body_of)
 
+    def leaves(self) -> list[Run]:
+        """Its client goes: what is still out on it."""
+        run, self.run = self.run, None
+        return [run] if run else []
+
     def _broken(self) -> None:
         """What came is no answer; the client can tell, and hangs up."""
         run, self.run = self.run, None
@@ -166,6 +176,82 @@
             self.bank.clients.answered(run, self.bank.clients.clock.now(), self.bank.name, 0, 0.0, "")
 
 
+class Volley(Connection):
+    """A connection of its own for requests that are sent in one write, and answered in their order."""
+
+    __slots__ = ("runs",)
+
+    def __init__(self, bank: Bank, runs: list[Run]) -> None:
+        super().__init__(bank)
+        self.runs = deque(runs)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        clients = self.bank.clients
+        now = clients.clock.now()
+        self.runs = deque(run for run in self.runs if not run.is_over)
+        for run in self.runs:
+            run.connection, run.sent_at, run.is_asked = self, now, True
+            clients.note_asked(run.try_, self.bank.name, now)
+        if self.runs:
+            self.transport.write(b"".join(clients.request(run.try_, now) for run in self.runs))
+            self._next()
+        else:  # it has gone before it was there
+            self.transport.abort()
+
+    def _next(self) -> None:
+        """On to the next one that is owed an answer."""
+        self.reader = None
+        self.run = self.runs[0] if self.runs else None
+        self.last_call = self.run.try_.call if self.run else self.last_call
+
+    def data_received(self, data: bytes) -> None:
+        clients = self.bank.clients
+        reader = self.reader = self.reader or Reader(httptools.HttpResponseParser)
+        try:
+            reader.feed(data)
+        except Fault:
+            self.transport.abort()  # what is still out ends with it
+            return
+        done = [message for message in reader.done if message.status >= FINE]
+        reader.done.clear()
+        for message in done:
+            if self.run is None:
+                clients.answered_twice(self, data)
+                self.transport.abort()
+                return
+            run, status = self.runs.popleft(), message.status
+            body_of = clients.seals.made_for(b"".join(message.body)) if status == FINE else ""
+            retry_after = _seconds(message.fields.get(b"retry-after", b""))
+            self._decided(message.fields.get(b"x-policy-epoch", b""))
+            self.is_used = True
+            self._next()
+            self.reader = reader  # it may hold the beginning of the next answer
+            clients.answered(run, clients.clock.now(), self.bank.name, status, retry_after, body_of)
+        if done and not self.run:
+            self.transport.close()
+
+    def leaves(self) -> list[Run]:
+        runs, self.run = list(self.runs), None
+        self.runs.clear()
+        return runs
+
+    def eof_received(self) -> None: ...
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """What is out has crossed the end of its connection: it goes once more, each on its own."""
+        bank, clients = self.bank, self.bank.clients
+        bank.connections.pop(self, None)
+        first, now = self.run, clients.clock.now()
+        for run in self.leaves():
+            # The first of them may have been read; those behind an answer that ended the connection were not.
+            if run is not first or self.is_used:
+                run.is_again, run.connection = True, None
+                clients.front.leads(run.try_, bank, clients.banks).dial(run)
+            else:
+                clients.answered(run, now, bank.name, 0, 0.0, "")
+
+
 def _seconds(value: bytes) -> float:
     """What a `Retry-After` says; 0 where it is no number of seconds."""
     try:
@@ -203,6 +289,21 @@
         self.dials[dial] = None
         dial.add_done_callback(self._dialled)
 
+    def volley(self, runs: list[Run]) -> None:
+        """Requests that are sent in one write, on a connection of their own."""
+        loop = self.clients.clock.loop
+        dial = loop.create_task(loop.create_connection(lambda: Volley(self, runs), *self.address))
+        self.dials[dial] = None
+
+        def dialled(dial: asyncio.Task[tuple[object, Connection]]) -> None:
+            self.dials.pop(dial, None)
+            if not dial.cancelled() and dial.exception():
+                for run in runs:
+                    if not run.is_over:
+                        self.clients.unreached(run, self.name)
+
+        dial.add_done_callback(dialled)
+
     def _dialled(self, dial: asyncio.Task[tuple[object, Connection]]) -> None:
         self.dials.pop(dial, None)
         if dial.cancelled():
@@ -228,7 +329,7 @@
         for dial in self.dials:
             dial.cancel()
         for connection in list(self.connections):
-            connection.run = None
+            connection.leaves()
             connection.transport.abort()
 
 
@@ -262,8 +363,8 @@
             name: Bank(self, name, zone, address, most_idle) for name, (zone, address) in proxies.items()
         }
         self.front = Front(clock, self.banks, seed, crowd.admit, on_ready)
-        self.tries: Iterator[Try] = iter(())
-        self.next: Try | None = None
+        self.tries: Iterator[tuple[Try, ...]] = iter(())
+        self.next: tuple[Try, ...] = ()  # those that are sent together, nearly always one
         self.until = 0.0
         self.out = 0  # tries under way or still to come
 
@@ -271,28 +372,59 @@
         """Ask from 0 s on; first tries end at `until`."""
         self.until = until
         self.tries = self._mine()
-        self.next = next(self.tries, None)
+        self.next = next(self.tries, ())
         self._plan()
 
-    def _mine(self) -> Iterator[Try]:
+    def _mine(self) -> Iterator[tuple[Try, ...]]:
+        company: dict[str, list[Try]] = {}  # at each proxy, those that leave and go together
         for number, try_ in enumerate(self.crowd.tries()):
             if try_.at >= self.until:
                 return
-            if number % self.parts == self.part:
-                yield try_
+            if number % self.parts != self.part:
+                continue
+            if self.crowd.load.at_once > 1 and self.crowd.leave(try_):
+                together = company.setdefault(try_.proxy, [])
+                together.append(try_)
+                if len(together) == self.crowd.load.at_once:
+                    del company[try_.proxy]
+                    yield tuple(one._replace(at=try_.at, first_at=try_.at) for one in together)
+            else:
+                yield (try_,)
 
     def _plan(self) -> None:
         if self.next:
-            self.clock.call_at(self.next.at, self._due)
+            self.clock.call_at(self.next[0].at, self._due)
 
     def _due(self, now: float) -> None:
-        while self.next and self.next.at <= now:
-            try_, self.next = self.next, next(self.tries, None)
-            self.clock.fire(try_.at)  # one timer stands for all that are due: each is late by itself
-            self.out += 1
-            self._ask(now, try_)
+        while self.next and self.next[0].at <= now:
+            tries, self.next = self.next, next(self.tries, ())
+            self.clock.fire(tries[0].at)  # one timer stands for all that are due: each is late by itself
+            self.out += len(tries)
+            if len(tries) == 1:
+                self._ask(now, tries[0])
+            else:
+                self._ask_at_once(now, tries)
         self._plan()
 
+    def _ask_at_once(self, now: float, tries: tuple[Try, ...]) -> None:
+        """Several requests of one client in one write, which goes before their time."""
+        runs = [Run(try_) for try_ in tries]
+        first = tries[0]
+        bank = self.front.leads(first, self.banks[first.proxy], self.banks)
+        leave = self.crowd.leave(first)
+        assert leave
+        at = min(self._leaves_at(try_.at, leave, try_.deadline) for try_ in tries)
+        for run in runs:
+            run.timer = self.clock.call_at(at, self._leave, run, leave)
+        bank.volley(runs)
+
+    def _leaves_at(self, sent: float, leave: Leave, deadline: float) -> float:
+        """When one leaves that does; before its time, or it would only have waited in vain."""
+        at, beat = sent + leave.after, self.crowd.load.leave_beat_s
+        if beat:
+            at = (floor(at / beat) + 1) * beat
+        return min(at, deadline - EARLY_S)
+
     def _ask(self, now: float, try_: Try) -> None:
         run = Run(try_)
         bits = int(try_.call[:8], 16)
@@ -300,6 +432,9 @@
             low, high = VANISH
             left = try_.budget_ms / 1e3 * (low + (high - low) * (bits & 0xFFFF) / 2**16)
             run.timer = self.clock.call_at(try_.at + left, self._give_up, run)
+        elif leave := self.crowd.leave(try_):
+            at = self._leaves_at(try_.at, leave, try_.deadline)
+            run.timer = self.clock.call_at(at, self._leave, run, leave)
         else:
             run.timer = self.clock.call_at(try_.deadline + SLACK_S, self._give_up, run)
         bank = self.banks[try_.proxy]
@@ -373,6 +508,25 @@
                 bank.waiting.remove(run)
                 self.unreached(run, bank.name)
 
+    def _leave(self, now: float, run: Run, leave: Leave) -> None:
+        """A client goes while its request waits, and with it whatever else it has sent behind that."""
+        connection = run.connection
+        if connection is None:  # it is not up yet
+            waits = [bank for bank in self.banks.values() if run in bank.waiting]
+            for bank in waits:
+                bank.waiting.remove(run)
+            self.unreached(run, waits[0].name if waits else run.try_.proxy)
+            return
+        runs = connection.leaves()
+        if leave.by_reset:
+            reset(connection.transport)
+        else:
+            connection.transport.close()
+        for one in runs:
+            self.sink(Abandoned(now, one.try_.call, connection.bank.name))
+        for one in runs:
+            self._end(one, now, 0, 0.0)
+
     def _end(self, run: Run, now: float, status: int, retry_after: float) -> None:
         run.is_over = True
         if run.timer:
@@ -386,7 +540,7 @@
     @property
     def is_done(self) -> bool:
         """Whether all has been asked and has ended."""
-        return self.next is None and self.out == 0
+        return not self.next and self.out == 0
 
     def close(self) -> None:
         self.front.close()
--- a/firvane/rehearsal/plan.py
+++ b/firvane/rehearsal/plan.py
@@ -111,7 +111,7 @@
         "family-info": {"warm-keys": True},
         "goal": {"whole": 0.6, "worst-class": 0.0, "worst-tenant": 0.25, "worst-window": 0.15},
         "limits": {
-            "cancel": True,
+            "cancel": scenario.proxies.cancel,
             "conn-idle-ns": _ns(boxes.idle_s),
             "cpu-us-per-request": 0.0,
             "cpu-us-per-s": round(CPU_PART * 1e6),
--- a/firvane/rehearsal/report.py
+++ b/firvane/rehearsal/report.py
@@ -196,6 +196,8 @@
     Figure("attempts by proxies, a request", lambda r: r.attempts.per_request, "{:.3f}", 0),
     Figure("turned away by boxes, a request", _part(lambda r: r.attempts.turned_away), "{:.3f}"),
     Figure("work wasted", lambda r: r.waste.part, "{:.2%}"),
+    Figure("left while waiting", lambda r: r.leavers.waiting, "{:.0f}", 0),
+    Figure("of them sent on over 0.3 s later", lambda r: r.leavers.share, "{:.2%}"),
 )
 
 
--- a/firvane/rehearsal/result.py
+++ b/firvane/rehearsal/result.py
@@ -21,7 +21,7 @@
 from msgspec import Struct
 
 from firvane.fleet.epochs import Epochs
-from firvane.fleet.figures import ServiceResult
+from firvane.fleet.figures import Leavers, ServiceResult
 from firvane.fleet.judge import Judge
 from firvane.fleet.network import seats
 from firvane.fleet.records import Record, Shaded, Stated
@@ -64,6 +64,7 @@
     costs: list[Breach]
     cost_counts: dict[str, int]
     near: list[Breach]
+    leavers: Leavers = msgspec.field(default_factory=Leavers)
     troubles: list[Shade]
     recovery: list[Shade] = msgspec.field(default_factory=list)  # while any proxy was in that state
 
@@ -201,6 +202,7 @@
             costs=found.of(Grade.COSTS),
             cost_counts=counts[Grade.COSTS],
             near=found.of(Grade.NEAR),
+            leavers=self.judge.leavers,
             troubles=self.troubles,
             recovery=[
                 Shade(name=f"{state} (recovery)", at=at, until=until)
--- a/firvane/rehearsal/summary.py
+++ b/firvane/rehearsal/summary.py
@@ -177,6 +177,11 @@
         lines += _told("BROKEN", one)
     if total > BREACHES:
         lines.append(f"and {total - min(BREACHES, len(result.broken_rules))} breaches more")
+    if (leavers := result.leavers).waiting:
+        lines.append(
+            f"clients that left while waiting  {leavers.waiting} of {leavers.left} that left,"
+            f" {leavers.sent_on} sent on ({leavers.share:.1%})"
+        )
     for rule, count in result.cost_counts.items():
         lines.append(f"costs       {rule} ({count})")
     if result.near:
--- a/tests/fleet/test_judge.py
+++ b/tests/fleet/test_judge.py
@@ -136,6 +136,52 @@
         assert not judged(history, scenario=ONCE)
 
 
+def left(call: str, at: float, *between: Record) -> list[Record]:
+    """A request whose client leaves then, with what befell it."""
+    return [asked(1.0, call, deadline=5.0), *between, Abandoned(at, call, "p")]
+
+
+WAITED: list[tuple[tuple[int, int, int], list[Record]]] = [
+    ((1, 1, 0), left("c", 1.2)),
+    ((1, 1, 0), [*left("c", 1.2), arrived(1.5)]),
+    ((1, 1, 1), [*left("c", 1.2), arrived(1.501)]),
+    ((1, 1, 1), [*left("c", 1.2), arrived(1.6), arrived(1.7, box="d")]),  # counted once
+    ((1, 1, 1), [*left("c", 1.2), arrived(1.6, verdict="unheard")]),  # it was sent on all the same
+    ((1, 0, 0), left("c", 1.2, arrived(1.1))),  # out, not waiting
+    ((1, 0, 0), left("c", 1.2, arrived(1.1, verdict="unheard"))),
+    ((1, 0, 0), left("c", 1.2, arrived(1.1), finished(1.19))),  # its answer was on the way
+    ((1, 1, 1), [*left("c", 1.2, arrived(1.1)), arrived(1.6, box="d")]),  # a copy waited
+    ((1, 1, 0), left("c", 1.2, arrived(1.1), Dropped(1.15, "c", "b"))),  # between two attempts
+    ((1, 1, 0), left("c", 1.2, arrived(1.1, verdict="turned away"))),
+    ((1, 1, 0), left("c", 1.2, arrived(1.1), finished(1.15, wanted=False))),
+    ((0, 0, 0), [asked(1.0), Abandoned(2.0, "c", "p"), arrived(2.5)]),  # at its deadline: another rule's
+    ((0, 0, 0), [asked(1.0, deadline=5.0), proxy(1.1, "stalled"), Abandoned(1.2, "c", "p"),
+                 proxy(2.0, "on"), arrived(2.0)]),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("counted", "history"), WAITED)
+def test_requests_are_counted_that_are_sent_on_for_clients_that_left_while_they_waited(
+    counted: tuple[int, int, int], history: list[Record]
+) -> None:
+    judge = Judge(SOME)
+    for record in sorted(history, key=lambda record: record.at):
+        judge.see(record)
+    found = judge.leavers
+    assert (found.left, found.waiting, found.sent_on) == counted
+    assert found.share == float(counted == (1, 1, 1))
+
+
+@pytest.mark.parametrize("strict", [True, False])
+def test_over_a_quarter_of_them_break_a_rule(strict: bool) -> None:
+    four = [record for call in "cdef" for record in left(call, 1.2)]
+    late = [arrived(1.6, "c"), arrived(1.7, "d")]
+    assert Rule.SENT_ON not in rules([*four, late[0]], strict=strict)
+    (found,) = (one for one in judged([*four, *late], strict=strict) if one.rule is Rule.SENT_ON)
+    assert (found.call, found.box, found.proxy, found.at) == ("c", "b", "p", 1.6)
+    assert found.text.startswith("of 4 requests whose clients left while they waited 2 were sent on")
+
+
 def flood(part: float, began: float = 10.0, knows: bool = True, **more: object) -> list[Record]:
     """A box of 4 cores that began cold at 0, and is sent `part` of its budget evenly in 3 s."""
     boxes = SOME.boxes
--- a/tests/rehearsal/mutants.py
+++ b/tests/rehearsal/mutants.py
@@ -22,6 +22,7 @@
 from firvane.fleet.verdict import Grade, Rule
 from firvane.net import forward, peers
 from firvane.net.forward import Forwards
+from firvane.net.front import Front
 from firvane.net.listener import Listener
 from firvane.net.peers import Peers
 from firvane.proxy import Proxy
@@ -45,6 +46,10 @@
 DRAINS = day(9.0, 80.0, 6, Trouble(kind="drain", at_s=1.0, part=0.4, drain_s=8.0))
 CRASH = day(7.0, 200.0, 6, Trouble(kind="crash", at_s=1.5, for_s=1.0, part=0.4))
 RESTART = day(6.0, 120.0, 6, Trouble(kind="restart", at_s=2.0))
+LEAVING = day(
+    8.0, 32.0, 14, work_ms=(500.0, 600.0), aim_s=1.5, deadline_s=4.0, leaving=0.4, leave_s=(0.02, 0.05),
+    at_once=2,
+)  # fmt: skip
 ONCE = day(6.0, 120.0, 6, SLOWED, may_repeat=False)
 
 
@@ -141,6 +146,11 @@
         self.clock.call_at(flow.deadline - 0.1, refuse, self, action)
 
 
+def believe(self: Front, accept: Any, quiet: Any, stands: Any) -> Listener:
+    """Who has left is noticed only where the loop reads, as before the kernel was asked."""
+    return accept(self, quiet)  # type: ignore[no-any-return]
+
+
 class Nobody:
     """Who waits for an exchange that nobody wants."""
 
@@ -209,6 +219,7 @@
     Mutant("a cap that does not bind", Rule.ATTEMPTS, CLOSING, [(platform, "parse_settings", unbind)]),
     Mutant("an answer held back", Rule.HELD_BACK, FULL, [(Engine, "_refuse", hold_back)], Grade.COSTS),
     Mutant("a send after the answer", Rule.AFTER_END, FULL, [(Engine, "_refuse", go_on)]),
+    Mutant("a client that left unseen", Rule.SENT_ON, LEAVING, [(Front, "accept", believe)]),
     Mutant("a leak of flows", Rule.LEAK, CALM, [(Engine, "_forget", keep(5))]),
     Mutant("a leak of sockets", Rule.LEAK, LONG, [(Forwards, "park", keep(2))]),
     Mutant("an id that no client sent", Rule.UNKNOWN, CALM, [(forward, "request_head", forge)]),
--- a/tests/rehearsal/test_clients.py
+++ b/tests/rehearsal/test_clients.py
@@ -132,6 +132,79 @@
     assert len(asked) == len(b.of(Abandoned)) > 0
 
 
+@pytest.mark.parametrize(("by_reset", "at_once"), [(0.0, 1), (1.0, 1), (0.0, 3), (1.0, 3)])
+@benched()
+async def test_who_leaves_goes_while_it_waits_by_an_end_or_a_reset(
+    b: Bench, by_reset: float, at_once: int
+) -> None:
+    ends: list[Exception | None] = []
+
+    class Taken(HandProxy):
+        def connection_lost(self, error: Exception | None) -> None:
+            if self.log:
+                ends.append(error)
+
+    load = replace(LOAD, leaving=1.0, leave_s=(0.1, 0.2), leave_reset=by_reset, at_once=at_once)
+    log: Log = []
+    clients = b.clients(load)
+    b.loop.memory.listen(("10.1.0.0", 80), partial(Taken, log, never))
+    clients.front.started("proxy-0")
+    await asyncio.sleep(0.5)
+    clients.clock.begin(b.loop.time())
+    clients.begin(2.0)
+    while not clients.is_done:
+        await asyncio.sleep(0.1)
+    asked = {a.call: a for a in b.of(Asked)}
+    gone = b.of(Abandoned)
+    assert len(asked) == len(gone) > 20 and not b.of(Answered)
+    assert all(0.05 < a.at - asked[a.call].meant <= 0.2 for a in gone)
+    together = [sum(other.at == one.at for other in asked.values()) for one in asked.values()]
+    assert set(together) == {at_once}
+    # Those of one client go together, and the other side hears of it once for all of them.
+    assert len({a.at for a in gone}) == len(gone) / at_once
+    await asyncio.sleep(1.0)
+    assert [bool(error) for error in ends] == [bool(by_reset)] * (len(gone) // at_once)
+
+
+@benched()
+async def test_those_that_leave_in_a_burst_go_on_the_beat(b: Bench) -> None:
+    await played(b, replace(LOAD, leaving=0.5, leave_s=(0.1, 0.1), leave_beat_s=0.5), never)
+    early = [a.at for a in b.of(Abandoned) if a.at < {one.call: one for one in b.of(Asked)}[a.call].deadline]
+    assert early and all(at == pytest.approx(round(2 * at) / 2) for at in early)
+
+
+@benched(0.001)
+async def test_what_is_sent_at_once_is_answered_in_its_order_and_goes_again_where_it_was_not_read(
+    b: Bench,
+) -> None:
+    seen: list[bytes] = []
+
+    class Pipelined(HandProxy):
+        def data_received(self, data: bytes) -> None:
+            if data.startswith(b"GET /up "):
+                self.say(200, b"up")
+                return
+            calls = [part.partition(b"\r\n")[0] for part in data.split(b"X-Call-Id: ")[1:]]
+            seen.extend(calls)
+            for call in calls[:2]:
+                self.say(200, SEALS.body(call))
+            if len(calls) > 2:  # the end of the connection crosses the third
+                self.transport.close()
+
+    load = replace(LOAD, leaving=1.0, leave_s=(0.3, 0.3), at_once=3)
+    clients = b.clients(load)
+    b.loop.memory.listen(("10.1.0.0", 80), partial(Pipelined, [], never))
+    clients.front.started("proxy-0")
+    await asyncio.sleep(0.5)
+    clients.clock.begin(b.loop.time())
+    clients.begin(2.0)
+    while not clients.is_done:
+        await asyncio.sleep(0.1)
+    served = [a.call.encode() for a in b.of(Answered) if a.status == 200 and a.body_of == a.call]
+    assert len(served) > 20 and set(served) == set(seen) and len(served) == len(set(seen))
+    assert len(seen) == len(served) * 4 // 3 and not b.of(Abandoned)
+
+
 @benched()
 async def test_a_slow_reader_lets_its_answer_lie(b: Bench) -> None:
     await played(b, replace(LOAD, slow_readers=1.0), serve)
