--- a/firvane/net/forward.py
+++ b/firvane/net/forward.py
@@ -1,4 +1,16 @@
-"""The way to the targets: a pool of connections for each, dials, and one exchange at a time on each."""
+"""The way to the targets: a pool of connections for each, dials, and one exchange at a time on each.
+
+Rules of a run (an exchange on its way) and its connection:
+
+1. A run ends once. Who cancels it hears nothing more of it, and nothing more of it is written: its dial is
+   given up, or its connection is closed with whatever of the request the kernel has not taken.
+2. Each way to a run's first byte, over an idle connection or a new one, passes `Forwards._barred`: neither
+   its target's grace nor its own time may be over. What it bars never ran.
+3. A request is written once its last byte is with the kernel. A break before that never ran, one after it may
+   have; where it cannot be told which, it may have.
+4. A connection whose answer has come rests for `SETTLE` before the next run: a second answer comes late by
+   milliseconds, and no answer says whose it is. Until then a run dials.
+"""
 
 from __future__ import annotations
 
@@ -44,12 +56,13 @@
         self.down_since: float | None = None  # when the list said that it drains or is gone
         self.idle: list[Connection] = []
 
-    def take(self, settled: float) -> Connection:
-        """The newest one that has been idle since then, or else the oldest of all."""
-        place = len(self.idle) - 1
-        while place and self.idle[place].idle_since > settled:
-            place -= 1
-        return self.idle.pop(place)
+    def take(self, settled: float) -> Connection | None:
+        """The newest one that has been idle since then, or none: on one that came back later, more of its
+        last answer may still be on its way, and would be taken for the next one's (rule 4)."""
+        for place in range(len(self.idle) - 1, -1, -1):
+            if self.idle[place].idle_since <= settled:
+                return self.idle.pop(place)
+        return None
 
     def close_idle(self, before: float = float("inf")) -> None:
         while self.idle and self.idle[0].idle_since < before:
@@ -340,11 +353,11 @@
     def forward(self, request: Message, target: str, exchange: Exchange[Message]) -> Run:
         pool = self.pools.get(target) or Pool(target)
         run = Run(request, pool, exchange)
-        if self._drained(pool):
-            run.end(Ending.TOO_LATE)
+        now = self.loop.time()
+        if barred := self._barred(run, now):
+            run.end(barred)
             return run
-        while pool.idle:
-            connection = pool.take(self.loop.time() - SETTLE)
+        while pool.idle and (connection := pool.take(now - SETTLE)):
             if connection.usable():
                 connection.send(run)
                 return run
@@ -366,11 +379,14 @@
     def listed(self, name: str, address: tuple[str, int] | None, up: bool) -> None:
         """What the list says of a target takes effect at once; without an address it is gone."""
         pool = self.pools.get(name) or Pool(name)
+        if address and pool.address and address != pool.address:
+            # Guards the new address against what is out to the old one: parked in one pool, its connections
+            # would be taken for the new one's, and a dial on its way there would bring requests beyond the
+            # grace. The old pool is left as one that is gone.
+            self.listed(name, None, False)
+            pool = Pool(name)
         if address:
-            self.pools[name] = pool
-            if address != pool.address:
-                pool.close_idle()
-                pool.address = address
+            self.pools[name], pool.address = pool, address
         else:
             self.pools.pop(name, None)  # what is still out on it keeps it until its end
         if up:
@@ -381,11 +397,14 @@
 
     # Connections
 
-    def _drained(self, pool: Pool) -> bool:
-        """Whether the grace after the list's word has passed: a dial may end later than it began."""
+    def _barred(self, run: Run, now: float) -> Ending | None:
+        """What forbids a run's first byte now, if anything (rule 2): a dial may end later than it began."""
+        down_since = run.pool.down_since
         # A first byte sent at the very end of the grace could still be seen after it.
-        grace = 0.9 * self.rules.drain_grace
-        return pool.down_since is not None and self.loop.time() >= pool.down_since + grace
+        if down_since is not None and now >= down_since + 0.9 * self.rules.drain_grace:
+            return Ending.TOO_LATE
+        # Guards a target against a request whose time ran out in the same turn that its dial came up in.
+        return Ending.WITHDRAWN if now >= run.exchange.deadline else None
 
     def _dial(self, run: Run) -> None:
         pool = run.pool
@@ -410,9 +429,9 @@
         if run.over or connection.transport.is_closing():
             connection.close()
             run.end(Ending.BROKE_UNSENT)
-        elif self._drained(run.pool):
+        elif barred := self._barred(run, self.loop.time()):
             self.park(connection)
-            run.end(Ending.TOO_LATE)
+            run.end(barred)
         else:
             connection.send(run)
 
--- /dev/null
+++ b/tests/crossings/mutants/attempts.py
@@ -0,0 +1,165 @@
+"""Mutants of what docs/crossings.md promises of attempts."""
+
+from __future__ import annotations
+
+from tests.crossings.mutants import Mutant
+
+FILE = "tests/crossings/test_attempts.py"
+ENGINE, FORWARD = "firvane/engine.py", "firvane/net/forward.py"
+
+MUTANTS = [
+    Mutant(
+        "what is not written when its client leaves is not written at all",
+        ENGINE,
+        """            self.give(api.ClientGone(flow.id))
+            self._withdraw(flow)
+            self._forget(flow)
+
+    def hasten""",
+        """            self.give(api.ClientGone(flow.id))
+            self._forget(flow)
+
+    def hasten""",
+        f"{FILE} -k late_brings",
+    ),
+    Mutant(
+        "a copy that comes up after the answer is not written",
+        ENGINE,
+        "        if flow.live and not flow.open:\n            self._withdraw(flow)\n",
+        "",
+        f"{FILE} -k after_the_answer",
+    ),
+    Mutant(
+        "nor one that comes up after a long answer has begun",
+        ENGINE,
+        "forward.took))\n        self._withdraw(flow, forward)\n",
+        "forward.took))\n",
+        f"{FILE} -k after_the_answer",
+    ),
+    Mutant(
+        "a long body goes out on one attempt alone",
+        ENGINE,
+        "            self.give(api.Spent(flow.id))\n            self._withdraw(flow, forward)\n",
+        "            self.give(api.Spent(flow.id))\n",
+        f"{FILE} -k long_body",
+    ),
+    Mutant(
+        "nothing is written once its time is over",
+        FORWARD,
+        "return Ending.WITHDRAWN if now >= run.exchange.deadline else None",
+        "return None",
+        f"{FILE} -k time_is_over",
+    ),
+    Mutant(
+        "a connection that stands as its run is given up is closed unused",
+        FORWARD,
+        "if run.over or connection.transport.is_closing():",
+        "if connection.transport.is_closing():",
+        f"{FILE} -k stands_already",
+    ),
+    Mutant(
+        "a connection that has just been given back is not used yet",
+        FORWARD,
+        "            if self.idle[place].idle_since <= settled:\n",
+        "            if self.idle[place].idle_since <= settled or not place:\n",
+        f"{FILE} -k second_answer",
+    ),
+    Mutant(
+        "what was written whole may have run, whatever broke then",
+        FORWARD,
+        "run.end(Ending.BROKE_SENT if self.written else Ending.BROKE_UNSENT)",
+        "run.end(Ending.BROKE_UNSENT)",
+        f"{FILE} -k reset-before-the-answer",
+    ),
+    Mutant(
+        "what was not written whole never ran",
+        FORWARD,
+        "run.end(Ending.BROKE_SENT if self.written else Ending.BROKE_UNSENT)",
+        "run.end(Ending.BROKE_SENT)",
+        f"{FILE} -k broken_before_its_last_byte",
+    ),
+    Mutant(
+        "a write that fails has not written",
+        FORWARD,
+        "if not self.transport.is_closing() and not self.transport.get_write_buffer_size():",
+        "if not self.transport.get_write_buffer_size():",
+        f"{FILE} -k look_and_write",
+    ),
+    Mutant(
+        "a rest that the kernel has not taken is not written",
+        FORWARD,
+        "if not self.transport.is_closing() and not self.transport.get_write_buffer_size():",
+        "if not self.transport.is_closing():",
+        f"{FILE} -k broken_before_its_last_byte",
+    ),
+    Mutant(
+        "an idle connection is looked at before it is used",
+        FORWARD,
+        "return not self.transport.is_closing() and self.quiet()",
+        "return not self.transport.is_closing()",
+        f"{FILE} -k turns_out_closed",
+    ),
+    Mutant(
+        "a turn-away has to say that it never began",
+        FORWARD,
+        """and message.fields.get(b"x-rejected") == b"1":""",
+        "and True:",
+        f"{FILE} -k 503-unsaid",
+    ),
+    Mutant(
+        "an answer cut short is no answer",
+        FORWARD,
+        "self._end(Ending.SERVED if told else Ending.BROKE_SENT, message)",
+        "self._end(Ending.SERVED, message)",
+        f"{FILE} -k fin-without-a-length",
+    ),
+    Mutant(
+        "an answer before the last byte of its request ends the connection",
+        FORWARD,
+        "self.reader.message or not self.written\n",
+        "self.reader.message\n",
+        f"{FILE} -k answer_before_the_last_byte",
+    ),
+    Mutant(
+        "send-cap holds over all of these",
+        ENGINE,
+        "forward.number < limits.max_attempts and",
+        "True and",
+        "tests/test_engine.py -k over_the_cap",
+    ),
+    Mutant(
+        "a class that is unsafe to repeat is not sent again where it may have run",
+        "firvane/choice.py",
+        "return not job.maybe or cls.repeat is api.Repeat.SAFE or",
+        "return True or",
+        f"{FILE} -k reset-in-mid-body",
+    ),
+    Mutant(
+        "what is given up in its dial never ran",
+        ENGINE,
+        "unsent = ending is Ending.CANCELLED and not self.sent",
+        "unsent = False",
+        f"{FILE} -k given_up",
+    ),
+    Mutant(
+        "and what is given up once it is written may have",
+        ENGINE,
+        "unsent = ending is Ending.CANCELLED and not self.sent",
+        "unsent = ending is Ending.CANCELLED",
+        f"{FILE} -k given_up",
+    ),
+    Mutant(
+        "a target that moves leaves nothing to its new address",
+        FORWARD,
+        "            self.listed(name, None, False)\n            pool = Pool(name)\n",
+        "            pool.close_idle()\n",
+        f"{FILE} -k moves",
+    ),
+    Mutant(
+        "nothing is written to a target whose grace is over",
+        FORWARD,
+        "            return Ending.TOO_LATE\n",
+        "            return None\n",
+        f"{FILE} -k grace_is_over",
+    ),
+]
