--- a/tests/crossings/test_attempts.py
+++ b/tests/crossings/test_attempts.py
@@ -78,8 +78,6 @@
 async def after(made: Rig, call: str = "last") -> list[str]:
     """What has come to all targets by the time that one more request, sent behind all else, is served."""
     for target in made.targets:
-        for link in target.links:
-            made.later(answered(target, link))
         made.later(target.serve())
     client = await made.client()
     await client.send(request(call))
@@ -87,14 +85,6 @@
     return sorted(call for target in made.targets for call in target.calls)
 
 
-async def answered(target: Target, link: Link) -> None:
-    """What comes on a connection that the test has had till now."""
-    with contextlib.suppress(EOFError, OSError, ValueError):
-        while link.sock.fileno() >= 0:
-            await target.ask(link)
-            await link.send(OK)
-
-
 async def at_rest(made: Rig) -> None:
     """Nothing of a request is left: flows, clients' places, what the decisions and the account hold."""
     await made.see(lambda: made.proxy.engine.flows == {} and not made.proxy.engine.balancer.jobs)
@@ -118,7 +108,7 @@
     await link.send(OK)
     await client.until(b"hi")
     pool = next(pool for pool in made.proxy.forwards.pools.values() if pool.idle)
-    await made.see(lambda: made.loop.time() > pool.idle[0].idle_since + SETTLE)
+    await made.rested()
     return link, pool.idle[0]
 
 
@@ -741,8 +731,7 @@
             assert (await client.until(b"mi")).startswith(b"HTTP/1.1 200 ") and await link.gone()
             assert made.targets[0].calls == ["c1", "c2"]
             # One that has rested is used again, and what came on it till then was noticed.
-            [connection] = made.proxy.forwards.pools["s1"].idle
-            await made.see(lambda: made.loop.time() > connection.idle_since + SETTLE)
+            await made.rested()
             await client.send(request("c3", f"/{kind}/x", body=b"" if kind == "read" else b"money"))
             await made.targets[0].ask(other)
             await other.send(OK)
