--- a/tests/crossings/harness.py
+++ b/tests/crossings/harness.py
@@ -27,6 +27,7 @@
 from firvane.endings import Ending
 from firvane.limits.descriptors import Use
 from firvane.net.dial import Dialing
+from firvane.net.forward import SETTLE
 from firvane.proxy import Proxy
 from tests.net_helpers import endpoint
 
@@ -421,6 +422,12 @@
             await asyncio.sleep(0)
         return found
 
+    async def rested(self) -> None:
+        """Connections to targets that were given back may be used again; a request before that dials."""
+        pools = self.proxy.forwards.pools.values()
+        idle = [connection for pool in pools for connection in pool.idle]
+        await self.see(lambda: all(one.idle_since + SETTLE < self.loop.time() for one in idle))
+
     def at_rest(self) -> tuple[int, int, int]:
         """What has to be back where it was: flows open, flows known, clients' descriptors held."""
         held = self.proxy.guard.descriptors.held
--- a/tests/crossings/test_attempts.py
+++ b/tests/crossings/test_attempts.py
@@ -108,7 +108,7 @@
     await link.send(OK)
     await client.until(b"hi")
     pool = next(pool for pool in made.proxy.forwards.pools.values() if pool.idle)
-    await made.see(lambda: made.loop.time() > pool.idle[0].idle_since + SETTLE)
+    await made.rested()
     return link, pool.idle[0]
 
 
@@ -731,8 +731,7 @@
             assert (await client.until(b"mi")).startswith(b"HTTP/1.1 200 ") and await link.gone()
             assert made.targets[0].calls == ["c1", "c2"]
             # One that has rested is used again, and what came on it till then was noticed.
-            [connection] = made.proxy.forwards.pools["s1"].idle
-            await made.see(lambda: made.loop.time() > connection.idle_since + SETTLE)
+            await made.rested()
             await client.send(request("c3", f"/{kind}/x", body=b"" if kind == "read" else b"money"))
             await made.targets[0].ask(other)
             await other.send(OK)
