--- a/tests/crossings/test_others.py
+++ b/tests/crossings/test_others.py
@@ -197,15 +197,20 @@
 def test_so_is_one_that_comes_percent_encoded(name: str, spelt: str, tmp_path: Path) -> None:
     """And it passes through to its target as it came."""
 
+    async def first(target: Target) -> bytes:
+        link = await target.link()
+        head = await target.ask(link)
+        await link.send(OK)
+        return head
+
     async def work() -> None:
         async with rig(tmp_path, 1, named(name, "other")) as made:
             await made.start()
             client = await made.client()
-            await client.send(request("c1", f"/{spelt}/x", method="GET"))
-            link = await made.targets[0].link()
-            assert (await made.targets[0].ask(link)).startswith(f"GET /{spelt}/x HTTP/1.1\r\n".encode())
-            await link.send(OK)
-            assert (await answered(client)).startswith(b"HTTP/1.1 200 ")
+            came = made.later(first(made.targets[0]))
+            answer = await asked(client, "c1", f"/{spelt}/x", method="GET")
+            assert answer.startswith(b"HTTP/1.1 200 ")
+            assert (await came).startswith(f"GET /{spelt}/x HTTP/1.1\r\n".encode())
 
     play(work())
 
