--- a/tests/together/rolling.py
+++ b/tests/together/rolling.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 from firvane.cli.door import call
-from firvane.fleet.records import Abandoned, Record
+from firvane.fleet.records import Abandoned, Arrived, Record
 from firvane.fleet.scenario import Boxes, Kind, Load, Network, Proxies, Retries, Scenario
 from firvane.rehearsal.machines import environment, with_parent
 from firvane.rehearsal.world import seals
@@ -159,6 +159,7 @@
         # are not among them: it takes a proxy that is slow to say that it is up for dead.
         self.lost = 0
         self.asked = 0  # by the askers
+        self.came: set[str] = set()  # requests that have reached a box
         self.askers: list[asyncio.Task[None]] = []
         self.seals = seals(self.scenario, 1)
         self.controllers: list[subprocess.Popen[bytes]] = []
@@ -174,6 +175,8 @@
     def _see(self, record: Record) -> None:
         super()._see(record)
         self.lost += isinstance(record, Abandoned)
+        if isinstance(record, Arrived):
+            self.came.add(record.call)
 
     @property
     def broken(self) -> int:
@@ -193,11 +196,13 @@
 
     async def ask_on(self, number: int) -> None:
         """One request after the other, on one connection for as long as the proxy keeps it. One that is
-        closed before any of the answer may have crossed the request: it is sent once more on a new one."""
+        closed before any of the answer may have crossed the request: it is sent once more on a new one. But
+        what had reached a box by then had been read, and is lost."""
         reader: asyncio.StreamReader | None = None
         writer: asyncio.StreamWriter | None = None
         while True:
-            call, head = self.request(), b""
+            name, call = self.request()
+            head = b""
             for _ in range(2):
                 try:
                     if reader is None or writer is None:
@@ -212,7 +217,7 @@
                     if writer:
                         writer.close()
                     reader = writer = None
-                    if cut:
+                    if cut or name in self.came:
                         break
             if writer:
                 self.answers[self.names[number], int(head.split()[1])] += 1
@@ -223,12 +228,13 @@
                 self.lost += 1
             await asyncio.sleep(PAUSE)
 
-    def request(self) -> bytes:
-        """The next one, with an id that no member's has."""
+    def request(self) -> tuple[str, bytes]:
+        """The next one, with an id that no member's has, and that id."""
         self.asked += 1
-        call = f"{1 << 63 | self.asked:016x}".encode()
+        name = f"{1 << 63 | self.asked:016x}"
+        call = name.encode()
         community = self.scenario.load.communities[0].name.encode()
-        return (
+        return name, (
             b"GET %s HTTP/1.1\r\nHost: app.svc\r\nX-Call-Id: %s\r\nX-Caller: %s\r\nX-Route-Hash: key\r\n"
             b"X-Budget-Ms: 60000\r\nX-Call-Cost: 6000\r\n\r\n"
             % (self.seals.path(call, "key", 0.006), call, community)
