--- a/tests/crossings/mutants/lists.py
+++ b/tests/crossings/mutants/lists.py
@@ -72,7 +72,7 @@
     Mutant(
         "an agent that was away is called again soon", PAUSES,
         "FIRST, LONGEST = 0.1, 0.2", "FIRST, LONGEST = 0.1, 2.0",
-        f"{TESTS}::test_an_agent_that_is_away_is_called_again_soon_however_long_it_was_away",
+        "tests/limits/test_pauses.py::test_a_free_call_is_made_at_once_and_soon_again",
     ),
     Mutant(
         "a watch that was given up while dialled asks nothing", TARGETS,
@@ -112,13 +112,13 @@
     ),
     Mutant(
         "a dial that comes up late sends nothing to what drains by then", FORWARD,
-        "        elif barred := self._barred(run):\n", "        elif barred := None:\n",
+        "elif barred := self._barred(run, self.loop.time()):\n",
+        "elif (barred := self._barred(run, self.loop.time())) and False:\n",
         f"{TESTS}::test_a_dial_that_comes_up_late_sends_nothing_to_what_drains_by_then",
     ),
     Mutant(
         "nothing is begun after the grace, whoever asks for it", FORWARD,
-        "        if barred := self._barred(run):\n            run.end(barred)\n            return",
-        "        if barred := None:\n            run.end(barred)\n            return",
+        "if down_since is not None and now >= down_since", "if down_since is not None and now < down_since",
         f"{TESTS}::test_whoever_asks_for_it_nothing_is_begun_after_the_grace",
     ),
     Mutant(
