--- a/firvane/fleet/checks.py
+++ b/firvane/fleet/checks.py
@@ -27,7 +27,8 @@
 Found = Iterator[tuple[str, str]]
 
 OF_ONE = re.compile(
-    r"(.*_)?(share|part|loss|chance|error|saves|abandon|vanishing|leaving|leave_reset|slow_readers|batch|crowded_from"
+    r"(.*_)?(share|part|loss|chance|error|saves|abandon|vanishing|leaving|leave_reset|slow_readers|batch"
+    r"|crowded_from"
     r"|never|late)$"
 )
 LEAST = {"share": 1e-6, "cores": 0.01, "speed": 0.01, "proxy": -1, "other": -1}  # 0 where it is not here
