Let both tests of a lease that is waited for begin alike

Need: two tests held the same four lines before the client leaves. Change: unleased() is theirs; no assertion is touched.

--- a/tests/crossings/test_client_gone.py
+++ b/tests/crossings/test_client_gone.py
@@ -55,6 +55,15 @@
     await made.see(lambda: not listener.stands())
 
 
+async def unleased(made: Rig) -> tuple[Link, Any]:
+    """A client whose body waits for a lease, and the proxy's end of it."""
+    client = await made.client()
+    await client.send(ask("c1", "/pay/x", body=bytes(4 * SMALL)))
+    listener = await made.listener(client)
+    await made.see(lambda: listener.unleased)
+    return client, listener
+
+
 @contextlib.asynccontextmanager
 async def nothing_left(made: Rig) -> AsyncIterator[None]:
     """Whoever comes within has gone in the end, and the account is what it was."""
@@ -136,10 +145,7 @@
             leases = made.proxy.guard.leases
             free, leases.free = leases.free, 0
             async with nothing_left(made):
-                client = await made.client()
-                await client.send(ask("c1", "/pay/x", body=bytes(4 * SMALL)))
-                listener = await made.listener(client)
-                await made.see(lambda: listener.unleased)
+                client, _ = await unleased(made)
                 await gone(made, client, how)
                 leases.free = free
                 await made.see(lambda: not made.proxy.front.connections)
@@ -157,10 +163,7 @@
             await warm(made)
             leases = made.proxy.guard.leases
             free, leases.free = leases.free, 0
-            client = await made.client()
-            await client.send(ask("c1", "/pay/x", body=bytes(4 * SMALL)))
-            listener = await made.listener(client)
-            await made.see(lambda: listener.unleased)
+            client, listener = await unleased(made)
             await gone(made, client, how)
             leases.free = free
             leases.line.pop(listener)
