Let a proxy that hears no other take itself for one of all in shares and rates

Need: settings of another customer, with `peers` off: what the decisions take from the rows of all proxies was this one's alone.

Cause, by reading, each shown by a test: `Balancer.part` gave 1.0, so that each of N proxies granted a tenant the whole of its share; `Evidence.weigh` took the own answers for those of all, so that a box that starts cold got an Nth of an Nth of its budget; what a large fleet does because one proxy sees little of a box (trials spread, one failure is enough to take a box that was down for cold) hung on `pooled`, that is on peers being allowed. Looked at and left: that each proxy has one whole token for a cold box at its first meeting.

Change: `quotas.part`, `Evidence.stands_for`, `Evidence.large`. Where peers are allowed nothing changes.

The tests fail with each of the three taken back.

--- a/firvane/choice.py
+++ b/firvane/choice.py
@@ -193,8 +193,7 @@
 
     def part(self) -> float:
         """The part of all proxies' requests that comes here."""
-        every = total(r.arrivals for r in self.rows.values())  # 0 at the start: then an even part
-        return self.rows[self.settings.me].arrivals / every if every else 1.0 / self.settings.proxies
+        return quotas.part(self.settings, self.rows, total(self.tenants.values()) / SHARE_SPAN)
 
     def limit(self, job: Job) -> float:
         """The part of a server's room that a request may fill: what is worth less leaves some to the rest."""
@@ -396,7 +395,7 @@
         self.windows += 1
         self.actions.append(api.SetTimer(WINDOW, 0))
         self.tenants = {t: n * (1.0 - WINDOW / SHARE_SPAN) for t, n in self.tenants.items()}
-        served = total(r.served for r in self.rows.values())
+        served = total(r.served for r in self.rows.values()) * self.evidence.stands_for
         if served and self.windows > HISTORY:
             fleet = total(s.weight for s in self.servers.values()) or 1.0
             warm = [s for s in self.servers.values() if not self.evidence.is_cold(s, now)]
--- a/firvane/rooms/evidence.py
+++ b/firvane/rooms/evidence.py
@@ -12,10 +12,11 @@
 4. A room is cut by turn-aways and by answers that take most of the aim though their work is light; it is
    grown by other answers near it. No evidence, no optimism: but at the start of the proxy, when a room is a
    guess, answers near it grow it quickly.
-5. What a kind can do is what its warm boxes were seen to do, as answers a second. The best of it counts, and
-   is forgotten slowly: a day that asks little shows little. What a cold box can do is what the rules allow
-   for of that, or the part of its kind's pace that its answers show, less a margin: the work sent to it
-   stays under the rule's line where the hints are right in the mean.
+5. What a kind can do is what its warm boxes were seen to do, as answers a second to all proxies; where these
+   tell each other nothing each takes itself for one like all. The best of it counts, and is forgotten slowly:
+   a day that asks little shows little. What a cold box can do is what the rules allow for of that, or the
+   part of its kind's pace that its answers show, less a margin: the work sent to it stays under the rule's
+   line where the hints are right in the mean.
 6. One failure of a connection says nothing of the box; the next answer disproves all of them.
 7. A box whose table of connections is full takes from a proxy what that has connections for. Without one it
    is left to the proxies that have: each new connection that it turns away costs it a handshake.
@@ -102,7 +103,8 @@
         self.best = 0.0  # answers a second and weight
         self.quick = dict[int, tuple[float, float]]()  # s taken and work hinted, warm servers
         self.marks = dict[tuple[int, int], Mark]()  # attempts that have not ended, by request and number
-        self.pooled = settings.limits.peers and settings.proxies >= THIN
+        self.large = settings.proxies >= THIN
+        self.pooled = self.large and settings.limits.peers
         self.counts = dict[int, int]()  # answers of warm servers since the start, by kind, to tell the peers
         self.heard = kinds.Heard()
         self.crowded = 0.0  # part of attempts that find no room
@@ -126,6 +128,11 @@
         """s that an answer to such a request usually takes there."""
         return max(self.typical[cls], self.pace.get(server.entry.kind, 1.0) * (work or 0.0))
 
+    @property
+    def stands_for(self) -> int:
+        """Proxies that one's figures stand for: all of the tier where none tells another of its own."""
+        return 1 if self.settings.limits.peers else self.settings.proxies
+
     def is_cold(self, server: Backend, now: float) -> bool:
         return server.since is not None and now < server.since + self.settings.rules.cold
 
@@ -200,10 +207,10 @@
                 if other.at >= mark.at:
                     break
                 other.passed += 1
-        if self.pooled and result in (api.Result.OK, api.Result.FULL):
+        if self.large and result in (api.Result.OK, api.Result.FULL):
             self.crowded += CROWDING * ((result is api.Result.FULL) - self.crowded)
         failed = result is api.Result.ERROR and not outcome.finished
-        if not self.pooled and (failed or result is api.Result.OK):
+        if not self.large and (failed or result is api.Result.OK):
             self._judged(server, failed, now)
         if result is api.Result.OK:
             if not self.is_cold(server, now):
@@ -228,7 +235,7 @@
 
     def _answered(self, server: Backend, request: api.Request | None, took: float, now: float) -> None:
         # Of a box that was down a proxy among many meets few failures.
-        enough = server.downs > 0 if self.pooled else server.fails >= DOWN_FAILS
+        enough = server.downs > 0 if self.large else server.fails >= DOWN_FAILS
         if enough and now > server.failing_since + DOWN:
             server.since, server.timed = now, 0.0  # it was down whatever the list says: as if just started
         server.unplaced = 0
@@ -299,7 +306,7 @@
         if waited or server.fails > 1 or now == server.crowded_at:  # one alone says nothing of the server
             base = 0.25 if waited else 0.05  # s; what fails at once costs little to try
             pause = base * 2 ** min(6, server.fails)
-            if waited and self.pooled:
+            if waited and self.large:
                 # A machine that is gone comes back cold: the first trials of all must not push it over.
                 pause = max(pause, TRIAL * self.settings.proxies)
             server.retry_at = now + pause * self.random.uniform(0.75, 1.25)
@@ -342,7 +349,7 @@
             flow.all += server.own + server.peers
             flow.span += server.weight * window
         for kind in sorted(self.flows):
-            rate = self.flows[kind].rate()
+            rate = self.flows[kind].rate() * self.stands_for
             self.rates[kind] = max(self.rates.get(kind, 0.0) * (1.0 - DRIFT * window), rate)
             self.flows[kind].fade()
         most = max(self.rates.values(), default=0.0)
--- a/firvane/rooms/quotas.py
+++ b/firvane/rooms/quotas.py
@@ -2,10 +2,25 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+import math
+from collections.abc import Mapping, Sequence
 
 from firvane import interface as api
-from firvane.state import total
+from firvane.state import Row, total
+
+
+def part(settings: api.Settings, rows: Mapping[int, Row], here: float) -> float:
+    """The part of all proxies' requests that comes to this one, by the `rows` of those that are heard.
+
+    `here` are the tenants' requests a second that came here. Where proxies tell each other nothing a tenant
+    exceeds its share only if it takes more of an even part, and of what is asked here: else each proxy would
+    grant all of the share, or one that is asked more than others would find everyone over theirs.
+    """
+    even = 1.0 / settings.proxies
+    if not settings.limits.peers:
+        return max(even, here / (total(tenant.quota for tenant in settings.tenants) or math.inf))
+    every = total(row.arrivals for row in rows.values())  # 0 at the start
+    return rows[settings.me].arrivals / every if every else even
 
 
 def parts(asked: Sequence[float], quotas: Sequence[float], part: float, over_share: bool) -> list[float]:
--- a/tests/rooms/test_evidence.py
+++ b/tests/rooms/test_evidence.py
@@ -11,10 +11,11 @@
 
 from benchmarks.small_world import SITUATIONS, Situation, World
 from firvane import interface as api
-from firvane.rooms import kinds
+from firvane.rooms import kinds, quotas
+from firvane.rooms.cold import refill
 from firvane.rooms.evidence import LATE, LIGHT, LONG, RARE, SHOWN, SLOW, Evidence
 from firvane.rooms.skipped import skipped
-from firvane.state import Backend, Job
+from firvane.state import Backend, Job, pack, unpack
 from tests.helpers import RULES, SAFE, server, settings, started
 from tests.net_helpers import seeded
 from tests.routing.samples import KEYS
@@ -212,12 +213,13 @@
     assert box.unplaced == 0
 
 
-def test_the_trials_of_a_large_fleet_at_a_box_that_is_gone_are_spread() -> None:
+@pytest.mark.parametrize("peers", [True, False])
+def test_the_trials_of_a_large_fleet_at_a_box_that_is_gone_are_spread(peers: bool) -> None:
     # Boxes that came back fell over within a second, before any answer and before the list said that they had
     # started: forty proxies had each sent a trial.
-    back, waited = list[float](), 0.25
+    back, waited, limits = list[float](), 0.25, api.Limits(max_attempts=4, peers=peers)
     for me in range(40):
-        made = Evidence(settings(proxies=40), random.Random(me), 90.0)
+        made = Evidence(settings(proxies=40, limits=limits), random.Random(me), 90.0)
         box = Backend(server("a"), 1, 1.0, None)
         made.sent(box, 0, None, (1, 0), 100.0)
         made.ended(box, None, api.Outcome(1, 0, "a", api.Result.CONNECT_FAILED, waited, False), 100.25)
@@ -226,11 +228,15 @@
     assert firsts <= 18 and min(back) > 5.0 and max(back) < 12.0
 
 
+@pytest.mark.parametrize("peers", [True, False])
 @pytest.mark.parametrize(("proxies", "failures", "cold"), [(40, 1, True), (3, 1, False), (3, 4, True)])
-def test_a_box_that_was_down_is_cold_to_each_of_many_proxies(proxies: int, failures: int, cold: bool) -> None:
+def test_a_box_that_was_down_is_cold_to_each_of_many_proxies(
+    proxies: int, failures: int, cold: bool, peers: bool
+) -> None:
     # 26 boxes came back cold before the list said so. Of forty proxies hardly one had met four failures of a
     # box, so all sent as to a warm one: three fell over, sent 3.7 to 4 times what they could do.
-    made = Evidence(settings(proxies=proxies), random.Random(1), 90.0)
+    limits = api.Limits(max_attempts=4, peers=peers)  # how many there are does not hang on what they tell
+    made = Evidence(settings(proxies=proxies, limits=limits), random.Random(1), 90.0)
     box = Backend(server("a"), 1, 1.0, None)
     for n in range(failures):
         made.sent(box, 0, None, (n, 0), 100.0 + n / 10)
@@ -324,6 +330,36 @@
     assert {balancer.limit(job) for job in balancer.jobs.values()} == {1.0}
 
 
+@pytest.mark.parametrize("proxies", [3, 40])
+def test_proxies_that_hear_no_peer_give_a_cold_box_together_what_it_can_do(proxies: int) -> None:
+    # Guards against each taking its own answers for those of all: the box then gets a part of its budget.
+    limits, fleet, asked = api.Limits(max_attempts=4), list[tuple[Evidence, Backend]](), 60.0 / proxies
+    for me in range(proxies):
+        made = Evidence(settings(proxies=proxies, limits=limits), random.Random(me), 90.0)
+        made.weigh([], asked * made.stands_for, 2.0, 0.0)  # two boxes, 30 answers a second each
+        fleet.append((made, Backend(server("a", up_since=100.0), 1, 1.0, 100.0)))
+    sent = list[int]()
+    for step in range(301):  # each has a token to begin with
+        ready = [box for made, box in fleet if refill(made, box, proxies, 100.0 + step / 100, made.random)]
+        for box in ready:
+            box.tokens -= 1
+        sent.append(len(ready))
+    able = 3 * RULES.start_capacity * 30.0
+    assert sent[0] == proxies and able <= sum(sent[1:]) <= 2 * able
+
+
+@pytest.mark.parametrize(("here", "expected"), [(5.0, 0.1), (10.0, 0.1), (30.0, 0.3)])
+def test_a_share_is_granted_in_parts_where_proxies_hear_no_other(here: float, expected: float) -> None:
+    # Guards against ten proxies that each grant a tenant the whole of its share.
+    tenants = (api.Tenant("lagos", quota=60.0), api.Tenant("abuja", quota=40.0))
+    alone = settings(proxies=10, tenants=tenants, limits=api.Limits(max_attempts=4))
+    rows = {0: unpack(pack(0, 0, 1.0, (0, 1.0, here / 4, here / 4, here), []), 1.0)}
+    assert quotas.part(alone, rows, here) == pytest.approx(expected)
+    heard = settings(proxies=10, tenants=tenants)
+    assert quotas.part(heard, rows | {1: rows[0]}, here) == 0.5
+    assert quotas.part(settings(proxies=4, limits=alone.limits), rows, here) == 0.25
+
+
 @pytest.mark.parametrize("what", SITUATIONS, ids=lambda what: what.name)
 def test_what_goes_wrong_costs_little_service_and_few_copies(what: Situation) -> None:
     least = {"one in six lost everywhere": 0.97, "one box silent, one in six lost": 0.96}
