Give the run of the Ctrl-C test a SIGINT that is heeded, whatever the tests inherit

Cause: not the run. What is ignored is inherited over fork and exec, and a shell without job control ignores SIGINT for what it starts in the background (`pytest ... &` in a script). Python then installs no handler at its start, so asyncio.Runner installs none either, and the signal is dropped by the kernel. The line at fault is the Popen of the test. Seen: with the tests in the background of `sh`, it fails each time; the run that hangs has SIGINT in SigIgn, and nothing caught, blocked or pending. `timeout` before it hides the fault, as it catches SIGINT itself.

A run that is started with SIGINT ignored is to leave it so, as any program in the background of a script: that Ctrl-C is meant for another. So the product is as it was.

Change: the test's process starts with SIGINT at its default, as before a terminal. The test is run twice, with SIGINT heeded and ignored by the tests' own process, so the crossing no longer depends on who starts them.

--- a/tests/rehearsal/test_live.py
+++ b/tests/rehearsal/test_live.py
@@ -7,7 +7,9 @@
 import signal
 import subprocess
 import sys
+from collections.abc import Callable
 from pathlib import Path
+from types import FrameType
 
 import pytest
 from msgspec.structs import replace
@@ -95,16 +97,27 @@
     run(work())
 
 
-def test_ctrl_c_leaves_no_process_behind() -> None:
+@pytest.mark.parametrize("ours", [signal.default_int_handler, signal.SIG_IGN], ids=["heeded", "ignored"])
+def test_ctrl_c_leaves_no_process_behind(ours: Callable[[int, FrameType | None], object] | int) -> None:
+    """Whatever SIGINT does to the tests: a script's shell has what it starts in the background ignore it."""
     code = (
         "from msgspec.structs import replace\n"
         "from tests.rehearsal.test_live import SMALL, shown\n"
         "from firvane.rehearsal.live import live\n"
         "live(replace(SMALL, seconds=3600.0), 1, shown)\n"  # it ends by the signal alone
     )
-    running = subprocess.Popen(
-        [sys.executable, "-c", code], cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True
-    )
+    before = signal.signal(signal.SIGINT, ours)
+    try:
+        running = subprocess.Popen(
+            [sys.executable, "-c", code],
+            cwd=ROOT,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+            text=True,
+            preexec_fn=as_before_a_terminal,
+        )
+    finally:
+        signal.signal(signal.SIGINT, before)
     assert running.stdout
     try:
         for line in running.stdout:
@@ -121,6 +134,11 @@
         running.stdout.close()
 
 
+def as_before_a_terminal() -> None:
+    """A process that is to hear Ctrl-C must not inherit that it is ignored: Python leaves it so, rightly."""
+    signal.signal(signal.SIGINT, signal.SIG_DFL)
+
+
 def shown(record: Record) -> None:
     """Says what befalls the proxies."""
     if isinstance(record, ProxyState):
