Start no proxy that was killed, or whose rehearsal was over, while its list was asked for

Need: found by reading what Ctrl-C may come between. Tier._launch asks the fleet's process for the list that a proxy had last, and launches it with the answer. An end in between has nobody to kill yet, and `known` did not look again: in a live run the answer may be read after LiveRun.close, and a proxy started then lived on as long as the process did, listening on an address of a net that the next run could claim. A kill in between was said before the start, and that proxy ran on although it was dead to the front, up to its next start.

Change: `known` starts nothing once the rehearsal is over, or that life is.

Measured: the new test holds the answer back. Both halves fail on the old lines and pass on the new.

--- a/firvane/rehearsal/world.py
+++ b/firvane/rehearsal/world.py
@@ -404,6 +404,9 @@
         start = named(self.seed, f"{seat.name}/{life}")
 
         def known(listed: dict[str, Any]) -> None:
+            # Asked of another process: meanwhile it may have been killed, or all be over.
+            if self.is_over or number not in self.running or self.lives[number] != life:
+                return
             told = self._configuration(number, start, listed)
             if self.scenario.proxies.voters:
                 policies.keep(policies.folder(self.proxies.folder, seat.name))
--- a/tests/rehearsal/test_live.py
+++ b/tests/rehearsal/test_live.py
@@ -16,6 +16,7 @@
 
 from firvane.fleet.records import Answered, Arrived, Asked, ProxyState, Record, Told, Used
 from firvane.fleet.scenario import Boxes, Load, Proxies, Scenario, Trouble
+from firvane.fleet.timeline import Action, Step
 from firvane.fleet.verdict import Rule
 from firvane.rehearsal.live import Health, LiveRun, excuse
 from firvane.rehearsal.machines import used
@@ -134,6 +135,33 @@
         running.stdout.close()
 
 
+@pytest.mark.parametrize("is_killed", [True, False], ids=["killed", "all over"])
+def test_what_was_to_start_when_its_end_came_never_starts(tmp_path: Path, is_killed: bool) -> None:
+    """A start waits for a word of the fleet's process; an end that comes in between has nobody to kill yet."""
+
+    async def work() -> None:
+        seen: list[Record] = []
+        net, claim = claim_net()
+        live = LiveRun(asyncio.get_running_loop(), SMALL, 1, seen.append, tmp_path, net)
+        answers: list[Callable[[dict[str, object]], None]] = []
+        live.tier.ask_known = lambda proxy, answer: answers.append(answer)
+        try:
+            live.tier.open()
+            if is_killed:
+                for name in ("proxy-0", "proxy-1"):
+                    live.tier.strike(Step(0.0, Action.KILL, proxy=name))
+            else:
+                live.close()
+            for answer in answers:
+                answer({})
+            assert len(answers) == 2 and not live.machines.processes
+        finally:
+            live.close()
+            claim.close()
+
+    run(work())
+
+
 def as_before_a_terminal() -> None:
     """A process that is to hear Ctrl-C must not inherit that it is ignored: Python leaves it so, rightly."""
     signal.signal(signal.SIGINT, signal.SIG_DFL)
