Keep the port of a trial's door from everybody else until the trial is over

Found by looking for ports that are picked, released and bound again: `trial` took a free port for the version's operators' door, closed its socket, and only then started the version, which binds it some 0.5 s later. Anything that asks the kernel for any port, or dials from one, could have it meanwhile: the version ends at its start, and the roll is given up.

Change: the socket stays open, bound and not listening, until the trial is over.

Checked with IP_LOCAL_PORT_RANGE narrowed to that one port: while it is held, bind to port 0 is refused with and without SO_REUSEADDR, and so is a dial; a bind to the port itself with SO_REUSEADDR listens beside it, which is how SocketDoor binds. Once it is closed, all three get it.

--- a/firvane/rollout/trial.py
+++ b/firvane/rollout/trial.py
@@ -20,14 +20,17 @@
 
 async def trial(how: Version, ready_s: float, end_s: float) -> str:
     """Why the version is not fit to be begun; "" where it became ready, answered a request, and ended when
-    told to."""
+    told to.
+
+    The version must bind its operators' door with SO_REUSEADDR, as every firvane does: the port is kept from
+    everybody else by a socket here that is bound and does not listen.
+    """
     loop = asyncio.get_running_loop()
     prctl = ctypes.CDLL(None).prctl
     with socket.create_server(("127.0.0.1", 0), backlog=64) as held, _free() as ops:
         env = {**os.environ, **how.environment, "NODE_SOCKET_FD": str(held.fileno())}
         listen, door = held.getsockname(), ops.getsockname()
         env |= {"NODE_LISTEN": "{}:{}".format(*listen), "NODE_OPS": "{}:{}".format(*door)}
-        ops.close()
         try:
             made = subprocess.Popen(
                 how.command,
@@ -68,6 +71,11 @@
 
 
 def _free() -> socket.socket:
+    """A port that is nobody else's while this is open.
+
+    The kernel gives it to none that asks for any, and lets one beside it that asks for this one and has
+    SO_REUSEADDR as well. Closed before the version has come so far, it would go to whoever is first.
+    """
     sock = socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.bind(("127.0.0.1", 0))
