Wait until what places started is gone before a fleet of the tests is over

Need: beside another suite, one run failed to bind an address at a place's start. A second cause, by looking for addresses that are given up and bound again: Keepers.close sent SIGKILL to the places' processes, which are not its children, and returned. test_rollout is the last file of the suite, so the tests' process then ends and lets its nets go (`CLAIMS`), while those processes may still listen on 127.N.P.1:8080 and :9090. Another suite takes the lowest free net, which is the one just let go.

Seen: with a fleet of three, 3 of 3 were alive when close returned, and gone 4.5 ms later on a machine with time; one that is busy takes longer. Ruled out: nets are claimed by a bound socket and kept for the process's life, all fixed ports lie below the kernel's range for any port, and nothing binds 0.0.0.0.

Change: each is killed over a descriptor of its own and waited for; one that stays is a failure.

Measured: in the new test a kill takes effect only once it is waited for.

--- a/tests/together/rolling.py
+++ b/tests/together/rolling.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import os
+import select
 import signal
 import subprocess
 import sys
@@ -110,6 +111,16 @@
             one.transport.abort()
 
 
+def end(pid: int) -> None:
+    """Kill a process of others and wait until it is gone; `ProcessLookupError` where it is already."""
+    handle = os.pidfd_open(pid)
+    try:
+        signal.pidfd_send_signal(handle, signal.SIGKILL)
+        assert select.select([handle], [], [], GONE_S)[0], f"{pid} is there {GONE_S:g} s after its end"
+    finally:
+        os.close(handle)
+
+
 class Keepers:
     """What stands for the proxies' machines: a place with its keeper each."""
 
@@ -141,12 +152,13 @@
             process.wait(GONE_S)
 
     def close(self) -> None:
+        """End all of them. They are gone once it returns, and another suite may have their addresses."""
         for number in list(self.processes):
             self.kill(number)
         for pid, value in list(probe.marked(MARK)):
             if str(self.whole.folder) in value:
                 with contextlib.suppress(ProcessLookupError):
-                    os.kill(pid, signal.SIGKILL)
+                    end(pid)
 
 
 class Rolling(Together):
--- a/tests/together/test_rollout.py
+++ b/tests/together/test_rollout.py
@@ -5,14 +5,20 @@
 import asyncio
 import json
 import os
+import select
 import signal
+import sys
 from collections.abc import Callable, Iterator
-from subprocess import Popen
+from pathlib import Path
+from subprocess import PIPE, Popen
+from types import SimpleNamespace
+from typing import Any, cast
 
 import pytest
 
+from firvane.rollout.keeper import MARK
 from firvane.rollout.words import Kept, State
-from tests.together.rolling import STAGES, Fleets, Rolling
+from tests.together.rolling import STAGES, Fleets, Keepers, Rolling
 
 STEPS = 12  # more steps than a roll of these has: it would not end
 
@@ -25,6 +31,33 @@
     made.runner.close()
 
 
+def test_what_places_started_is_gone_once_they_are_closed(tmp_path: Path) -> None:
+    """What it still held then, another suite could not bind: it has the net once these tests are over."""
+    program = "import signal; print('up', flush=True); signal.pause()"
+    env = {MARK: f"1 v1 0 {tmp_path}/proxy-0.place"}
+    wait, kill = select.select, os.kill
+    late: list[int] = []
+
+    def waited(*what: Any) -> tuple[list[int], list[int], list[int]]:
+        for pid in late:
+            kill(pid, signal.SIGKILL)
+        return wait(*what)
+
+    with Popen([sys.executable, "-c", program], env=env, start_new_session=True, stdout=PIPE) as made:
+        handle = os.pidfd_open(made.pid)
+        try:
+            assert made.stdout and made.stdout.readline() == b"up\n"
+            with pytest.MonkeyPatch.context() as busy:  # a machine on which it dies no sooner than waited for
+                busy.setattr(os, "kill", lambda pid, number: late.append(made.pid))
+                busy.setattr(signal, "pidfd_send_signal", lambda pid, number: late.append(made.pid))
+                busy.setattr(select, "select", waited)
+                Keepers(cast(Rolling, SimpleNamespace(folder=tmp_path))).close()
+            assert late == [made.pid] and wait([handle], [], [], 0)[0]
+        finally:
+            os.close(handle)
+            made.kill()
+
+
 def in_state(state: State) -> Callable[[Kept], bool]:
     return lambda kept: kept.state is state
 
