Undo after each test what it holds of signals, and start the Ctrl-C test's run without it

Need: in a whole run test_ctrl_c_leaves_no_process_behind still failed after 60 s, with SIGINT at its default.

Cause: since `firvane serve` blocks SIGTERM, SIGINT and SIGHUP at its first line. Tests of bad usage and of useless files (tests/cli/test_command.py) play it in the tests' own process; it ends before its loop listens, and the three stay blocked there. A blocked mask is inherited over fork and exec, so every process that a later test starts has SIGINT blocked, and the run of the Ctrl-C test never sees it. Alone it passes. Seen: SigBlk of the tests' process was 4003 (hex) in a whole run, and a mask read after each test names those two tests.

The program itself is right: its process ends at once in that case, and a signal held until then is no loss.

Change: a fixture for all tests gives the mask back, with a test of it; the run of the Ctrl-C test starts with SIGINT unblocked too, and the test is run a third time with SIGINT held.

With the one new line in as_before_a_terminal left out, `held` fails and the other two pass; without the fixture, its own test fails.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import signal
+from collections.abc import Iterator
+
 import pytest
 
 from firvane import native
@@ -14,3 +17,12 @@
 def pytest_configure(config: pytest.Config) -> None:
     if config.getoption("--native") and not (found := native.activate()).on:
         raise pytest.UsageError(f"nothing compiled can be run: {found.why}")
+
+
+@pytest.fixture(autouse=True)
+def signals_as_they_were() -> Iterator[None]:
+    """`firvane serve` holds signals from its first line on (`firvane.orders`). Played in this process, on a
+    file of no use, it would leave them held for all tests that follow, and for every process they start."""
+    before = signal.pthread_sigmask(signal.SIG_BLOCK, ())
+    yield
+    signal.pthread_sigmask(signal.SIG_SETMASK, before)
--- a/tests/rehearsal/test_live.py
+++ b/tests/rehearsal/test_live.py
@@ -9,7 +9,6 @@
 import sys
 from collections.abc import Callable
 from pathlib import Path
-from types import FrameType
 
 import pytest
 from msgspec.structs import replace
@@ -98,17 +97,21 @@
     run(work())
 
 
-@pytest.mark.parametrize("ours", [signal.default_int_handler, signal.SIG_IGN], ids=["heeded", "ignored"])
-def test_ctrl_c_leaves_no_process_behind(ours: Callable[[int, FrameType | None], object] | int) -> None:
-    """Whatever SIGINT does to the tests: a script's shell has what it starts in the background ignore it."""
+@pytest.mark.parametrize("here", ["heeded", "ignored", "held"])
+def test_ctrl_c_leaves_no_process_behind(here: str) -> None:
+    """Whatever SIGINT does to the tests: a script's shell has what it starts in the background ignore it, and
+    a test that plays a command of the program in this process may leave it held (`firvane.orders`)."""
     code = (
         "from msgspec.structs import replace\n"
         "from tests.rehearsal.test_live import SMALL, shown\n"
         "from firvane.rehearsal.live import live\n"
         "live(replace(SMALL, seconds=3600.0), 1, shown)\n"  # it ends by the signal alone
     )
-    before = signal.signal(signal.SIGINT, ours)
+    before = signal.getsignal(signal.SIGINT)
+    mask = signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGINT} if here == "held" else ())
     try:
+        if here == "ignored":
+            signal.signal(signal.SIGINT, signal.SIG_IGN)
         running = subprocess.Popen(
             [sys.executable, "-c", code],
             cwd=ROOT,
@@ -119,6 +122,7 @@
         )
     finally:
         signal.signal(signal.SIGINT, before)
+        signal.pthread_sigmask(signal.SIG_SETMASK, mask)
     assert running.stdout
     try:
         for line in running.stdout:
@@ -163,8 +167,9 @@
 
 
 def as_before_a_terminal() -> None:
-    """A process that is to hear Ctrl-C must not inherit that it is ignored: Python leaves it so, rightly."""
+    """A process that is to hear Ctrl-C must not inherit that it is ignored or held: Python leaves it so."""
     signal.signal(signal.SIGINT, signal.SIG_DFL)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGINT})
 
 
 def shown(record: Record) -> None:
--- /dev/null
+++ b/tests/test_tests.py
@@ -0,0 +1,18 @@
+"""What one test does to its process is undone before the next."""
+
+from __future__ import annotations
+
+import signal
+
+from firvane import orders
+
+BEFORE = signal.pthread_sigmask(signal.SIG_BLOCK, ())
+
+
+def test_signals_may_be_held() -> None:
+    orders.hold()
+    assert signal.pthread_sigmask(signal.SIG_BLOCK, ()) >= set(orders.ORDERS)
+
+
+def test_and_are_not_in_the_next() -> None:
+    assert signal.pthread_sigmask(signal.SIG_BLOCK, ()) == BEFORE
