Give a lost attempt up only where another may legally follow it

Need: with second copies off and `cancel` on, an attempt that was taken for lost was given up whatever could come after it. One of a class that is unsafe to repeat was closed and its client told that it had failed, though the answer might still have come; the same for a token whose time was over, for the last attempt that `send-cap` allows, and where no other target was there.

Cause: the condition `limits.cancel and (other or not limits.second_copies)` in `Balancer.doubt`. `choose` finds nobody while an attempt is out and second copies are off, by rule, so `other` said nothing there, and the condition gave up blindly. Ruled out: the engine, which closes what it is told to.

Change: where `cancel` allows giving up, `choose` is asked as if the attempt were gone already; nobody found, it stays out. The gate of all sends (`legal`) answers for class, token's group and time, and the number of attempts. Where two may not be out, the next one still goes only when the end of the first is told, as before.

Measured: the new test on sockets loses an attempt (its target answers two later ones) after a reload that turns copies off.

--- a/firvane/choice.py
+++ b/firvane/choice.py
@@ -146,21 +146,22 @@
 
     def doubt(self, job: Job, now: float) -> None:
         """A second copy where the first seems lost, or the server that has it gone."""
-        attempt, name = next(iter(job.out.items()))
+        limits, out, wait = self.settings.limits, job.out, DOUBT * job.cls.aim
+        attempt, name = next(iter(out.items()))
         server, mark = self.servers.get(name), self.evidence.marks.get((job.request.id, attempt))
-        wait, copies = DOUBT * job.cls.aim, self.copies and self.evidence.crowded < CROWD
-        copies = copies and not (self.recovery and self.recovery.on)
+        copies = self.copies and self.evidence.crowded < CROWD and not (self.recovery and self.recovery.on)
         if len(job.out) > 1 or job.spent or not server or not mark:
             return
         if mark.lost or self.evidence.is_lost(mark, now):
             if not mark.lost:
                 self.evidence.lose(mark, server)
                 self.large.mark(server)
-            other, limits = self.choose(job, now, 1.0), self.settings.limits
-            if limits.cancel and (other or not limits.second_copies):  # in its place, rather than beside it
+            job.out = {} if limits.cancel else out  # one in its place, rather than beside it
+            if not (other := self.choose(job, now, 1.0)):
+                job.out = out  # guards what may not be repeated: nobody follows it, and its answer may come
+            elif limits.cancel:
                 self.actions.append(api.Cancel(job.request.id, attempt))
-                job.out.pop(attempt)
-            if other:
+            if other and limits.second_copies:  # else not before its end is told
                 self.send(job, other, now)
             else:
                 self.wake(job, mark.usual)
@@ -229,8 +230,7 @@
         """The gate that every send passes: the four rules, and nothing else."""
         cls, limits = job.cls, self.settings.limits
         if server.entry.state is not api.ServerState.UP or job.sent >= limits.max_attempts or (
-            now >= job.deadline or (job.out and not limits.second_copies)
-            or self.held_back(server, now)
+            now >= job.deadline or (job.out and not limits.second_copies) or self.held_back(server, now)
         ):  # fmt: skip
             return False
         kept = server.entry.group(cls.scope) == job.group and now < job.kept_until - self.settings.tick
--- a/tests/crossings/mutants/attempts.py
+++ b/tests/crossings/mutants/attempts.py
@@ -8,6 +8,20 @@
 ENGINE, FORWARD = "firvane/engine.py", "firvane/net/forward.py"
 
 MUTANTS = [
+    Mutant(
+        "a lost attempt is given up only where another may follow",
+        "firvane/choice.py",
+        "                job.out = out  # guards",
+        "                self.actions.append(api.Cancel(job.request.id, attempt))  # guards",
+        f"{FILE} -k lost_attempt",
+    ),
+    Mutant(
+        "and not before its end is told where two may not be out",
+        "firvane/choice.py",
+        "if other and limits.second_copies:  # else",
+        "if other:  # else",
+        "tests/test_choice.py -k lost_attempt",
+    ),
     Mutant(
         "what is not written when its client leaves is not written at all",
         ENGINE,
--- a/tests/crossings/test_attempts.py
+++ b/tests/crossings/test_attempts.py
@@ -28,6 +28,7 @@
     Rig,
     Target,
     a_class,
+    configured,
     entry,
     params,
     play,
@@ -304,6 +305,57 @@
     play(work())
 
 
+@pytest.mark.parametrize(
+    ("path", "follows", "more", "limits"),
+    [
+        ("/read/x", True, {}, {}),
+        ("/keep/x", True, {}, {}),
+        ("/pay/x", False, {}, {}),
+        ("/keep/x", False, {"window-ns": 50 * MS}, {}),
+        ("/read/x", False, {}, {"send-cap": 1}),
+        ("/read/x", False, None, {}),
+    ],
+    ids=["safe", "token", "unsafe", "token-too-late", "no-attempt-left", "no-other-target"],
+)
+def test_a_lost_attempt_is_given_up_only_where_another_may_follow(
+    tmp_path: Path, path: str, follows: bool, more: dict[str, Any] | None, limits: dict[str, Any]
+) -> None:
+    # Without second copies none is sent beside it, and it was given up also where none could come after it.
+    def agreed(copies: bool) -> dict[str, Any]:
+        token = {"dedup-scope": "all", "window-ns": 60_000 * MS, **(more or {})}
+        classes = [a_class("read"), a_class("keep", repeat="token", **token)]
+        classes.append(a_class("pay", repeat="side_effect"))
+        return params(classes=classes, limits={**limits, "second-copies": copies})
+
+    async def work() -> None:
+        async with rig(tmp_path, targets=2, settings=agreed(True)) as made:
+            await started(made, s2="draining")
+            client, others = await made.client(), [await made.client() for _ in range(2)]
+            await client.send(request("c1", path, body=b"" if path.startswith("/read") else b"money"))
+            link = await made.targets[0].taken()
+            # From here on it is looked at as before, and not copied.
+            made.env = configured(tmp_path, made.agent, agreed(False))
+            made.proxy.reload(made.read_again)
+            for n, other in enumerate(others):  # its target answers others, and so it is lost
+                await other.send(request(f"o{n}"))
+                answering = await made.targets[0].taken()
+                await answering.send(OK)
+                await other.until(b"hi")
+            if more is not None:
+                listed(made, s2="up")
+            [mark] = made.proxy.engine.balancer.evidence.marks.values()
+            await made.see(lambda: mark.lost)
+            if follows:
+                assert await link.gone()
+                link = await made.targets[1].taken()
+            await link.send(OK)
+            assert (await client.until(b"\r\n"))[9:12] == b"200"
+            assert [target.calls.count("c1") for target in made.targets] == [1, int(follows)]
+            await at_rest(made)
+
+    play(work())
+
+
 # A flow that is answered, or has begun to be
 
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -344,6 +344,19 @@
     assert balancer.servers["a"].retry_at > 100.6
 
 
+def test_a_lost_attempt_is_followed_once_its_end_is_told_where_two_may_not_be_out() -> None:
+    balancer = started("a", limits=dataclasses.replace(settings().limits, second_copies=False))
+    attempt(balancer, 1, 100.0)
+    for n in (2, 3):
+        balancer.handle(outcome(attempt(balancer, n, 100.1), 0, api.Result.OK), 100.2)
+    assert not balancer.handle(api.TimerFired(2), 101.0).count(api.Cancel(1, 0))  # nobody else is there
+    balancer.handle(changes(server("b")), 101.0)
+    assert balancer.handle(api.TimerFired(2), 101.0)[0] == api.Cancel(1, 0)
+    assert not sends(balancer.actions)
+    gone = api.Outcome(1, 0, "a", api.Result.CANCELLED, 1.0, False)
+    assert [send.server for send in sends(balancer.handle(gone, 101.01))] == ["b"]
+
+
 def test_an_idle_fleet_refuses_nothing_however_low_its_rate() -> None:
     balancer = started("ab")
     refused = 0
