Let no weight that a list tells stop the decisions

Need: a list from discovery must never be able to crash or stop a proxy. With a weight of 0 at all targets no request was sent any more.

Cause, seen by running lists of odd weights through the reader and the decisions: the reader lets through 0 to 1e15 (negative, NaN, infinite, null and text are a bad list already). A power of 0 is divided by in `Balancer.pick` (the mean over all, and each server's own load by power, so that a single 0 was enough) and in `Evidence.weigh` by way of the span of a kind, which ended each window. So did the smallest numbers, whose product rounds to 0. A sum of powers of 1e9 and more ended each window as well: `announce` reads its own row back, and `unpack` takes none with such a rate. Ruled out: the index (counts whole units, at least 1), the ring (the same), `deal` (knows no weights), `balance` (guarded).

Change: weights are made fit where they enter the decisions, in one function: at least a thousandth, at most what the reader lets through. `pack` keeps rates below what a row may say. Lists are not turned down: 0 has a meaning, next to nothing. A thousandth and not less, as the best rate by weight outlives the list that it was learnt from. choice.py is unchanged.

--- a/firvane/routing/listing.py
+++ b/firvane/routing/listing.py
@@ -5,6 +5,7 @@
 1. Of those that share a tag the last by id is meant, whatever came before.
 2. Where it may be another one than before, nobody with that tag has anything out from peers: who keeps the
    counts adds them anew.
+3. What the list says of a weight counts as `fitting` makes it: shares are divided by weights.
 """
 
 from __future__ import annotations
@@ -14,7 +15,7 @@
 from zlib import crc32
 
 from firvane import interface as api
-from firvane.state import Backend
+from firvane.state import Backend, fitting
 
 
 class Listing:
@@ -73,7 +74,7 @@
                 touched[server] = None
         elif server is None:
             salt = crc32(entry.id.encode())
-            server = servers[entry.id] = Backend(entry, salt, entry.weight, entry.up_since)
+            server = servers[entry.id] = Backend(entry, salt, fitting(entry.weight), entry.up_since)
             touched[server] = None
         else:
             moved, grown = server.renew(entry, live)
--- a/firvane/state.py
+++ b/firvane/state.py
@@ -15,6 +15,10 @@
 ROW = struct.Struct("<BBBQHffffB")  # the fields of Row up to the count of entries
 ENTRY = struct.Struct("<HB")  # tag of a server, attempts out there
 VERSION = 1
+# Of a weight. None is 0, by which shares would be divided: the least counts as a thousandth part, not as less
+# than any figure, as what was learnt by it outlives it.
+LEAST, MOST = 2.0**-10, 1e15
+TOLD = 1e9  # a row's rates are below
 
 
 def mix(a: int, b: int) -> int:
@@ -38,6 +42,11 @@
     return result
 
 
+def fitting(weight: float) -> float:
+    """A weight as it counts, whatever a list says: nobody can be put out of action by what he is sent."""
+    return min(MOST, max(LEAST, weight))
+
+
 @dataclass(slots=True, eq=False)
 class Mark:
     """An attempt that is out."""
@@ -94,7 +103,8 @@
             self.since, self.fails, self.retry_at, self.timed = entry.up_since, 0, 0.0, 0.0
             self.faulty = 0.0
         # Live weights fall with what a server holds: its largest is nearest to its size.
-        self.weight = max(weight, entry.weight) if live else entry.weight
+        told = fitting(entry.weight)
+        self.weight = max(weight, told) if live else told
         self.entry = entry
         moved = entry.state is not old.state or entry.zone != old.zone
         return moved, self.weight != weight or entry.kind != old.kind
@@ -139,7 +149,10 @@
     flags: int, zone: int, now: float, figures: tuple[int, float, float, float, float], out: list[Backend]
 ) -> bytes:
     """A row as bytes: the `figures` from `phi` to `served`, and the attempts that are `out` from here."""
-    head = ROW.pack(VERSION, flags, zone, int(now * 1000), *figures, len(out))
+    phi, *rates = figures
+    # Guards the windows, which read their own row: one that cannot be read would end each of them.
+    rates = [min(rate, 0.99 * TOLD) for rate in rates]
+    head = ROW.pack(VERSION, flags, zone, int(now * 1000), phi, *rates, len(out))
     return head + b"".join(ENTRY.pack(s.salt & 0xFFFF, min(255, s.own)) for s in out)
 
 
@@ -147,6 +160,6 @@
     """A row from bytes; `ValueError` or `struct.error` where they are not one."""
     row = Row._make([*ROW.unpack_from(payload), now, list(ENTRY.iter_unpack(payload[ROW.size :]))])
     rates = (row.mu, row.arrivals, row.forecast, row.served)
-    if row.version != VERSION or len(row.out) != row.entries or not all(0 <= x < 1e9 for x in rates):
+    if row.version != VERSION or len(row.out) != row.entries or not all(0 <= x < TOLD for x in rates):
         raise ValueError("not a row")
     return row
--- a/tests/crossings/mutants/lists.py
+++ b/tests/crossings/mutants/lists.py
@@ -8,6 +8,16 @@
 TESTS = "tests/crossings/test_lists.py"
 
 MUTANTS = [
+    Mutant(
+        "no weight of a list is divided by as 0", "firvane/state.py",
+        "min(MOST, max(LEAST, weight))", "min(MOST, weight)",
+        f"{TESTS}::test_no_weight_of_a_list_stops_a_proxy",
+    ),
+    Mutant(
+        "a proxy can read its own row, whatever a list's weights are", "firvane/state.py",
+        "    rates = [min(rate, 0.99 * TOLD) for rate in rates]\n", "",
+        f"{TESTS}::test_no_weight_of_a_list_stops_a_proxy",
+    ),
     Mutant(
         "a list may come indented", TARGETS,
         "                if self.open > 0:\n", "                if False:\n",
--- a/tests/crossings/test_lists.py
+++ b/tests/crossings/test_lists.py
@@ -125,6 +125,34 @@
     play(work())
 
 
+@pytest.mark.parametrize("weights", [(0, 0), (0, 1), (5e-324, 5e-324), (1e14, 1e14)], ids=str)
+def test_no_weight_of_a_list_stops_a_proxy(tmp_path: Path, weights: tuple[float, float]) -> None:
+    # It comes beside requests and windows, which go on; and a list after it is taken in.
+    async def work() -> None:
+        async with rig(tmp_path, 2) as made:
+            watch = await made.start()
+            for target in made.targets:
+                made.later(target.serve())
+            told = [{**one, "weight": weight} for one, weight in zip(made.entries(), weights, strict=True)]
+            await watch.tell(2, *told)
+            await made.see(lambda: made.proxy.group.index == 2)
+            client, windows = await made.client(), made.proxy.engine.balancer.windows
+            for n in range(10):
+                key = f"X-Route-Hash: k{n}\r\nX-Call-Cost: 300000\r\n" if n % 2 else ""
+                await client.send(request(f"c{n}", more=key))
+                assert await answer(client) == 200
+                await client.exactly(2)
+            await made.see(lambda: made.proxy.engine.balancer.windows >= windows + 4)  # one of which is told
+            await watch.tell(3, *made.entries(s1="draining"))
+            await made.see(lambda: made.proxy.group.index == 3)
+            await client.send(request("last"))
+            assert await answer(client) == 200
+            assert made.targets[1].calls[-1] == "last"
+            assert not made.proxy.engine.faults
+
+    play(work())
+
+
 # Silence
 
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -122,6 +122,38 @@
     assert [s.server for s in sends(balancer.handle(api.TimerFired(0), 100.1))] == ["a"]
 
 
+EXTREME = [(0.0, 0.0), (0.0, 1.0), (-1.0, 5e-324), (float("nan"), float("inf")), (1e14, 1.0), (1e14, 1e14)]
+
+
+@pytest.mark.parametrize("weights", EXTREME, ids=str)
+@pytest.mark.parametrize("count", [2, 40], ids=["looked-through", "indexed"])
+@pytest.mark.parametrize("live", [False, True])
+@pytest.mark.parametrize("proxies", [1, 20])
+def test_no_weight_of_a_list_stops_the_decisions(
+    weights: tuple[float, float], count: int, live: bool, proxies: int
+) -> None:
+    # A 0 at all servers was divided by; rows of large ones could not be read, by their own proxy either, and
+    # each window ended in that.
+    balancer = Balancer(settings(live_weights=live, proxies=proxies), 7, 100.0)
+    balancer.start(100.0)
+    names = [f"s{n}" for n in range(count)]
+    for version, told in enumerate((weights, (1.0, 1.0), weights), 1):
+        usual = [server(name, weight=told[n % 2], kind=n % 2) for n, name in enumerate(names)]
+        usual[0].up_since = 99.0 + version
+        balancer.handle(full_list(*usual, version=version), 100.0 + version)
+        for n in range(60):
+            now, number = 100.0 + version + n / 70, 100 * version + n
+            key, work = (None, f"k{n}")[n % 2], (None, 0.3)[n % 3 == 0]
+            actions = balancer.handle(api.Request(number, 0, 2.0, key, work=work), now)
+            for send in sends(actions):
+                balancer.handle(outcome(send, 0, api.Result.OK, 0.01), now)
+            assert sends(actions)
+            if n % 10 == 0:
+                balancer.handle(api.TimerFired(0), now)
+    balancer.announce(111.0, 0)
+    assert balancer.rows[0].at == 111.0 and balancer.rows[0].mu > 0
+
+
 # Rows
 
 
