Turn a list down whose names have half a character

Need: a name such as "\ud800", which JSON can write, must be handled as any bad entry is, with nothing lost.

Cause: `ListReader._entry` took any text for a name. It has no bytes, so `crc32(entry.id.encode())` in `routing/listing.py` `merge` raised in the decisions, with the entries before it taken in and those behind it not; the engine caught it and went on, and as the list's version stood discovery was never asked for it again. Seen with the entry first and last, in a whole list and in changes. Checked beside it: half a character in an address, a zone, a type or a status harms nothing (addresses are numeric, the others are only looked up).

Change: the reader turns the list down, which is the one place for it: what stands stays in force, and the whole list is asked for. That this is so is rule 6 at the head of `net/targets.py`.

--- a/firvane/net/targets.py
+++ b/firvane/net/targets.py
@@ -15,6 +15,8 @@
 5. What a line meant to say is unknown where it was of no use or could not be taken in, and so is what it was
    said on top of where changes have an older version than the list that stands here: the next watch asks for
    the whole list. A whole list is taken whatever its version.
+6. What cannot be used anywhere behind is told here: the reader turns a list down whole for one bad entry, and
+   what is known stays in force. Nobody behind it looks for bad entries again.
 """
 
 from __future__ import annotations
@@ -74,6 +76,10 @@
         name, state = entry.get("name"), STATES.get(str(entry.get("status")))
         if not isinstance(name, str) or not name or state is None:
             raise BadList(f"endpoint {name!r} has status {entry.get('status')!r}")
+        try:
+            name.encode()
+        except UnicodeEncodeError:  # JSON can write it; guards whoever makes bytes of a name
+            raise BadList(f"endpoint {name!r} has half a character in its name") from None
         numbers = [entry.get("since_ms") or 0, entry.get("group") or 0, entry.get("weight", 1.0)]
         if not all(isinstance(n, int | float) and 0 <= n < 1e15 for n in numbers):
             raise BadList(f"endpoint {name!r} has a number out of range")
--- a/tests/crossings/mutants/lists.py
+++ b/tests/crossings/mutants/lists.py
@@ -8,6 +8,11 @@
 TESTS = "tests/crossings/test_lists.py"
 
 MUTANTS = [
+    Mutant(
+        "a name with half a character is a bad list", TARGETS,
+        "            name.encode()\n", "            pass\n",
+        f"{TESTS}::test_a_name_with_half_a_character_is_a_bad_list",
+    ),
     Mutant(
         "no weight of a list is divided by as 0", "firvane/state.py",
         "min(MOST, max(LEAST, weight))", "min(MOST, weight)",
--- a/tests/crossings/test_lists.py
+++ b/tests/crossings/test_lists.py
@@ -406,6 +406,35 @@
     play(work())
 
 
+@pytest.mark.parametrize("snapshot", [True, False], ids=["list", "changes"])
+@pytest.mark.parametrize("first", [True, False], ids=["first", "last"])
+def test_a_name_with_half_a_character_is_a_bad_list(tmp_path: Path, snapshot: bool, first: bool) -> None:
+    # The decisions failed on it with half of the list taken in, and as its version stood it never came again.
+    async def work() -> None:
+        async with rig(tmp_path, 2) as made:
+            watch = await made.start()
+            for target in made.targets:
+                made.later(target.serve())
+            told = [entry("s\ud800", made.targets[0]), *made.entries(s1="draining")]
+            await watch.tell(2, *(told if first else reversed(told)), snapshot=snapshot)
+            again = await made.agent.watch()
+            assert await watch.gone() and again.query == "watch=1&from=0"
+            client = await made.client()
+            for n in range(10):  # by the list of before
+                await client.send(request(f"c{n}"))
+                assert await answer(client) == 200
+                await client.exactly(2)
+            assert all(target.calls for target in made.targets)
+            await again.tell(2, *made.entries(s1="draining"))
+            await made.see(lambda: made.proxy.group.index == 2)
+            await client.send(request("last"))
+            assert await answer(client) == 200
+            assert made.targets[1].calls[-1] == "last"
+            assert not made.proxy.engine.faults and made.proxy.engine.known == {"s1", "s2"}
+
+    play(work())
+
+
 # Discovery moves
 
 
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -71,6 +71,8 @@
         {"address": None},
         {"status": "odd"},
         {"name": 3},
+        {"name": "s\ud800"},
+        {"name": "\udc00"},
         {"since_ms": -1},
         {"weight": "x"},
     ],
