Read what discovery has said before a start goes on without it

Need: what the agent has counts as told from a process's first moment. A start that has a list to go on with waits 0.5 s for discovery's own word, and where the loop stood still over that time it went on with the list as last known, though the line was unread in the socket, or the call had not even gone out.

Cause: `Proxy._start` waited for `heard` under `timeout_at`, so it judged by the clock; a loop comes to its timers before it reads. A watch's silence had the same fault before and has been mended since: given up only where the loop has looked after the time and nothing came. Ruled out: the watch itself, which went on rightly in all five cases below, only behind a door that was open already.

Change: one mechanism for both, `TargetGroup._in_vain`: a time is over without what was waited for, and the loop has read nothing in a look after it. The start asks `TargetGroup.told`: after its 0.5 s a line that is here is read, and a call that is out has the 0.2 s that every free call has, from when it went out. With an agent that is silent the start goes on 0.7 s after it began at the latest, or, if the loop stood still, 0.2 s after its calls go out again. No constant changes; where the list has to be asked for there is no wait, as before. Rules: 3 of `net/targets.py`, 6 of `limits/pauses.py`.

--- a/firvane/limits/pauses.py
+++ b/firvane/limits/pauses.py
@@ -17,6 +17,7 @@
    return binds at once. No pause is added, so that some call stands at nearly every moment.
 6. An answer that has begun there, and has no line yet, may stop for ANSWER; each further one that stopped
    there may for twice as long, up to SILENCE in all: an agent that is only slow is heard in the end.
+   Whoever has a list to go on with (the start) waits no longer than ANSWER in any case.
 7. Where calls cost, one may wait in the queue: it is given SILENCE from its beginning on, and no less.
 8. Any line, be it empty, is an answer: the next failure is the first again.
 """
@@ -43,6 +44,10 @@
     byte: float | None  # when anything last came
     line: float | None  # when a line did
 
+    def out_at(self) -> float:
+        """Since when the call is out, as far as is known."""
+        return self.called if self.asked is None else self.asked
+
 
 class Pauses:
     """How long to wait before each call, and for its answer."""
@@ -75,11 +80,15 @@
             return heard.line + SILENCE
         if self.span:
             return heard.called + SILENCE
-        asked = heard.called if heard.asked is None else heard.asked
+        asked = heard.out_at()
         if heard.byte is not None:
             return min(heard.byte + self.begun, asked + SILENCE)
         return asked + ANSWER
 
+    def answer_at(self, heard: Heard | None) -> float:
+        """Until when a call may be waited for before its first line where nothing else is: for free ones."""
+        return 0.0 if heard is None or self.span else heard.out_at() + ANSWER
+
     def gave_up(self, heard: Heard) -> None:
         """A watch was judged silent with no more heard on it than this."""
         if heard.line is None and heard.byte is not None:
--- a/firvane/net/targets.py
+++ b/firvane/net/targets.py
@@ -8,7 +8,8 @@
    the loop reads before the task's turn would set the version from which the new one is asked.
 3. When a watch is silent is decided in `limits/pauses.py`, from what has been heard on it. A loop that stood
    still finds the time over before it has read what came meanwhile: so a watch is given up only where the
-   loop has looked at its connections after that time, and nothing came of it either.
+   loop has looked at its connections after that time, and nothing came of it either. The start goes on with
+   the list as last known by the same measure, and not while a call that is out has its time to be answered.
 4. A list is one JSON object, over one line or many: lines are gathered until its brackets are closed. A line
    that cannot be part of one, and an object beyond what fits, end the watch at once. Empty lines between
    objects are the sign of life.
@@ -355,23 +356,43 @@
         try:
             while not watch.over:
                 heard = watch.heard
-                try:
-                    async with asyncio.timeout_at(self.pauses.silent_at(heard)):
-                        await ended.wait()
-                except TimeoutError:
-                    if heard is not watch.heard:
-                        continue
-                    await asyncio.sleep(LOOK)
-                    # The same as before the look, not only as old: the loop may have stood still in it, too.
-                    if heard is watch.heard and not watch.over:
-                        silent = True
-                        self.pauses.gave_up(heard)
-                        watch.end("discovery has fallen silent")
+                if await self._in_vain(ended, self.pauses.silent_at(heard)):
+                    silent = True
+                    self.pauses.gave_up(heard)
+                    watch.end("discovery has fallen silent")
         finally:
             dial.cancel()
             watch.end(f"it is no longer followed at {host}")
         return silent
 
+    def _seen(self) -> Heard | None:
+        """What has been heard on the watch that is listened to."""
+        return self.watch.heard if self.watch else None
+
+    async def _in_vain(self, event: asyncio.Event, until: float) -> bool:
+        """Whether a time is over without the event, and with nothing that the loop has read meanwhile."""
+        before = self._seen()
+        try:
+            async with asyncio.timeout_at(until):
+                await event.wait()
+        except TimeoutError:
+            await asyncio.sleep(LOOK)
+        # The same as before the look, not only as old: the loop may have stood still in it, too.
+        return not event.is_set() and self._seen() is before
+
+    async def told(self, patience: float) -> bool:
+        """Whether discovery tells of its list within so many s, or in answer to the call that is out then."""
+        await self._in_vain(self.heard, self.loop.time() + patience)
+        # Guards against going by the clock alone where the loop stood still over it: a line that is here is
+        # read first, and a call that could go out only now has the time that every call has.
+        while not self.heard.is_set():
+            watch = self.watch
+            if await self._in_vain(self.heard, self.pauses.answer_at(self._seen())):
+                return False
+            if watch and (watch.over or watch is not self.watch):  # judged by what was read, or of no use
+                break
+        return self.heard.is_set()
+
     async def _dial(self, watch: Lines, address: Address) -> None:
         try:
             await self.loop.create_connection(lambda: watch, *address)
--- a/firvane/proxy.py
+++ b/firvane/proxy.py
@@ -202,12 +202,11 @@
                 self.log.warning("known_list_useless", why=str(error))
             self.config = replace(config, known=None)  # the group keeps it in a form of its own
         self.group.start()
-        try:
-            # Where the list has to be asked for, its turn may come late: the fleet is served meanwhile.
-            patience = 0.0 if config.settings.ask else PATIENCE
-            async with asyncio.timeout_at(self.loop.time() + patience if self.group.servers else None):
-                await self.group.heard.wait()
-        except TimeoutError:
+        # Where the list has to be asked for, its turn may come late: the fleet is served meanwhile.
+        patience = 0.0 if config.settings.ask else PATIENCE
+        if not self.group.servers:
+            await self.group.heard.wait()
+        elif not await self.group.told(patience):
             self.log.warning("discovery_silent", targets=len(self.group.servers))
         self.front.ready = True
         if config.inherited is not None:  # until now whoever waits there is another process's client
--- a/tests/crossings/mutants/lists.py
+++ b/tests/crossings/mutants/lists.py
@@ -8,6 +8,11 @@
 TESTS = "tests/crossings/test_lists.py"
 
 MUTANTS = [
+    Mutant(
+        "a call that could go out only after the loop stood still has its time at the start", TARGETS,
+        "        while not self.heard.is_set():\n", "        while False:\n",
+        f"{TESTS}::test_a_start_over_which_the_loop_stood_still_reads_what_the_agent_said",
+    ),
     Mutant(
         "a name with half a character is a bad list", TARGETS,
         "            name.encode()\n", "            pass\n",
@@ -71,7 +76,7 @@
     ),
     Mutant(
         "a loop that stood still reads before it judges", TARGETS,
-        "                    await asyncio.sleep(LOOK)\n", "",
+        "            await asyncio.sleep(LOOK)\n", "            pass\n",
         f"{TESTS}::test_a_loop_that_stood_still_reads_before_it_judges",
     ),
     Mutant(
--- a/tests/crossings/test_lists.py
+++ b/tests/crossings/test_lists.py
@@ -810,6 +810,50 @@
     play(work())
 
 
+@pytest.mark.parametrize("at", ["told", "half-told", "asked", "dialled", "begun"])
+def test_a_start_over_which_the_loop_stood_still_reads_what_the_agent_said(tmp_path: Path, at: str) -> None:
+    # The time for discovery's own word was over by the clock, with its line unread in the socket, or the call
+    # with the kernel: what drained by that line was sent to.
+    async def work() -> None:
+        spare = Target()
+        known = whole(1, entry("s1", spare), entry("s2", spare))
+        async with rig(tmp_path, 2, AT_ONCE, known=known) as made:
+            made.later(made.targets[1].serve())
+            line = json.dumps(whole(2, entry("s1", spare, status="draining"), *made.entries()[1:])).encode()
+            chunk = b"%x\r\n%s\n\r\n" % (len(line) + 1, line)
+            starting = made.later(made.proxy.start())
+            group = made.proxy.group
+            if at == "begun":
+                await made.see(lambda: group.task)
+            elif at == "dialled":
+                await made.see(lambda: group.watch)
+            else:
+                watch = await made.agent.watch()
+            if at in ("told", "half-told"):
+                watch.sock.send(chunk[: 50 if at == "half-told" else None])
+            time.sleep(0.8)  # nothing is read before this, and the time is over after it
+            if at == "half-told":
+                watch.sock.send(chunk[50:])
+            if at in ("begun", "dialled"):  # the call has gone out only now
+                watch = await made.agent.watch()
+                came = made.loop.time()
+                await made.see(lambda: made.loop.time() > came + 0.05)
+            if at in ("begun", "dialled", "asked"):
+                assert not made.proxy.front.ready
+                await watch.send(chunk)
+            await starting
+            assert group.index == 2 and not any("event=discovery_silent" in line for line in made.lines)
+            client = await made.client()
+            for n in range(10):
+                await client.send(request(f"c{n}"))
+                assert await answer(client) == 200
+                await client.exactly(2)
+            assert not spare.waiting() and len(made.targets[1].calls) == 10
+        spare.close()
+
+    play(work())
+
+
 def test_while_the_agent_is_silent_a_new_process_serves_by_the_list_it_was_given(tmp_path: Path) -> None:
     async def work() -> None:
         target = Target()
