Keep a SIGHUP before the program's first line from ending it

Need: a SIGHUP in the interpreter's first 20 ms ended the process, which counts as a crash.

Cause: from `exec` until `orders.hold`, the program's first line, no line of it runs, and a SIGHUP meets the system's own answer, the end. Checked: a held signal waits in the kernel though it is ignored; the loop puts its own handler in place of an inherited "ignore" without asking what was there, and the kernel's word after the start (SigCgt) says so for SIGTERM, SIGINT and SIGHUP. The file is read after the first line, so what a SIGHUP ignored before it was to tell is read anyway. What is left is the shell's own first moment.

The crossings' harness starts the program by the deploy file's own `run`.

Measured: the new tests send SIGHUP as soon as the shell is gone, once and each millisecond until the program is ready, with discovery moved in the file meanwhile; then move it again by a SIGHUP and end by SIGTERM; and end by SIGTERM and SIGINT after an ignored SIGHUP.

--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 	.venv/bin/pytest -q
 
 run: build
-	.venv/bin/python -m firvane
+	trap '' HUP; exec .venv/bin/python -m firvane
 
 # 14 boxes, 3 proxies and 710 requests a second as processes on loopback, for half a minute.
 demo: .venv/bin/firvane
--- a/firvane/orders.py
+++ b/firvane/orders.py
@@ -3,6 +3,9 @@
 From its first line until its loop listens, and again once the loop has closed, a signal would meet the
 system's own answer, which ends the process at once: a SIGHUP in the start would be a crash, a SIGTERM an end
 out of order. Held signals wait in the kernel and are given at `heed`.
+
+Before that line `run` has SIGHUP ignored, and the file is read after it. A held signal waits whether it is
+ignored or not, and whoever listens puts a handler of its own in that answer's place.
 """
 
 from __future__ import annotations
--- a/tests/crossings/harness.py
+++ b/tests/crossings/harness.py
@@ -16,6 +16,7 @@
 import socket
 import struct
 import sys
+import tomllib
 from collections.abc import AsyncIterator, Callable, Coroutine
 from pathlib import Path
 from typing import Any
@@ -31,6 +32,7 @@
 from firvane.proxy import Proxy
 from tests.net_helpers import endpoint
 
+ROOT = Path(__file__).resolve().parents[2]
 LIMIT = 20.0  # s after which what a test waits for will not come
 MS = 1_000_000  # ns, as the settings count
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
@@ -471,7 +473,7 @@
 
 
 class Program:
-    """The program as a process, as `run` starts it; its log is read as it comes."""
+    """The program as a process, by the platform's own `run`; its log is read as it comes."""
 
     def __init__(self, process: asyncio.subprocess.Process) -> None:
         self.process, self.lines = process, list[str]()
@@ -496,6 +498,17 @@
         for number in numbers:
             self.process.send_signal(number)
 
+    async def executed(self) -> None:
+        """The shell is gone: the interpreter has its number, and may not have run a line yet."""
+        while os.readlink(f"/proc/{self.process.pid}/exe") != os.path.realpath(sys.executable):
+            await asyncio.sleep(0)
+
+    def hears(self, number: signal.Signals) -> bool:
+        """Whether a handler of its own is there for a signal, by the kernel's word."""
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        caught = int(status.partition("SigCgt:")[2].split()[0], 16)
+        return bool(caught >> number - 1 & 1)
+
     async def ended(self) -> int:
         """Its exit code; the rest of its log is in `lines`."""
         self.lines += [line.decode() async for line in self.log]
@@ -505,8 +518,10 @@
 @contextlib.asynccontextmanager
 async def program(env: dict[str, str], **more: Any) -> AsyncIterator[Program]:
     """Started; killed at the end of the test if it still runs."""
+    line = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
+    line = line.replace(".venv/bin/python", sys.executable)  # which is that one in CI
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "firvane", env={**os.environ, **env}, stderr=asyncio.subprocess.PIPE, **more
+        "/bin/sh", "-c", line, env={**os.environ, **env}, stderr=asyncio.subprocess.PIPE, **more
     )
     try:
         yield Program(process)
--- a/tests/crossings/mutants/ends.py
+++ b/tests/crossings/mutants/ends.py
@@ -7,6 +7,13 @@
 STATES = "firvane/ops/states.py"
 
 MUTANTS = [
+    Mutant(
+        "a SIGHUP before the program's first line ends nobody",
+        "deploy/balancer.toml",
+        "trap '' HUP; ",
+        "",
+        f"{ENDS}test_a_new_configuration_is_taken_in_from_the_first_moment_on",
+    ),
     Mutant(
         "an order in the start is not lost",
         MAIN,
--- a/tests/crossings/test_ends.py
+++ b/tests/crossings/test_ends.py
@@ -13,6 +13,7 @@
 import pytest
 
 from firvane.net.hands import HANDS
+from firvane.orders import ORDERS
 from firvane.proxy import LAME
 from tests.crossings.harness import (
     ERROR,
@@ -366,6 +367,58 @@
 TALKING = {"PYTHONPROFILEIMPORTTIME": "1"}
 
 
+@pytest.mark.parametrize("often", [False, True], ids=["once", "until-ready"])
+def test_a_new_configuration_is_taken_in_from_the_first_moment_on(tmp_path: Path, often: bool) -> None:
+    # Before the first line of the program only the system's own answer to a signal is there, which for a
+    # SIGHUP was the end: `run` has it ignored until the program holds it, and the file is read after that.
+    async def work() -> None:
+        parties = old, agent, new, target = Agent(), Agent(), Agent(), Target()
+        async with program(configured(tmp_path, old, lasting(SHORT))) as made:
+            await made.executed()
+            configured(tmp_path, agent, lasting(SHORT))
+            made.signal(signal.SIGHUP)
+            ready = asyncio.ensure_future(made.ready())
+            watching = asyncio.ensure_future(agent.watch())
+            while not (ready.done() or watching.done()):
+                if often:
+                    made.signal(signal.SIGHUP)
+                await asyncio.sleep(0.001)
+            if ready.done():  # it has ended: without a list nobody is ready
+                await ready
+            watch = await watching
+            await watch.tell(1, entry("s1", target))
+            await ready
+            assert all(made.hears(number) for number in ORDERS)
+            configured(tmp_path, new, lasting(SHORT))
+            made.signal(signal.SIGHUP)
+            await new.watch()
+            made.signal(signal.SIGTERM)
+            assert await made.ended() == 0 and not old.waiting()
+        for party in parties:
+            party.close()
+
+    play(work())
+
+
+@pytest.mark.parametrize("order", [signal.SIGTERM, signal.SIGINT])
+def test_an_order_to_end_is_obeyed_though_another_signal_was_ignored(
+    tmp_path: Path, order: signal.Signals
+) -> None:
+    async def work() -> None:
+        agent, target = Agent(), Target()
+        async with program(configured(tmp_path, agent, lasting(100))) as made:
+            await made.executed()
+            made.signal(signal.SIGHUP)
+            watch = await agent.watch()
+            await watch.tell(1, entry("s1", target))
+            await made.ready()
+            made.signal(order, signal.SIGHUP)
+            assert await made.ended() == 0
+            assert any("event=ending" in line for line in made.lines)
+
+    play(work())
+
+
 def test_a_new_configuration_in_the_start_is_taken_in(tmp_path: Path) -> None:
     async def work() -> None:
         old, agent, target = Agent(), Agent(), Target()
