Force a SIGHUP while the configuration is read for the first time

Need: since `run` ignores SIGHUP up to the program's first line, an order in the start that is not held is lost instead of ending the process, and the mutant that holds none survived: its test signals before the file is read, which tells all of it anyway.

Change: the file is a pipe that the test keeps open. With the program inside its first read the file is replaced and SIGHUP sent, then the old text is written. Only an order that waited brings the new one. The mutant names this test.

--- a/tests/crossings/mutants/ends.py
+++ b/tests/crossings/mutants/ends.py
@@ -19,7 +19,7 @@
         MAIN,
         "    orders.hold()  # before all that takes time",
         "    pass  # before all that takes time",
-        f"{ENDS}test_a_new_configuration_in_the_start_is_taken_in",
+        f"{ENDS}test_a_new_configuration_while_the_first_is_read_is_taken_in",
     ),
     Mutant(
         "SIGTERM in the start ends it in order",
--- a/tests/crossings/test_ends.py
+++ b/tests/crossings/test_ends.py
@@ -436,6 +436,37 @@
     play(work())
 
 
+def test_a_new_configuration_while_the_first_is_read_is_taken_in(tmp_path: Path) -> None:
+    # Nobody listens yet, and what is read is old already: an order that was not held would be lost there.
+    async def work() -> None:
+        old, agent, target = Agent(), Agent(), Target()
+        env = configured(tmp_path, old, lasting(SHORT))
+        path = Path(env["NODE_CONFIG"])
+        first = path.read_bytes()
+        path.unlink()
+        os.mkfifo(path)
+        async with program(env) as made:
+            pipe = -1
+            while pipe < 0:
+                with suppress(OSError):  # until it has been opened to be read
+                    pipe = os.open(path, os.O_WRONLY | os.O_NONBLOCK)
+                await asyncio.sleep(0)
+            path.unlink()
+            configured(tmp_path, agent, lasting(SHORT))
+            made.signal(signal.SIGHUP)
+            os.write(pipe, first)
+            os.close(pipe)
+            watch = await agent.watch()
+            await watch.tell(1, entry("s1", target))
+            await made.ready()
+            made.signal(signal.SIGTERM)
+            assert await made.ended() == 0
+        for party in (old, agent, target):
+            party.close()
+
+    play(work())
+
+
 def test_an_order_to_end_in_the_start_is_obeyed_in_order(tmp_path: Path) -> None:
     async def work() -> None:
         agent = Agent()
