Leave whoever has yet to ask connected where clients are to go

Cause: `Front.close_idle` closed a connection that had asked nothing once it was 0.5 s old, at an end from halfway of the longest deadline on (at once with a successor) and in a drain after 0.7 s. It asks the kernel for unread bytes first, which is right for what has arrived; a first request still on its way has no answer. Judged: right for connections that have asked, as their clients send once more; not for the others.

Change: who has asked nothing is left to the clock that it has at any time (2.4 s after connecting) or to the very end, where late requests are refused with an answer. The constant of 0.5 s goes with its rule. An end waits for such a connection as it does for requests, never beyond its last moment, which is as before.

Measured: the new test waits until the connection is 0.6 s old and clients are to go, by an end and by a drain, closes idle ones and sends the first request in the same turn.

--- a/firvane/net/front.py
+++ b/firvane/net/front.py
@@ -29,7 +29,6 @@
 SINGLE = frozenset((b"host", b"x-call-id", b"x-caller", b"x-budget-ms", b"x-route-hash", b"x-call-cost"))
 # Of the places, the part that is made free at once where all are taken; s from one time to the next.
 ROOM, ROOM_EVERY = 1 / 32, 0.02
-FIRST = 0.5  # s after connecting in which a first request is waited for also where clients are to leave
 # s after which clients of a proxy that may decide nothing come back, spread: its next lease may be near.
 PAUSES = tuple(0.25 + step / 16 for step in (3, 11, 7, 15, 1, 9, 5, 13, 0, 8, 4, 12, 2, 10, 6, 14))
 GREEDY = 4.0  # times as often as others, and four times more, is far more than they ask
@@ -246,9 +245,11 @@
             self._make_room()
 
     def close_idle(self) -> None:
-        """Close what nobody uses; who has just come to ask its first is left to do so."""
-        young = self.loop.time() - FIRST
+        """Close what nobody uses any more; who has yet to ask its first is left to do so in its own time.
+
+        A close between requests may cross the next one, which its client then sends once more. Guards the
+        first on a connection: nobody sends that again where its connection is closed with no answer.
+        """
         for connection in list(self.connections):
-            new = not connection.asked and connection.since > young
-            if connection.is_idle() and not new and connection.quiet():
+            if connection.asked and connection.is_idle() and connection.quiet():
                 connection.transport.close()
--- a/tests/crossings/mutants/ends.py
+++ b/tests/crossings/mutants/ends.py
@@ -101,10 +101,17 @@
     Mutant(
         "a request that arrives as idle connections close is answered",
         "firvane/net/front.py",
-        "            if connection.is_idle() and not new and connection.quiet():",
-        "            if connection.is_idle() and not new:",
+        "            if connection.asked and connection.is_idle() and connection.quiet():",
+        "            if connection.asked and connection.is_idle():",
         f"{ENDS}test_a_request_that_arrives_as_idle_connections_are_closed_is_answered",
     ),
+    Mutant(
+        "who has yet to ask its first is left to do so",
+        "firvane/net/front.py",
+        "            if connection.asked and connection.is_idle() and connection.quiet():",
+        "            if connection.is_idle() and connection.quiet():",
+        f"{ENDS}test_who_has_yet_to_ask_is_served_up_to_the_end",
+    ),
     Mutant(
         "a fault at a connection costs no hand",
         "firvane/net/hands.py",
--- a/tests/crossings/test_ends.py
+++ b/tests/crossings/test_ends.py
@@ -276,6 +276,33 @@
     play(work())
 
 
+@pytest.mark.parametrize("why", ["end", "drain"])
+def test_who_has_yet_to_ask_is_served_up_to_the_end(tmp_path: Path, why: str) -> None:
+    # Its connection was closed once it was 0.5 s old, and a first request on its way there had no answer.
+    async def work() -> None:
+        async with rig(tmp_path, settings=lasting(2000), ops="127.0.0.1:0") as made:
+            await made.start()
+            made.later(made.targets[0].serve())
+            client, used = await made.client(), await made.client()
+            listener = await made.listener(client)
+            assert await asked(used, "u1")
+            if why == "end":
+                made.later(made.proxy.drain())
+            else:
+                ops = await connect(made.proxy.ops.address()[1])
+                await ops.send(b"drain\n")
+                await ops.gone()
+            await made.see(lambda: made.proxy.front.closing)
+            await made.see(lambda: made.loop.time() > listener.since + 0.6)
+            made.proxy.front.close_idle()
+            client.sock.send(request("c1"))  # in the same turn: whatever was closed then does not hear of it
+            head = await client.until(b"\r\n\r\n")
+            assert b" 200 " in head and b"Connection: close" in head
+            assert await used.gone() == "fin" and not used.buffer
+
+    play(work())
+
+
 def test_who_stands_in_the_queue_as_the_door_closes_is_answered(tmp_path: Path) -> None:
     async def work() -> None:
         async with rig(tmp_path) as made:
