--- a/tests/crossings/mutants/ends.py
+++ b/tests/crossings/mutants/ends.py
@@ -7,12 +7,19 @@
 STATES = "firvane/ops/states.py"
 
 MUTANTS = [
+    Mutant(
+        "a SIGHUP before the program's first line ends nobody",
+        "deploy/balancer.toml",
+        "trap '' HUP; ",
+        "",
+        f"{ENDS}test_a_new_configuration_is_taken_in_from_the_first_moment_on",
+    ),
     Mutant(
         "an order in the start is not lost",
         MAIN,
         "    orders.hold()  # before all that takes time",
         "    pass  # before all that takes time",
-        f"{ENDS}test_a_new_configuration_in_the_start_is_taken_in",
+        f"{ENDS}test_a_new_configuration_while_the_first_is_read_is_taken_in",
     ),
     Mutant(
         "SIGTERM in the start ends it in order",
@@ -94,10 +101,17 @@
     Mutant(
         "a request that arrives as idle connections close is answered",
         "firvane/net/front.py",
-        "            if connection.is_idle() and not new and connection.quiet():",
-        "            if connection.is_idle() and not new:",
+        "            if connection.asked and connection.is_idle() and connection.quiet():",
+        "            if connection.asked and connection.is_idle():",
         f"{ENDS}test_a_request_that_arrives_as_idle_connections_are_closed_is_answered",
     ),
+    Mutant(
+        "who has yet to ask its first is left to do so",
+        "firvane/net/front.py",
+        "            if connection.asked and connection.is_idle() and connection.quiet():",
+        "            if connection.is_idle() and connection.quiet():",
+        f"{ENDS}test_who_has_yet_to_ask_is_served_up_to_the_end",
+    ),
     Mutant(
         "a fault at a connection costs no hand",
         "firvane/net/hands.py",
--- a/tests/crossings/mutants/lists.py
+++ b/tests/crossings/mutants/lists.py
@@ -8,6 +8,26 @@
 TESTS = "tests/crossings/test_lists.py"
 
 MUTANTS = [
+    Mutant(
+        "a call that could go out only after the loop stood still has its time at the start", TARGETS,
+        "        while not self.heard.is_set():\n", "        while False:\n",
+        f"{TESTS}::test_a_start_over_which_the_loop_stood_still_reads_what_the_agent_said",
+    ),
+    Mutant(
+        "a name with half a character is a bad list", TARGETS,
+        "            name.encode()\n", "            pass\n",
+        f"{TESTS}::test_a_name_with_half_a_character_is_a_bad_list",
+    ),
+    Mutant(
+        "no weight of a list is divided by as 0", "firvane/state.py",
+        "min(MOST, max(LEAST, weight))", "min(MOST, weight)",
+        f"{TESTS}::test_no_weight_of_a_list_stops_a_proxy",
+    ),
+    Mutant(
+        "a proxy can read its own row, whatever a list's weights are", "firvane/state.py",
+        "    rates = [min(rate, 0.99 * TOLD) for rate in rates]\n", "",
+        f"{TESTS}::test_no_weight_of_a_list_stops_a_proxy",
+    ),
     Mutant(
         "a list may come indented", TARGETS,
         "                if self.open > 0:\n", "                if False:\n",
@@ -56,7 +76,7 @@
     ),
     Mutant(
         "a loop that stood still reads before it judges", TARGETS,
-        "                    await asyncio.sleep(LOOK)\n", "",
+        "            await asyncio.sleep(LOOK)\n", "            pass\n",
         f"{TESTS}::test_a_loop_that_stood_still_reads_before_it_judges",
     ),
     Mutant(
--- a/tests/crossings/test_ends.py
+++ b/tests/crossings/test_ends.py
@@ -13,6 +13,7 @@
 import pytest
 
 from firvane.net.hands import HANDS
+from firvane.orders import ORDERS
 from firvane.proxy import LAME
 from tests.crossings.harness import (
     ERROR,
@@ -275,6 +276,33 @@
     play(work())
 
 
+@pytest.mark.parametrize("why", ["end", "drain"])
+def test_who_has_yet_to_ask_is_served_up_to_the_end(tmp_path: Path, why: str) -> None:
+    # Its connection was closed once it was 0.5 s old, and a first request on its way there had no answer.
+    async def work() -> None:
+        async with rig(tmp_path, settings=lasting(2000), ops="127.0.0.1:0") as made:
+            await made.start()
+            made.later(made.targets[0].serve())
+            client, used = await made.client(), await made.client()
+            listener = await made.listener(client)
+            assert await asked(used, "u1")
+            if why == "end":
+                made.later(made.proxy.drain())
+            else:
+                ops = await connect(made.proxy.ops.address()[1])
+                await ops.send(b"drain\n")
+                await ops.gone()
+            await made.see(lambda: made.proxy.front.closing)
+            await made.see(lambda: made.loop.time() > listener.since + 0.6)
+            made.proxy.front.close_idle()
+            client.sock.send(request("c1"))  # in the same turn: whatever was closed then does not hear of it
+            head = await client.until(b"\r\n\r\n")
+            assert b" 200 " in head and b"Connection: close" in head
+            assert await used.gone() == "fin" and not used.buffer
+
+    play(work())
+
+
 def test_who_stands_in_the_queue_as_the_door_closes_is_answered(tmp_path: Path) -> None:
     async def work() -> None:
         async with rig(tmp_path) as made:
@@ -366,6 +394,58 @@
 TALKING = {"PYTHONPROFILEIMPORTTIME": "1"}
 
 
+@pytest.mark.parametrize("often", [False, True], ids=["once", "until-ready"])
+def test_a_new_configuration_is_taken_in_from_the_first_moment_on(tmp_path: Path, often: bool) -> None:
+    # Before the first line of the program only the system's own answer to a signal is there, which for a
+    # SIGHUP was the end: `run` has it ignored until the program holds it, and the file is read after that.
+    async def work() -> None:
+        parties = old, agent, new, target = Agent(), Agent(), Agent(), Target()
+        async with program(configured(tmp_path, old, lasting(SHORT))) as made:
+            await made.executed()
+            configured(tmp_path, agent, lasting(SHORT))
+            made.signal(signal.SIGHUP)
+            ready = asyncio.ensure_future(made.ready())
+            watching = asyncio.ensure_future(agent.watch())
+            while not (ready.done() or watching.done()):
+                if often:
+                    made.signal(signal.SIGHUP)
+                await asyncio.sleep(0.001)
+            if ready.done():  # it has ended: without a list nobody is ready
+                await ready
+            watch = await watching
+            await watch.tell(1, entry("s1", target))
+            await ready
+            assert all(made.hears(number) for number in ORDERS)
+            configured(tmp_path, new, lasting(SHORT))
+            made.signal(signal.SIGHUP)
+            await new.watch()
+            made.signal(signal.SIGTERM)
+            assert await made.ended() == 0 and not old.waiting()
+        for party in parties:
+            party.close()
+
+    play(work())
+
+
+@pytest.mark.parametrize("order", [signal.SIGTERM, signal.SIGINT])
+def test_an_order_to_end_is_obeyed_though_another_signal_was_ignored(
+    tmp_path: Path, order: signal.Signals
+) -> None:
+    async def work() -> None:
+        agent, target = Agent(), Target()
+        async with program(configured(tmp_path, agent, lasting(100))) as made:
+            await made.executed()
+            made.signal(signal.SIGHUP)
+            watch = await agent.watch()
+            await watch.tell(1, entry("s1", target))
+            await made.ready()
+            made.signal(order, signal.SIGHUP)
+            assert await made.ended() == 0
+            assert any("event=ending" in line for line in made.lines)
+
+    play(work())
+
+
 def test_a_new_configuration_in_the_start_is_taken_in(tmp_path: Path) -> None:
     async def work() -> None:
         old, agent, target = Agent(), Agent(), Target()
@@ -383,6 +463,37 @@
     play(work())
 
 
+def test_a_new_configuration_while_the_first_is_read_is_taken_in(tmp_path: Path) -> None:
+    # Nobody listens yet, and what is read is old already: an order that was not held would be lost there.
+    async def work() -> None:
+        old, agent, target = Agent(), Agent(), Target()
+        env = configured(tmp_path, old, lasting(SHORT))
+        path = Path(env["NODE_CONFIG"])
+        first = path.read_bytes()
+        path.unlink()
+        os.mkfifo(path)
+        async with program(env) as made:
+            pipe = -1
+            while pipe < 0:
+                with suppress(OSError):  # until it has been opened to be read
+                    pipe = os.open(path, os.O_WRONLY | os.O_NONBLOCK)
+                await asyncio.sleep(0)
+            path.unlink()
+            configured(tmp_path, agent, lasting(SHORT))
+            made.signal(signal.SIGHUP)
+            os.write(pipe, first)
+            os.close(pipe)
+            watch = await agent.watch()
+            await watch.tell(1, entry("s1", target))
+            await made.ready()
+            made.signal(signal.SIGTERM)
+            assert await made.ended() == 0
+        for party in (old, agent, target):
+            party.close()
+
+    play(work())
+
+
 def test_an_order_to_end_in_the_start_is_obeyed_in_order(tmp_path: Path) -> None:
     async def work() -> None:
         agent = Agent()
--- a/tests/crossings/test_lists.py
+++ b/tests/crossings/test_lists.py
@@ -125,6 +125,34 @@
     play(work())
 
 
+@pytest.mark.parametrize("weights", [(0, 0), (0, 1), (5e-324, 5e-324), (1e14, 1e14)], ids=str)
+def test_no_weight_of_a_list_stops_a_proxy(tmp_path: Path, weights: tuple[float, float]) -> None:
+    # It comes beside requests and windows, which go on; and a list after it is taken in.
+    async def work() -> None:
+        async with rig(tmp_path, 2) as made:
+            watch = await made.start()
+            for target in made.targets:
+                made.later(target.serve())
+            told = [{**one, "weight": weight} for one, weight in zip(made.entries(), weights, strict=True)]
+            await watch.tell(2, *told)
+            await made.see(lambda: made.proxy.group.index == 2)
+            client, windows = await made.client(), made.proxy.engine.balancer.windows
+            for n in range(10):
+                key = f"X-Route-Hash: k{n}\r\nX-Call-Cost: 300000\r\n" if n % 2 else ""
+                await client.send(request(f"c{n}", more=key))
+                assert await answer(client) == 200
+                await client.exactly(2)
+            await made.see(lambda: made.proxy.engine.balancer.windows >= windows + 4)  # one of which is told
+            await watch.tell(3, *made.entries(s1="draining"))
+            await made.see(lambda: made.proxy.group.index == 3)
+            await client.send(request("last"))
+            assert await answer(client) == 200
+            assert made.targets[1].calls[-1] == "last"
+            assert not made.proxy.engine.faults
+
+    play(work())
+
+
 # Silence
 
 
@@ -378,6 +406,35 @@
     play(work())
 
 
+@pytest.mark.parametrize("snapshot", [True, False], ids=["list", "changes"])
+@pytest.mark.parametrize("first", [True, False], ids=["first", "last"])
+def test_a_name_with_half_a_character_is_a_bad_list(tmp_path: Path, snapshot: bool, first: bool) -> None:
+    # The decisions failed on it with half of the list taken in, and as its version stood it never came again.
+    async def work() -> None:
+        async with rig(tmp_path, 2) as made:
+            watch = await made.start()
+            for target in made.targets:
+                made.later(target.serve())
+            told = [entry("s\ud800", made.targets[0]), *made.entries(s1="draining")]
+            await watch.tell(2, *(told if first else reversed(told)), snapshot=snapshot)
+            again = await made.agent.watch()
+            assert await watch.gone() and again.query == "watch=1&from=0"
+            client = await made.client()
+            for n in range(10):  # by the list of before
+                await client.send(request(f"c{n}"))
+                assert await answer(client) == 200
+                await client.exactly(2)
+            assert all(target.calls for target in made.targets)
+            await again.tell(2, *made.entries(s1="draining"))
+            await made.see(lambda: made.proxy.group.index == 2)
+            await client.send(request("last"))
+            assert await answer(client) == 200
+            assert made.targets[1].calls[-1] == "last"
+            assert not made.proxy.engine.faults and made.proxy.engine.known == {"s1", "s2"}
+
+    play(work())
+
+
 # Discovery moves
 
 
@@ -753,6 +810,50 @@
     play(work())
 
 
+@pytest.mark.parametrize("at", ["told", "half-told", "asked", "dialled", "begun"])
+def test_a_start_over_which_the_loop_stood_still_reads_what_the_agent_said(tmp_path: Path, at: str) -> None:
+    # The time for discovery's own word was over by the clock, with its line unread in the socket, or the call
+    # with the kernel: what drained by that line was sent to.
+    async def work() -> None:
+        spare = Target()
+        known = whole(1, entry("s1", spare), entry("s2", spare))
+        async with rig(tmp_path, 2, AT_ONCE, known=known) as made:
+            made.later(made.targets[1].serve())
+            line = json.dumps(whole(2, entry("s1", spare, status="draining"), *made.entries()[1:])).encode()
+            chunk = b"%x\r\n%s\n\r\n" % (len(line) + 1, line)
+            starting = made.later(made.proxy.start())
+            group = made.proxy.group
+            if at == "begun":
+                await made.see(lambda: group.task)
+            elif at == "dialled":
+                await made.see(lambda: group.watch)
+            else:
+                watch = await made.agent.watch()
+            if at in ("told", "half-told"):
+                watch.sock.send(chunk[: 50 if at == "half-told" else None])
+            time.sleep(0.8)  # nothing is read before this, and the time is over after it
+            if at == "half-told":
+                watch.sock.send(chunk[50:])
+            if at in ("begun", "dialled"):  # the call has gone out only now
+                watch = await made.agent.watch()
+                came = made.loop.time()
+                await made.see(lambda: made.loop.time() > came + 0.05)
+            if at in ("begun", "dialled", "asked"):
+                assert not made.proxy.front.ready
+                await watch.send(chunk)
+            await starting
+            assert group.index == 2 and not any("event=discovery_silent" in line for line in made.lines)
+            client = await made.client()
+            for n in range(10):
+                await client.send(request(f"c{n}"))
+                assert await answer(client) == 200
+                await client.exactly(2)
+            assert not spare.waiting() and len(made.targets[1].calls) == 10
+        spare.close()
+
+    play(work())
+
+
 def test_while_the_agent_is_silent_a_new_process_serves_by_the_list_it_was_given(tmp_path: Path) -> None:
     async def work() -> None:
         target = Target()
