End a client's connection behind its last answer so that no bytes crossing it destroy the answer

Need: "a close over unread bytes resets the connection"; what the client's kernel had not taken of the answer then goes with it.

Seen: a request with `Connection: close` (or one answered while the proxy ends), an answer of 60 kB, a client whose kernel takes little, and one more request behind it: with the proxy's kernel in the turn of the answer, or sent a few turns after the close. The client got 2,048 bytes and a reset. With an answer of 2 bytes the end was a reset in the first case. Ruled out: requests that had been read before (reading is paused then, and sending was ended first already); idle closes, which ask the kernel and owe nothing.

Cause: `Listener._over` closed at once unless the loop had paused reading or a fault was answered. It knew of what it had read, and neither of what the kernel held nor of what still comes.

Change: the kernel is asked before the close; where something is there, or the answer is longer than any connection takes at once (8 KiB), only the sending is ended, what comes is dropped, and the close follows the client's own or after 2 s, as it was for the other two cases.

--- a/firvane/net/listener.py
+++ b/firvane/net/listener.py
@@ -40,6 +40,7 @@
 FIRST = 2.85  # s from connecting on for the head of the first request, however late it began
 PACE, PROGRESS = 24_000.0, 0.4  # bytes a second that a body comes with at the least; s from look to look
 STALL = 10.0  # s without a byte of a long request
+AT_ONCE = 8 * 1024  # bytes of an answer that any connection takes at once: a new one may send ten packets
 STALLED = 30.0  # s in which a client takes nothing of a long answer
 UPLOAD = 45.0  # s for which a long request may go on coming, beside the time that its answer has
 BUSY = 5  # the claim of a connection that is in use
@@ -54,7 +55,10 @@
     1. What it holds is bounded whatever its client does: bytes of one read that wait unparsed (reading is
        paused while there are any that cannot be looked at yet), one request, and one answer: while that is
        not with the kernel the next request is not taken up.
-    2. Who closes its connection has gone away, and nothing of its goes on any more. The loop tells of that
+    2. A last answer is followed by the end of sending, and by a close only once its client has ended, too, or
+       has had its time; by a close at once only where nothing of the answer could be lost by it. What comes
+       behind a last answer is read and dropped.
+    3. Who closes its connection has gone away, and nothing of its goes on any more. The loop tells of that
        only where it reads, and after all that came before. So the kernel is asked as well: of each request
        when it is taken up, and of a connection that is not read at every sweep.
     """
@@ -466,7 +470,7 @@
 
     def ends(self) -> None:
         self.pouring = None
-        self._over(self.closes, STALLED)
+        self._over(self.closes, STALLED, True)
 
     def cut(self) -> None:
         """It ends short of what its head has said, or without the last chunk: so its client can tell."""
@@ -496,15 +500,15 @@
         if self.stamp:
             headers, self.stamp = [self.stamp, *headers], b""
         self.transport.writelines(answer(status, body, size, close, headers))
-        self._over(close, LINGER)
+        self._over(close, LINGER, size > AT_ONCE)
 
     def _is_last(self) -> bool:
         """Whether the connection ends with this answer."""
         # Of a request that is still coming the rest is read and dropped: it must not pass for another.
         return not self.keep or self.front.closing or self.front.crowded or self.upload is not None
 
-    def _over(self, close: bool, patience: float) -> None:
-        """The answer is written, at the most it has yet to be read."""
+    def _over(self, close: bool, patience: float, long: bool) -> None:
+        """The answer is written, at the most it has yet to be read; a long one may still be in the kernel."""
         front = self.front
         if self.upload:
             self.lost = True
@@ -519,10 +523,11 @@
             self.ending = True
             self.reader.done.clear()
             self.rest, self.at = b"", 0
-            # A close with bytes unread would reset the connection and may destroy the answer on its way: what
-            # cannot be used, and what was not read because a request stood before it.
+            # Guards the answer against a reset, which destroys what of it is on its way: a close brings one
+            # where bytes are unread (what cannot be used, what stood behind a request, what has come since
+            # the loop last looked), and where more come before the last of the answer has left.
             self.expires = front.loop.time() + patience
-            if self.lost or self.paused:
+            if self.lost or self.paused or long or not self.quiet():
                 self.transport.write_eof()
             else:
                 self.transport.close()
