--- a/firvane/net/http.py
+++ b/firvane/net/http.py
@@ -8,6 +8,8 @@
 
 import httptools
 
+from firvane.net.dial import Stands, always
+
 Piece = bytes | bytearray
 Parser = httptools.HttpRequestParser | httptools.HttpResponseParser
 MAX_BODY = 64 * 1024
@@ -64,6 +66,7 @@
         "stream",
         "url",
         "version",
+        "wanted",
     )
 
     def __init__(self) -> None:
@@ -81,6 +84,7 @@
         self.version = b"1.1"
         self.long = False  # it is more than is held: whoever reads it passes it on
         self.stream: Stream | None = None  # where the rest of it comes from
+        self.wanted: Stands = always  # whether whoever sent it still waits for what comes of it
 
     def length(self) -> int | None:
         """Bytes of its body, where they are announced."""
--- a/firvane/net/listener.py
+++ b/firvane/net/listener.py
@@ -60,7 +60,8 @@
        behind a last answer is read and dropped.
     3. Who closes its connection has gone away, and nothing of its goes on any more. The loop tells of that
        only where it reads, and after all that came before. So the kernel is asked as well: of each request
-       when it is taken up, and of a connection that is not read at every sweep.
+       when it is taken up and at each forward's first byte, and of a connection that is not read at every
+       sweep. What is open for it ends in that very call: the decisions must not try again meanwhile.
     """
 
     def __init__(self, front: Front, quiet: Quiet = always, stands: Stands = always) -> None:
@@ -137,6 +138,14 @@
             self.front.engine.endings["client left unread"] += 1
             self.ending = True  # nothing that is here is taken up before the transport says that it is lost
             self.transport.abort()
+            self._give_up()
+
+    def waits(self) -> bool:
+        """Whether its client is still there, now that something is to be sent on for it."""
+        if here := self.stands():
+            return here
+        self.has_gone()
+        return False
 
     def _leave(self, flow: Flow[Message, Message]) -> None:
         """Nothing is owed to the client any more."""
@@ -411,6 +420,7 @@
         deadline = min(self.front.loop.time() + left + more, self.front.last)
         self.flow = Flow(message, self, deadline, message.fields[b"x-call-id"])
         self.flow.left = left if self.upload else 0.0
+        message.wanted = self.waits
         self.charged = FLOW + (WINDOW if self.upload else message.size)
         self.front.account.charge(Held.FLOWS, self.charged)
         self.asked += 1
--- a/tests/crossings/mutants/attempts.py
+++ b/tests/crossings/mutants/attempts.py
@@ -20,7 +20,7 @@
             self._forget(flow)
 
     def hasten""",
-        f"{FILE} -k late_brings",
+        f"{FILE} -k half_written",
     ),
     Mutant(
         "a copy that comes up after the answer is not written",
@@ -46,8 +46,8 @@
     Mutant(
         "nothing is written once its time is over",
         FORWARD,
-        "return Ending.WITHDRAWN if now >= run.exchange.deadline else None",
-        "return None",
+        "over = now >= run.exchange.deadline or not run.request.wanted()",
+        "over = not run.request.wanted()",
         f"{FILE} -k time_is_over",
     ),
     Mutant(
@@ -55,7 +55,7 @@
         FORWARD,
         "if run.over or connection.transport.is_closing():",
         "if connection.transport.is_closing():",
-        f"{FILE} -k stands_already",
+        f"{FILE} -k withdrawn_while",
     ),
     Mutant(
         "a connection that has just been given back is not used yet",
--- a/tests/crossings/mutants/client_gone.py
+++ b/tests/crossings/mutants/client_gone.py
@@ -34,4 +34,18 @@
         "            self._withdraw(flow)\n",
         f"{HERE} -k behind_another",
     ),
+    Mutant(
+        "nothing more is written for whom the kernel knows to have gone",
+        "firvane/net/forward.py",
+        "over = now >= run.exchange.deadline or not run.request.wanted()",
+        "over = now >= run.exchange.deadline",
+        f"{HERE} -k between_two_sweeps",
+    ),
+    Mutant(
+        "what is open for who has gone ends in that very call",
+        "firvane/net/listener.py",
+        "            self.transport.abort()\n            self._give_up()",
+        "            self.transport.abort()",
+        f"{HERE} -k between_two_sweeps",
+    ),
 ]
--- a/tests/crossings/test_attempts.py
+++ b/tests/crossings/test_attempts.py
@@ -189,6 +189,29 @@
     play(work())
 
 
+def test_nor_does_one_that_was_withdrawn_while_its_client_stays(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with rig(tmp_path) as made:
+            await made.start()
+            making = Making(made.dialer.real)
+            made.proxy.forwards.dialer = making  # type: ignore[assignment]
+            client = await made.client()
+            await client.send(request("c1"))
+            await making.came.wait()
+            made.proxy.forwards.dialer = made.dialer  # type: ignore[assignment]
+            [flow] = made.proxy.engine.flows.values()
+            assert flow.forwards[0]
+            flow.forwards[0].stop(Ending.CANCELLED)
+            making.ups[0]()
+            link = await made.targets[0].link()
+            assert await link.gone() and link.buffer == b""
+            await after(made)
+            head = await client.until(b"\r\n\r\n")
+            assert made.targets[0].calls.count("c1") == (b" 200 " in head)  # on another connection, or never
+
+    play(work())
+
+
 @CANCEL
 @LEAVES
 def test_between_a_failed_attempt_and_the_next(tmp_path: Path, how: str, cancel: bool) -> None:
--- a/tests/crossings/test_client_gone.py
+++ b/tests/crossings/test_client_gone.py
@@ -15,7 +15,7 @@
 
 from firvane import interface as api
 from firvane.limits.account import SMALL, Held
-from tests.crossings.harness import FULL, MS, OK, Link, Rig, a_class, params, play, request, rig
+from tests.crossings.harness import ERROR, FULL, MS, OK, Link, Rig, a_class, params, play, request, rig
 
 HOW = pytest.mark.parametrize("how", ["fin", "reset"])
 CANCEL = pytest.mark.parametrize("cancel", [True, False])
@@ -255,6 +255,45 @@
     play(work())
 
 
+@HOW
+@CANCEL
+@pytest.mark.parametrize("way", ["a copy", "the next attempt", "a dial that comes up"])
+def test_between_two_sweeps(how: str, cancel: bool, way: str, tmp_path: Path) -> None:
+    # Bytes behind the request hide the end from the loop, and no sweep comes that would ask the kernel.
+    async def work() -> None:
+        settings = params(
+            classes=[a_class("read", **{"slo-ns": 100 * MS}), a_class("pay", repeat="side_effect")],
+            limits={"cancel": cancel, "second-copies": way == "a copy"},
+        )
+        async with rig(tmp_path, targets=2, settings=settings) as made:
+            await made.start()
+            made.proxy.front.sweep = lambda: None  # type: ignore[method-assign]
+            made.dialer.holding = way == "a dial that comes up"
+            client = await made.client()
+            await client.send(request("c1") + request("c2"))
+            if made.dialer.holding:
+                await made.dialer.came.wait()
+                [flow] = made.proxy.engine.flows.values()
+                await gone(made, client, how)
+                made.dialer.let_go()
+            else:
+                await made.see(lambda: any(target.waiting() for target in made.targets))
+                [flow] = made.proxy.engine.flows.values()
+                link = next(target.links[0] for target in made.targets if target.links)
+                await link.until(b"\r\n\r\n")
+                await gone(made, client, how)
+                if way == "the next attempt":
+                    await link.send(ERROR)
+            written = 0 if way == "a dial that comes up" else 1
+            engine, counts = made.proxy.engine, made.proxy.front.counts[b"read"]
+            await made.see(lambda: not engine.owed or counts.upstream_tries > written)
+            assert counts.upstream_tries == written and engine.endings["client left unread"] == 1
+            assert len(flow.forwards) == 1 + written  # and it was tried no more than once
+            assert not made.proxy.front.ids
+
+    play(work())
+
+
 @HOW
 def test_a_client_that_has_asked_and_left_before_its_transport_was_made(how: str, tmp_path: Path) -> None:
     async def work() -> None:
@@ -265,9 +304,10 @@
             client = await made.client()  # waits in the kernel
             await client.send(ask("c1"))
             client.leave(how)
-            before = made.proxy.engine.endings["client left unread"]
+            before, taken = made.proxy.engine.endings["client left unread"], made.proxy.engine._next_id
             made.proxy.door.let(True)
             await made.see(lambda: made.proxy.engine.endings["client left unread"] > before)
+            assert made.proxy.engine._next_id == taken  # the decisions never heard of it
             await only(made)
 
     play(work())
