Let in all that stand in the door's queue as it closes, and not only a turn's worth of them

Need: "a request once its last byte is written to a connection that the proxy's machine accepted" is taken; a close of the listening socket resets whoever stands in its queue.

Seen: 96 clients that connect and ask in the very turn in which the door closes at a planned end: from the 33rd on they were reset with their requests. Ruled out: a socket that is inherited (what stands there is the successor's), a door that is shut for want of places.

Cause: `SocketDoor.close` accepted once more, 32 at most, and closed whatever was left.

Change: `close` says whether it is closed, and is not while more may be waiting; the end calls it turn by turn, up to half the longest deadline, and accepts nobody any more after that. A turn lets in no more than before, so that places are seen to run out in time.

Measured: test_so_are_all_that_stand_there_however_many with 32 and 96; with 96 it fails on the old lines.

--- a/firvane/net/door.py
+++ b/firvane/net/door.py
@@ -35,8 +35,9 @@
     def let(self, come: bool) -> None:
         """Accept connections or, for the time being, do not: they wait in the kernel then."""
 
-    def close(self) -> None:
-        """Let nobody in any more; who waits in the kernel is turned down by it."""
+    def close(self) -> bool:
+        """Let nobody in any more; who waits in the kernel is turned down by it. False where some of those
+        have to be let in first, over turns of the loop to come: it is still open then."""
 
 
 class Newcomer:
@@ -97,36 +98,41 @@
             else:
                 self.loop.remove_reader(self.sock.fileno())
 
-    def _accept(self) -> None:
+    def _accept(self) -> bool:
+        """Let newcomers in, as far as this turn has room for them; whether more may be waiting."""
         for _ in range(ACCEPTS):
             if self.hands.line.qsize() >= ACCEPTS:
-                return
+                return True
             try:
                 sock, _ = self.sock.accept()
-            except (BlockingIOError, ConnectionAbortedError, InterruptedError):
-                return
+            except BlockingIOError:
+                return False
+            except (ConnectionAbortedError, InterruptedError):
+                return True
             except OSError as error:
                 if error.errno not in SPENT:
                     raise
                 self.log.warning("accept_paused", why=error.strerror)
                 self._read(False)
                 self.loop.call_at(self.loop.time() + PAUSE, self._again)
-                return
+                return False
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.hands.give(Newcomer(sock, self.accept))
+        return True
 
     def _again(self) -> None:
         self._read(self.wanted)
 
-    def close(self) -> None:
+    def close(self) -> bool:
         # Who stands in the queue of a socket of its own has been accepted by this machine and may have asked
-        # already: the close would reset it. What stands in one that others hold is theirs. Where the door is
-        # shut there is no place for anybody.
-        if self.reading and not self.inherited:
-            self._accept()
+        # already: the close would reset it, also whoever is beyond what one turn lets in. What stands in one
+        # that others hold is theirs. Where the door is shut there is no place for anybody.
+        if self.reading and not self.inherited and self._accept():
+            return False
         self.let(False)
         self.sock.close()
+        return True
 
 
 def adopt(number: int) -> socket.socket:
@@ -164,6 +170,7 @@
     def let(self, come: bool) -> None:
         """In virtual time nothing runs out that this would save."""
 
-    def close(self) -> None:
+    def close(self) -> bool:
         if self.server:
             self.server.close()
+        return True
--- a/firvane/proxy.py
+++ b/firvane/proxy.py
@@ -462,7 +462,9 @@
             self.peers.close()
         else:
             await asyncio.sleep(LAME)
-            self.door.close()
+            while not self.door.close() and self.loop.time() < told + LAME + longest / 2:
+                await asyncio.sleep(0)  # who stands in its queue, beyond what a turn lets in, comes first
+            self.door.let(False)  # also where they come without an end
             while self._has_clients() and self.loop.time() < told + LAME + longest / 2:
                 await asyncio.sleep(look)
         front.closing = True
--- a/tests/crossings/mutants/ends.py
+++ b/tests/crossings/mutants/ends.py
@@ -38,8 +38,8 @@
     Mutant(
         "clients that are here are served on after 0.7 s",
         PROXY,
-        "            self.door.close()\n            while self._has_clients()",
-        "            self.door.close()\n            while False and self._has_clients()",
+        "            while self._has_clients() and self.loop.time() < told + LAME",
+        "            while False and self._has_clients() and self.loop.time() < told + LAME",
         f"{ENDS}test_who_is_here_is_served_on_after_the_door_is_closed",
     ),
     Mutant(
@@ -87,10 +87,17 @@
     Mutant(
         "who stands in the queue of an own door is let in as it closes",
         DOOR,
-        "        if self.reading and not self.inherited:\n            self._accept()",
-        "        if self.reading and not self.inherited:\n            pass",
+        "        if self.reading and not self.inherited and self._accept():",
+        "        if False:",
         f"{ENDS}test_who_stands_in_the_queue_as_the_door_closes_is_answered",
     ),
+    Mutant(
+        "so are all that stand there, however many",
+        DOOR,
+        "        if self.reading and not self.inherited and self._accept():\n            return False",
+        "        if self.reading and not self.inherited and self._accept():\n            pass",
+        f"{ENDS}test_so_are_all_that_stand_there_however_many",
+    ),
     Mutant(
         "a request that arrives as idle connections close is answered",
         "firvane/net/front.py",
--- a/tests/crossings/test_ends.py
+++ b/tests/crossings/test_ends.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from firvane.net.door import ACCEPTS
 from firvane.net.hands import HANDS
 from firvane.proxy import LAME
 from tests.crossings.harness import (
@@ -294,6 +295,32 @@
     play(work())
 
 
+@pytest.mark.parametrize("many", [ACCEPTS, 3 * ACCEPTS])
+def test_so_are_all_that_stand_there_however_many(tmp_path: Path, many: int) -> None:
+    # Of those that come in the turn of the close only as many as a turn lets in were, and the rest reset.
+    async def work() -> None:
+        async with rig(tmp_path, settings=lasting(2000)) as made:
+            await made.start()
+            made.later(made.targets[0].serve())
+            address, close = made.proxy.door.address(), made.proxy.door.close
+
+            def crossed() -> bool:
+                while len(made.clients) < many:
+                    made.clients.append(Link(socket.create_connection(address)))
+                    made.clients[-1].sock.send(request(f"c{len(made.clients)}"))
+                return close()
+
+            made.proxy.door.close = crossed  # type: ignore[method-assign]
+            made.later(made.proxy.drain())
+            await made.see(lambda: made.proxy.door.sock.fileno() < 0)
+            for client in made.clients:
+                assert (await client.until(b"\r\n\r\n")).startswith(b"HTTP/1.1 ")
+            with pytest.raises(ConnectionRefusedError):
+                socket.create_connection(address)
+
+    play(work())
+
+
 def test_what_comes_after_the_last_moment_is_refused_at_once(tmp_path: Path) -> None:
     # Its connection was not idle when the others were closed: it has an answer, and no target hears of it.
     async def work() -> None:
