Reset a client that knows no chunks where the end of its connection would hide a cut

Seen: a long answer without a length to a client of HTTP/1.0, whose target resets or ends the connection in the middle of it: the client got the first part and an end in order, as behind a whole answer; so too where the process exits. Ruled out: clients of HTTP/1.1 (no last chunk comes), answers with a length, answers held whole (a reset is no end of them, they are not served).

Cause: `Listener.cut` aborts the transport, which closes the socket, and the system says that with a FIN.

Change: where only the end of the connection ends an answer, its socket is set to reset at any close when the answer begins. Its true end is an end of sending, which that does not touch.

--- a/firvane/net/dial.py
+++ b/firvane/net/dial.py
@@ -5,6 +5,7 @@
 import asyncio
 import errno
 import socket
+import struct
 from collections.abc import Callable
 from functools import partial
 from typing import Generic, Protocol, TypeVar
@@ -146,6 +147,15 @@
     return False
 
 
+def resets(transport: asyncio.Transport) -> None:
+    """From now on any close of it resets the connection, also that of an exit; an end of sending does not.
+
+    Guards a body that lasts until the connection ends against passing for whole where it was cut.
+    """
+    if sock := transport.get_extra_info("socket"):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
 ESTABLISHED = 1  # the first byte of TCP_INFO: neither side has ended the connection
 
 
--- a/firvane/net/listener.py
+++ b/firvane/net/listener.py
@@ -13,7 +13,7 @@
 from firvane.limits.descriptors import Use
 from firvane.limits.overload import Measure
 from firvane.limits.turns import CHUNKED, DECIDE, READ_ONE
-from firvane.net.dial import Quiet, Stands, always
+from firvane.net.dial import Quiet, Stands, always, resets
 from firvane.net.http import (
     LAST_CHUNK,
     Buffered,
@@ -455,7 +455,10 @@
             return
         front, length = self.front, answer.length()
         self.chunked = length is None and flow.request.version == b"1.1"
-        self.closes = self._is_last() or (length is None and not self.chunked)
+        bare = length is None and not self.chunked
+        self.closes = self._is_last() or bare
+        if bare:
+            resets(self.transport)
         self.charged += WINDOW
         front.account.charge(Held.FLOWS, WINDOW)
         head = answer_head(answer, self.chunked, self.closes)
@@ -483,7 +486,8 @@
         self._over(self.closes, STALLED, True)
 
     def cut(self) -> None:
-        """It ends short of what its head has said, or without the last chunk: so its client can tell."""
+        """It ends short of what its head has said, without the last chunk, or by a reset where the end of the
+        connection would be its own: so its client can tell."""
         self.pouring = None
         self.transport.abort()
 
--- a/tests/crossings/mutants/closes.py
+++ b/tests/crossings/mutants/closes.py
@@ -7,6 +7,13 @@
 HERE = "tests/crossings/test_closes.py::"
 LISTENER = "firvane/net/listener.py"
 MUTANTS = [
+    Mutant(
+        "an answer that ends with its connection does not pass for whole where it was cut",
+        LISTENER,
+        "            resets(self.transport)",
+        "            pass",
+        f"{HERE}test_a_client_can_tell_that_a_long_answer_without_a_length_was_cut",
+    ),
     Mutant(
         "bytes unread behind a last answer do not destroy it",
         LISTENER,
--- a/tests/crossings/test_closes.py
+++ b/tests/crossings/test_closes.py
@@ -11,7 +11,7 @@
 import pytest
 
 from firvane.net.listener import AT_ONCE
-from tests.crossings.harness import Link, Rig, play, request, rig
+from tests.crossings.harness import CHUNKED, Link, Rig, play, request, rig
 
 MORE = request("c2")  # what its client sends behind the request whose answer is the last
 
@@ -90,3 +90,37 @@
             await made.see(lambda: made.at_rest() == (0, 0, 0))
 
     play(work())
+
+
+@pytest.mark.parametrize("ends", ["whole", "reset", "fin", "exit"])
+@pytest.mark.parametrize("version", [b"HTTP/1.0", b"HTTP/1.1"])
+def test_a_client_can_tell_that_a_long_answer_without_a_length_was_cut(
+    tmp_path: Path, version: bytes, ends: str
+) -> None:
+    # One that knows no chunks has only the end of its connection to go by: cut, it ended in order.
+    async def work() -> None:
+        async with rig(tmp_path) as made:
+            await made.start()
+            client, size = await made.client(), 80_000
+            await client.send(request("c1").replace(b"HTTP/1.1", version))
+            link = await made.targets[0].taken()
+            await link.send(CHUNKED + b"%x\r\n%s\r\n" % (size, b"x" * size))
+            await client.until(b"xxx")
+            if ends == "whole":
+                await link.send(b"0\r\n\r\n")
+            elif ends == "exit":
+                [listener] = made.proxy.front.connections
+                listener.transport.abort()  # as the system closes what an exit leaves open
+            else:
+                link.leave(ends)
+            if version == b"HTTP/1.0":
+                assert await client.gone() == ("fin" if ends == "whole" else "reset")
+                assert ends != "whole" or len(client.buffer) == size - 3
+            elif ends == "whole":
+                await client.until(b"\r\n0\r\n\r\n")
+            else:
+                assert await client.gone() and not client.buffer.endswith(b"0\r\n\r\n")
+            client.fin()
+            await made.see(lambda: made.at_rest() == (0, 0, 0))
+
+    play(work())
