Send a long body in chunks once and framed where its target has an idle connection

With a probe: a POST in chunks of 100 kB, and a target whose connection is idle and has rested: the target got the head with `Transfer-Encoding: chunked`, 64 KiB of the body without chunks, and then the same bytes again in chunks. On a new connection, with a length, or below 64 KiB all was right.

Cause: `Listener._take_long` gives the request to the decisions with what has come of the body still in the message. Over an idle connection it is sent in that very call, and `Connection.send` writes the message's pieces as they are; the read then passes the same pieces on through the stream. With a dial between, the stream has taken them before the connection is up. A body with a length is taken up at its head, with nothing of it here yet.

Change: what has come goes into the stream before the request is taken up.

Measured: test_a_body_arrives_as_it_was_sent..., 12 cases; on the old lines the two with chunks beyond 64 KiB on an idle connection fail. Its mutant is caught. test_http, test_long, test_forward, test_engine, limits, test_attempts, test_client_gone, test_mutants: 429 passed.

--- a/firvane/net/listener.py
+++ b/firvane/net/listener.py
@@ -354,6 +354,9 @@
         self.front.guard.leases.give_back(self)
         self.unleased = False
         self.upload = message.stream = Stream(self)
+        # What has come of a body of unknown length goes the way of the rest. Guards a target that has an idle
+        # connection, and is written to in this very call, against getting it bare of chunks, and then again.
+        self.upload.feed(message.taken())
         self.expires = self.front.loop.time() + STALL
         self._take(message)
 
--- a/tests/crossings/mutants/attempts.py
+++ b/tests/crossings/mutants/attempts.py
@@ -43,6 +43,13 @@
         "            self.give(api.Spent(flow.id))\n",
         f"{FILE} -k long_body",
     ),
+    Mutant(
+        "a body arrives as it was sent, whatever connection it goes on",
+        "firvane/net/listener.py",
+        "        self.upload.feed(message.taken())\n",
+        "",
+        f"{FILE} -k arrives_as_it_was_sent",
+    ),
     Mutant(
         "nothing is written once its time is over",
         FORWARD,
--- a/tests/crossings/test_attempts.py
+++ b/tests/crossings/test_attempts.py
@@ -375,6 +375,43 @@
 # Its own time
 
 
+@pytest.mark.parametrize("rested", [True, False], ids=["idle", "new"])
+@pytest.mark.parametrize("chunked", [True, False], ids=["chunks", "length"])
+@pytest.mark.parametrize("size", [60_000, 70_000, LONG])
+def test_a_body_arrives_as_it_was_sent_whatever_connection_it_goes_on(
+    tmp_path: Path, rested: bool, chunked: bool, size: int
+) -> None:
+    # On an idle connection, written to in the very call that takes a long request up, what had come of its
+    # chunks went out bare, and once more with the rest.
+    async def work() -> None:
+        async with rig(tmp_path) as made:
+            await made.start()
+            link = (await idle(made))[0] if rested else None
+            body = (bytes(range(256)) * (size // 256 + 1))[:size]
+            head = request("c1", "/pay/x", body=body)[:-size]
+            sent = body
+            if chunked:
+                head = head.replace(b"Content-Length: %d" % size, b"Transfer-Encoding: chunked")
+                parts = [body[at : at + 1000] for at in range(0, size, 1000)]
+                sent = b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in parts) + b"0\r\n\r\n"
+            client = await made.client()
+            made.later(client.send(head + sent))
+            link = link or await made.targets[0].link()
+            came, got = await link.until(b"\r\n\r\n"), b""
+            if b"Transfer-Encoding: chunked" in came:
+                while length := int(await link.until(b"\r\n"), 16):
+                    got += (await link.exactly(length + 2))[:-2]
+                await link.until(b"\r\n")
+            else:
+                got = await link.exactly(size)
+            assert got == body and link.buffer == b""
+            await link.send(OK)
+            assert (await client.until(b"hi")).startswith(b"HTTP/1.1 200 ")
+            await at_rest(made)
+
+    play(work())
+
+
 def test_nothing_is_written_once_its_time_is_over() -> None:
     async def work() -> None:
         loop, target = asyncio.get_running_loop(), Target()
