End each step of reading a request at its own end, so that what follows is none of its body

Need: each request passes through unchanged and gets its own answer; clients also send much at once.

Seen: a POST in chunks with the next request in the same read as its last chunk. Beyond 64 KiB, with half a request behind it, the body never ended and was failed at the deadline; with a long POST behind it the first never ended either. Below 64 KiB a long POST behind it was taken up before it. Ruled out: bodies with a length; whole short requests behind it.

Cause: `Reader.step` ended a step at an empty line only in a head, and missed one cut by a read; within a body in chunks it went on for up to 8 KiB. `Listener._upload` and `_take_long` then had the next message for the one that was being read.

Change: a step of a request ends at each empty line, also one cut in two, in a head and in a body in chunks. Answers are read as before: nothing behind one is taken up.

Measured: test_what_is_sent_behind_a_body_in_chunks..., 12 cases.

--- a/firvane/net/http.py
+++ b/firvane/net/http.py
@@ -195,8 +195,8 @@
 class Reader:
     """Collects messages from bytes cut anywhere. Complete ones queue in `done`; faults are raised by `step`.
 
-    Whoever feeds it decides how far: a step reads to the end of one message at the most (two, where the first
-    one's end was cut), so that what nobody has asked for yet stays as bytes, which cost least.
+    Whoever feeds it decides how far: a step reads to the end of one message at the most, wherever it is cut,
+    so that what nobody has asked for yet stays as bytes, which cost least. An answer's may go beyond.
 
     The parser's callbacks only collect: an exception in the middle of the proxy's own work would otherwise
     come out of the parser as a fault of the peer.
@@ -205,6 +205,7 @@
     def __init__(self, parser: Callable[[object], Parser]) -> None:
         self._parser = parser(self)
         self.raw = 0  # bytes of the message that is being read, its framing included
+        self.tail = b""  # the last three of them: an empty line may be cut
         self.message: Message | None = None
         self.in_head = False
         self.done: list[Message] = []
@@ -214,10 +215,18 @@
         message, end = self.message, len(data)
         if message and not self.in_head and b"content-length" in message.fields:
             end = min(end, start + max(1, int(message.fields[b"content-length"]) - message.size))
-        elif self.in_chunks():
-            end = min(end, start + (MORE_CHUNKS if message and message.long else CHUNKS))
-        elif (found := data.find(END_OF_HEAD, start)) >= 0:
-            end = found + len(END_OF_HEAD)
+        else:
+            if self.in_chunks():
+                end = min(end, start + (MORE_CHUNKS if message and message.long else CHUNKS))
+            # A head ends with an empty line, and so does a body in chunks. Guards that body against a step
+            # that goes on behind its end: the next request would begin before this one is taken up, and pass
+            # for more of it. Behind an answer nothing is taken up.
+            if not (message and message.status):
+                seam = (self.tail + data[start : start + 3]).find(END_OF_HEAD) if self.tail else -1
+                if seam >= 0:
+                    end = min(end, start + seam + len(END_OF_HEAD) - len(self.tail))
+                elif (found := data.find(END_OF_HEAD, start, end)) >= 0:
+                    end = found + len(END_OF_HEAD)
         self.raw += end - start
         try:
             self._parser.feed_data(data[start:end] if end - start < len(data) else data)
@@ -231,6 +240,7 @@
             raise cause if isinstance(cause, Fault) else Fault(400) from None
         except httptools.HttpParserError:
             raise Fault(400) from None
+        self.tail = (self.tail + data[max(start, end - 3) : end])[-3:] if self.message else b""
         if self.message:
             # Guards against a head, an extension of a chunk or trailers without an end: what the parser
             # itself gathers or passes over is counted nowhere else.
--- a/tests/crossings/mutants/attempts.py
+++ b/tests/crossings/mutants/attempts.py
@@ -50,6 +50,13 @@
         "",
         f"{FILE} -k arrives_as_it_was_sent",
     ),
+    Mutant(
+        "what is sent behind a body in chunks is none of it",
+        "firvane/net/http.py",
+        "            if not (message and message.status):",
+        "            if not self.in_chunks():",
+        f"{FILE} -k none_of_it",
+    ),
     Mutant(
         "nothing is written once its time is over",
         FORWARD,
--- a/tests/crossings/test_attempts.py
+++ b/tests/crossings/test_attempts.py
@@ -412,6 +412,48 @@
     play(work())
 
 
+BEHIND = {
+    "get": request("c2"),
+    "post": request("c2", "/pay/y", body=b"B" * 500),
+    "long": request("c2", "/pay/y", body=b"B" * 70_000),
+    "half": request("c2")[:30],
+}
+
+
+@pytest.mark.parametrize("behind", BEHIND)
+@pytest.mark.parametrize("size", [60_000, 66_000, LONG])
+def test_what_is_sent_behind_a_body_in_chunks_is_none_of_it(tmp_path: Path, size: int, behind: str) -> None:
+    # Read in one step with the last chunk, the next request passed for more of the body: it never ended, or
+    # went to a target with the other's bytes; a long one was taken up before it.
+    async def work() -> None:
+        async with rig(tmp_path) as made:
+            await made.start()
+            body = (bytes(range(256)) * (size // 256 + 1))[:size]
+            head = request("c1", "/pay/x", body=body)[:-size]
+            head = head.replace(b"Content-Length: %d" % size, b"Transfer-Encoding: chunked")
+            parts = [body[at : at + 1000] for at in range(0, size, 1000)]
+            sent = b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in parts) + b"0\r\n\r\n"
+            client = await made.client()
+            made.later(client.send(head + sent + BEHIND[behind]))
+            link = await made.targets[0].link()
+            came, got = await link.until(b"\r\n\r\n"), b""
+            if b"Transfer-Encoding: chunked" in came:
+                while length := int(await link.until(b"\r\n"), 16):
+                    got += (await link.exactly(length + 2))[:-2]
+                await link.until(b"\r\n")
+            else:
+                got = await link.exactly(size)
+            assert got == body
+            await link.send(OK)
+            assert (await client.until(b"hi")).startswith(b"HTTP/1.1 200 ")
+            if behind != "half":
+                await (await made.targets[0].next()).send(OK)
+                assert (await client.until(b"hi")).startswith(b"HTTP/1.1 200 ")
+                assert made.targets[0].calls == ["c2"]
+
+    play(work())
+
+
 def test_nothing_is_written_once_its_time_is_over() -> None:
     async def work() -> None:
         loop, target = asyncio.get_running_loop(), Target()
