--- a/firvane/net/listener.py
+++ b/firvane/net/listener.py
@@ -13,7 +13,7 @@
 from firvane.limits.descriptors import Use
 from firvane.limits.overload import Measure
 from firvane.limits.turns import CHUNKED, DECIDE, READ_ONE
-from firvane.net.dial import Quiet, Stands, always
+from firvane.net.dial import Quiet, Stands, always, resets
 from firvane.net.http import (
     LAST_CHUNK,
     Buffered,
@@ -40,6 +40,7 @@
 FIRST = 2.85  # s from connecting on for the head of the first request, however late it began
 PACE, PROGRESS = 24_000.0, 0.4  # bytes a second that a body comes with at the least; s from look to look
 STALL = 10.0  # s without a byte of a long request
+AT_ONCE = 8 * 1024  # bytes of an answer that any connection takes at once: a new one may send ten packets
 STALLED = 30.0  # s in which a client takes nothing of a long answer
 UPLOAD = 45.0  # s for which a long request may go on coming, beside the time that its answer has
 BUSY = 5  # the claim of a connection that is in use
@@ -54,9 +55,13 @@
     1. What it holds is bounded whatever its client does: bytes of one read that wait unparsed (reading is
        paused while there are any that cannot be looked at yet), one request, and one answer: while that is
        not with the kernel the next request is not taken up.
-    2. Who closes its connection has gone away, and nothing of its goes on any more. The loop tells of that
+    2. A last answer is followed by the end of sending, and by a close only once its client has ended, too, or
+       has had its time; by a close at once only where nothing of the answer could be lost by it. What comes
+       behind a last answer is read and dropped.
+    3. Who closes its connection has gone away, and nothing of its goes on any more. The loop tells of that
        only where it reads, and after all that came before. So the kernel is asked as well: of each request
-       when it is taken up, and of a connection that is not read at every sweep.
+       when it is taken up and at each forward's first byte, and of a connection that is not read at every
+       sweep. What is open for it ends in that very call: the decisions must not try again meanwhile.
     """
 
     def __init__(self, front: Front, quiet: Quiet = always, stands: Stands = always) -> None:
@@ -133,6 +138,14 @@
             self.front.engine.endings["client left unread"] += 1
             self.ending = True  # nothing that is here is taken up before the transport says that it is lost
             self.transport.abort()
+            self._give_up()
+
+    def waits(self) -> bool:
+        """Whether its client is still there, now that something is to be sent on for it."""
+        if here := self.stands():
+            return here
+        self.has_gone()
+        return False
 
     def _leave(self, flow: Flow[Message, Message]) -> None:
         """Nothing is owed to the client any more."""
@@ -341,6 +354,9 @@
         self.front.guard.leases.give_back(self)
         self.unleased = False
         self.upload = message.stream = Stream(self)
+        # What has come of a body of unknown length goes the way of the rest. Guards a target that has an idle
+        # connection, and is written to in this very call, against getting it bare of chunks, and then again.
+        self.upload.feed(message.taken())
         self.expires = self.front.loop.time() + STALL
         self._take(message)
 
@@ -407,6 +423,7 @@
         deadline = min(self.front.loop.time() + left + more, self.front.last)
         self.flow = Flow(message, self, deadline, message.fields[b"x-call-id"])
         self.flow.left = left if self.upload else 0.0
+        message.wanted = self.waits
         self.charged = FLOW + (WINDOW if self.upload else message.size)
         self.front.account.charge(Held.FLOWS, self.charged)
         self.asked += 1
@@ -441,7 +458,10 @@
             return
         front, length = self.front, answer.length()
         self.chunked = length is None and flow.request.version == b"1.1"
-        self.closes = self._is_last() or (length is None and not self.chunked)
+        bare = length is None and not self.chunked
+        self.closes = self._is_last() or bare
+        if bare:
+            resets(self.transport)
         self.charged += WINDOW
         front.account.charge(Held.FLOWS, WINDOW)
         head = answer_head(answer, self.chunked, self.closes)
@@ -466,10 +486,11 @@
 
     def ends(self) -> None:
         self.pouring = None
-        self._over(self.closes, STALLED)
+        self._over(self.closes, STALLED, True)
 
     def cut(self) -> None:
-        """It ends short of what its head has said, or without the last chunk: so its client can tell."""
+        """It ends short of what its head has said, without the last chunk, or by a reset where the end of the
+        connection would be its own: so its client can tell."""
         self.pouring = None
         self.transport.abort()
 
@@ -496,15 +517,15 @@
         if self.stamp:
             headers, self.stamp = [self.stamp, *headers], b""
         self.transport.writelines(answer(status, body, size, close, headers))
-        self._over(close, LINGER)
+        self._over(close, LINGER, size > AT_ONCE)
 
     def _is_last(self) -> bool:
         """Whether the connection ends with this answer."""
         # Of a request that is still coming the rest is read and dropped: it must not pass for another.
         return not self.keep or self.front.closing or self.front.crowded or self.upload is not None
 
-    def _over(self, close: bool, patience: float) -> None:
-        """The answer is written, at the most it has yet to be read."""
+    def _over(self, close: bool, patience: float, long: bool) -> None:
+        """The answer is written, at the most it has yet to be read; a long one may still be in the kernel."""
         front = self.front
         if self.upload:
             self.lost = True
@@ -519,10 +540,11 @@
             self.ending = True
             self.reader.done.clear()
             self.rest, self.at = b"", 0
-            # A close with bytes unread would reset the connection and may destroy the answer on its way: what
-            # cannot be used, and what was not read because a request stood before it.
+            # Guards the answer against a reset, which destroys what of it is on its way: a close brings one
+            # where bytes are unread (what cannot be used, what stood behind a request, what has come since
+            # the loop last looked), and where more come before the last of the answer has left.
             self.expires = front.loop.time() + patience
-            if self.lost or self.paused:
+            if self.lost or self.paused or long or not self.quiet():
                 self.transport.write_eof()
             else:
                 self.transport.close()
--- a/tests/crossings/mutants/attempts.py
+++ b/tests/crossings/mutants/attempts.py
@@ -34,7 +34,7 @@
             self._forget(flow)
 
     def hasten""",
-        f"{FILE} -k late_brings",
+        f"{FILE} -k half_written",
     ),
     Mutant(
         "a copy that comes up after the answer is not written",
@@ -57,11 +57,25 @@
         "            self.give(api.Spent(flow.id))\n",
         f"{FILE} -k long_body",
     ),
+    Mutant(
+        "a body arrives as it was sent, whatever connection it goes on",
+        "firvane/net/listener.py",
+        "        self.upload.feed(message.taken())\n",
+        "",
+        f"{FILE} -k arrives_as_it_was_sent",
+    ),
+    Mutant(
+        "what is sent behind a body in chunks is none of it",
+        "firvane/net/http.py",
+        "            if not (message and message.status):",
+        "            if not self.in_chunks():",
+        f"{FILE} -k none_of_it",
+    ),
     Mutant(
         "nothing is written once its time is over",
         FORWARD,
-        "return Ending.WITHDRAWN if now >= run.exchange.deadline else None",
-        "return None",
+        "over = now >= run.exchange.deadline or not run.request.wanted()",
+        "over = not run.request.wanted()",
         f"{FILE} -k time_is_over",
     ),
     Mutant(
@@ -69,7 +83,7 @@
         FORWARD,
         "if run.over or connection.transport.is_closing():",
         "if connection.transport.is_closing():",
-        f"{FILE} -k stands_already",
+        f"{FILE} -k withdrawn_while",
     ),
     Mutant(
         "a connection that has just been given back is not used yet",
