Let a cold box keep its place among equals when only time has passed there

A probe of 180 decision modules without peers, 45 of 97 boxes cold: a cold box gets 6.4 sends in the first second and 0.0 in each after it, a warm one 31 a second, where its budget allows 12 and more. Ruled out: the budget (tokens are there), the rooms (all 4.0). Lines: `Index.note` gave a server a new place at the end of its equals each time, and a cold one is noted at each window, as its budget grows; a round through 97 boxes takes ten seconds, so it was never at the front.

Change: a look that time alone calls for keeps the place if it finds all as it was (rule 6 of the index).

The tests fail with the looks counted as notes.

--- a/firvane/routing/index.py
+++ b/firvane/routing/index.py
@@ -15,6 +15,8 @@
    do not fit; and where none has room one look tells that.
 5. A change costs a note in a list. The orders take it in when they are next asked, and a heap half of which
    no longer holds is built anew: O(log n) for each change in the long run, whoever asks.
+6. A look that `advance` asks for is no note where it finds all as it was: the server keeps its place among
+   its equals. Looked at four times a second, cold servers would otherwise always be the last of them.
 """
 
 from __future__ import annotations
@@ -72,9 +74,12 @@
 
     def note(
         self, server: Backend, now: float, load: int, power: float, fill: float,
-        ready_at: float = 0.0, check_at: float = inf,
+        ready_at: float = 0.0, check_at: float = inf, looked: bool = False,
     ) -> None:  # fmt: skip
-        """Take in a server or its changed figures: usable from `ready_at`, to be noted anew at `check_at`."""
+        """Take in a server or its changed figures: usable from `ready_at`, to be noted anew at `check_at`.
+
+        `looked`: nothing but time has passed there (rule 6).
+        """
         spot = self.spots.get(server)
         if spot is None or spot.kind.number != server.entry.kind:
             if spot is not None:
@@ -84,17 +89,20 @@
                 self.kinds[number] = Kind(number)
             spot = self.spots[server] = Spot(server, self.kinds[number])
             spot.kind.members += 1
-        kind = spot.kind
-        if spot.usable:
-            kind.load -= spot.load
-            kind.power -= spot.power
-            kind.count -= 1
-        spot.load, spot.power, spot.fill = load, max(1, int(power * UNIT)), fill
+        kind, units = spot.kind, max(1, int(power * UNIT))
+        kept = looked and spot.usable and ready_at <= now  # rule 6
+        kept = kept and (spot.load, spot.power, spot.fill) == (load, units, fill)
         spot.ready_at, spot.check_at = ready_at, check_at
-        if ready_at <= now:
-            self.enter(spot)
-        else:
-            spot.usable, spot.mark = False, 0
+        if not kept:
+            if spot.usable:
+                kind.load -= spot.load
+                kind.power -= spot.power
+                kind.count -= 1
+            spot.load, spot.power, spot.fill = load, units, fill
+            if ready_at <= now:
+                self.enter(spot)
+            else:
+                spot.usable, spot.mark = False, 0
         wake = check_at if ready_at <= now or check_at < ready_at else ready_at
         if wake < spot.wake:
             spot.wake = wake
--- a/firvane/routing/large.py
+++ b/firvane/routing/large.py
@@ -69,16 +69,16 @@
                 self.note(server, now)
             self.changed = {}
         for server in index.advance(now):
-            self.note(server, now)
+            self.note(server, now, looked=True)
         self.spares.advance(now)
         return index
 
-    def note(self, server: Backend, now: float) -> None:
+    def note(self, server: Backend, now: float, looked: bool = False) -> None:
         figures, load = self.figures(server, now), server.own + server.peers
         fill = server.own / server.room if server.own >= 1 else 0.0
         for index in self.where[server]:
-            index.note(server, now, load, figures.power, fill, figures.ready_at, figures.check_at)
+            index.note(server, now, load, figures.power, fill, figures.ready_at, figures.check_at, looked)
         if figures.spare_at < inf:
-            self.spares.note(server, now, 0, 1.0, fill, figures.spare_at)
+            self.spares.note(server, now, 0, 1.0, fill, figures.spare_at, looked=looked)
         elif server in self.spares.spots:
             self.spares.forget(server)
--- a/tests/routing/test_index.py
+++ b/tests/routing/test_index.py
@@ -70,6 +70,29 @@
     assert operations(lambda: index.least(0.05, lambda s: True)) < 150
 
 
+def test_what_is_only_looked_at_keeps_its_place_among_equals() -> None:
+    # Guards against a cold box, which is looked at four times a second, that is always the last of them.
+    index, boxes = Index(), [box(n) for n in range(3)]
+
+    def next_one() -> int:
+        found = index.least(1.0, lambda s: True)
+        assert found
+        return boxes.index(found)
+
+    for server in boxes:
+        index.note(server, 0.0, 0, 4.0, 0.0)
+    index.note(boxes[0], 0.1, 0, 4.0, 0.0, 0.0, 0.35, looked=True)
+    assert index.advance(0.2) == [] and next_one() == 0
+    assert index.advance(0.4) == [boxes[0]] and next_one() == 0
+    index.note(boxes[0], 0.4, 0, 4.0, 0.0)  # it has had one, and answered
+    assert next_one() == 1
+    index.note(boxes[1], 0.5, 0, 3.9, 0.0, looked=True)  # slower than it was
+    assert next_one() == 2
+    index.note(boxes[2], 0.6, 0, 4.0, 0.0, 0.8, looked=True)  # not to be sent to for a while
+    assert next_one() == 0 and index.advance(0.9) == []
+    assert next_one() == 0 and index.usable(boxes[2])
+
+
 @pytest.mark.parametrize("count", [10, 1000, 10_000])
 def test_a_request_costs_the_same_in_any_slice(count: int) -> None:
     """A send or an answer, each with the mean, the least loaded and an expired time."""
--- a/tests/routing/test_wiring.py
+++ b/tests/routing/test_wiring.py
@@ -166,3 +166,21 @@
         assert max(Counter(send.server for send in sent).values()) <= 8  # by chance 4 to 6
         for balancer, send in zip(fleet, sent, strict=True):
             balancer.handle(outcome(send, 0, api.Result.OK), now)
+
+
+def test_a_cold_box_has_its_turn_among_many_where_no_peer_is_heard() -> None:
+    # Guards against a release in which cold boxes get nothing, as their budgets are looked at at each window.
+    names, limits = [f"s{n}" for n in range(30)], api.Limits(max_attempts=4)
+    balancer = Balancer(settings(proxies=40, limits=limits), 7, 100.0)
+    balancer.start(100.0)
+    balancer.handle(full_list(*map(api.Server, names)), 100.0)
+    balancer.handle(changes(*(api.Server(name, up_since=103.0) for name in names[:10])), 103.0)
+    met = set[str]()
+    for request in range(1, 61):  # three a window: a round takes longer than a budget is good for
+        now = 104.0 + request / 12
+        if request % 3 == 0:
+            balancer.handle(api.TimerFired(0), now)
+        (send,) = sends(balancer.handle(api.Request(request, 0, 2.0), now))
+        balancer.handle(outcome(send, 0, api.Result.OK), now)
+        met.add(send.server)
+    assert len(met & set(names[:10])) == 10
