Count as a silence only times in which something was out at a box

Ruled out: lost attempts, turn-aways, failed connections (300 together). Lines: `doubt` and `is_silent` measured from the last word of a box, and each proxy asks one once in ten seconds; the gap, too, was counted from there, and began at 0. So 0.4 of the aim without a word was a silence, and the usual answer takes as long. In an overload nearly all requests went out twice.

Change: one place, `Evidence.silent_at`, tells from when on saying nothing means something: 2.5 gaps after the first attempt that is out went out, or after the last word; a gap is a time in which something was out there, the usual time of an answer where none is known. Two tests of before: one had a box that was never heard, which is given a gap now; one called a box silent for a time in which nothing was out there, and asks for the copy later, and for none before.

--- a/firvane/choice.py
+++ b/firvane/choice.py
@@ -18,7 +18,7 @@
 from firvane.recovery import messages
 from firvane.recovery.recovery import Recovery
 from firvane.rooms import cold, quotas
-from firvane.rooms.evidence import CROWD, FADE, FAULTY, LONG, SILENCES, Evidence
+from firvane.rooms.evidence import CROWD, FADE, FAULTY, LONG, Evidence
 from firvane.routing.large import Figures, Large
 from firvane.routing.listing import Listing, merge
 from firvane.routing.pairs import forecast, pair
@@ -174,9 +174,8 @@
                 self.wake(job, mark.usual)
         elif now < mark.at + wait - self.settings.tick:
             self.wake(job, mark.at + wait - now)
-        elif now < server.heard_at + SILENCES * server.gap:  # a quiet server may well say nothing for as long
-            if now < mark.at + 2 * wait - self.settings.tick:
-                self.wake(job, wait)
+        elif now < (silent_at := self.evidence.silent_at(mark, server)):  # it may be quiet
+            self.wake(job, silent_at - now)
         else:
             if self.evidence.is_silent(mark, server, now):
                 self.evidence.doubted(server, now)
--- a/firvane/rooms/evidence.py
+++ b/firvane/rooms/evidence.py
@@ -8,7 +8,9 @@
    or when it is long over its time while single attempts are being lost everywhere. That says something of
    the path, nothing of the box: no room, pace or health follows from a lost attempt.
 3. A box is silent when it has ended nothing since a request was sent, for longer than its usual gaps, with
-   enough attempts overdue that chance does not explain it where single ones are being lost.
+   enough attempts overdue that chance does not explain it where single ones are being lost. A gap is a time
+   in which something was out there, at first an answer's usual time: a box that is seldom asked says nothing
+   for long, and where its usual answer passed for a silence a second copy of most requests went out.
 4. A room is cut by turn-aways and by answers that take most of the aim though their work is light; it is
    grown by other answers near it. No evidence, no optimism: but at the start of the proxy, when a room is a
    guess, answers near it grow it quickly.
@@ -157,9 +159,14 @@
         """s after which an attempt is late: sooner while single attempts are being lost."""
         return (HURRY if self.lossy >= RARE else LATE) * usual
 
+    def silent_at(self, mark: Mark, server: Backend) -> float:
+        """When it has said nothing for too long; it has nothing to say while nothing is out there."""
+        since = max(server.heard_at, server.out[0].at if server.out else mark.at)
+        return since + SILENCES * (server.gap or mark.usual)
+
     def is_silent(self, mark: Mark, server: Backend, now: float) -> bool:
         """Whether the box has ended nothing since, for longer than it usually does."""
-        if server.heard_at >= mark.at or now < server.heard_at + SILENCES * server.gap:
+        if server.heard_at >= mark.at or now < self.silent_at(mark, server):
             return False
         due = sum(1 for other in server.out if now - other.at >= LATE * other.usual)
         return self.lossy < RARE or self.lossy**due < CHANCE
@@ -197,11 +204,13 @@
         if server is None or mark is None:
             return False
         result, close, lost = outcome.result, False, mark.lost
-        if not lost:
-            self._leave(server, mark)
         if result not in (api.Result.TIMEOUT, api.Result.CANCELLED, api.Result.MOOT):
-            server.gap += 0.2 * (min(1.0, now - server.heard_at) - server.gap)
+            # From when something was out there: rule 3.
+            gap = min(1.0, now - max(server.heard_at, server.out[0].at if server.out else mark.at))
+            server.gap = server.gap + 0.2 * (gap - server.gap) if server.gap else gap
             server.heard_at = now
+        if not lost:
+            self._leave(server, mark)
         if result in (api.Result.OK, api.Result.ERROR):
             for other in server.out:
                 if other.at >= mark.at:
