--- a/tests/rehearsal/mutants.py
+++ b/tests/rehearsal/mutants.py
@@ -46,9 +46,10 @@
 DRAINS = day(9.0, 80.0, 6, Trouble(kind="drain", at_s=1.0, part=0.4, drain_s=8.0))
 CRASH = day(7.0, 200.0, 6, Trouble(kind="crash", at_s=1.5, for_s=1.0, part=0.4))
 RESTART = day(6.0, 120.0, 6, Trouble(kind="restart", at_s=2.0))
+DAWDLING = Trouble(kind="slow", at_s=1.0, for_s=7.0, part=0.5, part_speed=0.05)  # copies follow
 LEAVING = day(
-    8.0, 32.0, 14, work_ms=(500.0, 600.0), aim_s=1.5, deadline_s=4.0, leaving=0.4, leave_s=(0.02, 0.05),
-    at_once=2,
+    8.0, 32.0, 14, DAWDLING, work_ms=(500.0, 600.0), aim_s=1.5, deadline_s=4.0, leaving=0.4,
+    leave_s=(0.02, 0.05), at_once=2,
 )  # fmt: skip
 ONCE = day(6.0, 120.0, 6, SLOWED, may_repeat=False)
 
