Look again at an attempt that could not be copied

Cause, by reading: where a box seems silent and no copy may go out, `doubt` set no further timer, so what its other answers told later, that this attempt is lost, was never looked at. Change: a look after a usual time, as in the other branches.

--- a/firvane/choice.py
+++ b/firvane/choice.py
@@ -182,6 +182,8 @@
                 self.large.mark(server)
             if copies and (other := self.choose(job, now, 1.0)):
                 self.send(job, other, now)
+            else:  # guards one that is found lost by what is heard later: it is looked at again
+                self.wake(job, mark.usual)
 
     def on_pressure(self, pressure: api.Pressure, now: float) -> None:
         """Say whom to turn away unseen: first what exceeds a tenant's share, then everyone alike."""
