Force how a proposer learns of its majority before it is killed

Seen: epoch 2 was in force on all while the test waited for a Decided of the proposer. Checked: a voter that answers a question while its vote is being written says its acceptance and its state in the same moment, and the relay draws a delay for each datagram, so that the state may come first. Then `Member._votes` finds the majority, `_known` ends the ballots, and no Decided is said, as rightly nobody needs it: all learn by their questions. Ruled out: another member that finished the change (nothing but the order was changed for it). The test that waits for a voter's yes had the same hole the other way round: a Decided may come before that voter is asked.

Change: tests alone. In the steps that wait for a message of the ballot, states that tell of votes are dropped on their way to whoever is to learn by that message; a fourth case forces the other order, which had no test: the proposer is killed when it knows by voters' states alone. No promise, wait or bound is changed.

--- a/tests/together/test_policy.py
+++ b/tests/together/test_policy.py
@@ -24,6 +24,13 @@
 NEW, NEXT, OTHER = text(700), text(710), text(720)
 
 
+def tells(message: Message) -> bool:
+    """Whether its receiver learns from it of a vote of others, or of an epoch after the first."""
+    if isinstance(message, messages.Told):
+        return message.accepted is not None or bool(message.decided and message.decided[0] > 1)
+    return isinstance(message, messages.Decided)
+
+
 def test_a_change_takes_hold_on_all_and_on_one_that_was_down_from_its_first_answer(tmp_path: Path) -> None:
     async def work() -> None:
         async with governed(tmp_path, proxies=4) as fleet:
@@ -50,7 +57,8 @@
 
             def yes(sender: int, receiver: int, message: Message) -> bool:
                 said[0] |= sender == 2 and isinstance(message, messages.Accepted) and message.yes
-                return False
+                # Nor is it told that the other two have chosen it before it is asked, and then says nothing.
+                return receiver == 2 and not said[0] and tells(message)
 
             fleet.drops = yes
             await fleet.propose(0, NEW)
@@ -65,24 +73,32 @@
 
 @pytest.mark.parametrize(
     ("step", "must"),
-    [(messages.Verdict, False), (messages.Accepted, True), (messages.Decided, True)],
-    ids=["gathering", "accepting", "decided"],
+    [(messages.Verdict, False), (messages.Accepted, True), (messages.Decided, True), (messages.Told, True)],
+    ids=["gathering", "accepting", "decided", "told"],
 )
 def test_whatever_its_proposer_was_at_when_killed_the_change_ends_one_way_on_all(
     tmp_path: Path, step: type[Message], must: bool
 ) -> None:
+    """Its proposer hears of a majority by the acceptances, and says that it is decided; or, where a voter's
+    state overtakes them, as it may on any day, by what voters tell: then it says nothing more of it."""
+
     async def work() -> None:
         async with governed(tmp_path) as fleet:
             reached = [False]
 
             def lost(sender: int, receiver: int, message: Message) -> bool:
+                if step is messages.Told:
+                    return receiver == 0 and isinstance(message, messages.Accepted)
                 its = isinstance(message, step) and 0 in (sender, receiver)
                 reached[0] |= its and getattr(message, "yes", True)
-                return its
+                return its or (receiver == 0 and tells(message))
 
             fleet.drops = lost
             await fleet.propose(0, NEW)
-            await fleet.until("that step", lambda: reached[0])
+            if step is messages.Told:
+                await fleet.said(0, "event=policy_decided", "epoch=2")
+            else:
+                await fleet.until("that step", lambda: reached[0])
             fleet.off(0)
             fleet.drops = lambda sender, receiver, message: False
             if must:  # a majority may have accepted it: others finish it while its proposer is down
