Count the rates of boxes anew where a SIGHUP changes whether proxies hear one another

Cause, by reading: `Evidence.pooled` (whether a kind's answers are all proxies' or one's own) was worked out once, at the start, while `stands_for` goes by the settings in force. After a SIGHUP that takes `peers` away all proxies' answers, as heard before, counted times the tier; after one that allows it, one's own answers alone passed for all. Ruled out: `large`, since the size of the tier waits for the next start (`retune.PLACE`). Change: `retune` takes it from the new settings and begins the counts anew. "Since when something is out at a box" was worked out in two places (`silent_at`, `ended`) and is one method now; the mutant of it names the new line.

--- a/firvane/rooms/evidence.py
+++ b/firvane/rooms/evidence.py
@@ -117,7 +117,11 @@
         known = {cls.name: took for cls, took in zip(self.settings.classes, self.typical, strict=True)}
         new = settings.classes[len(self.typical) :]
         self.typical += [min(cls.aim, known.get(cls.name, cls.aim / 2)) for cls in new]
-        self.settings = settings
+        before, self.settings = self.settings, settings
+        if settings.limits.peers is not before.limits.peers:
+            # Guards against taking one's own answers for those of all, or the other way round, where a SIGHUP
+            # lets proxies tell each other of theirs, or no longer: both are counted anew.
+            self.pooled, self.flows = self.large and settings.limits.peers, {}
 
     # What is asked
 
@@ -161,8 +165,12 @@
 
     def silent_at(self, mark: Mark, server: Backend) -> float:
         """When it has said nothing for too long; it has nothing to say while nothing is out there."""
-        since = max(server.heard_at, server.out[0].at if server.out else mark.at)
-        return since + SILENCES * (server.gap or mark.usual)
+        return self._owing_since(mark, server) + SILENCES * (server.gap or mark.usual)
+
+    @staticmethod
+    def _owing_since(mark: Mark, server: Backend) -> float:
+        """Since when something is out there of which it has said nothing: rule 3."""
+        return max(server.heard_at, server.out[0].at if server.out else mark.at)
 
     def is_silent(self, mark: Mark, server: Backend, now: float) -> bool:
         """Whether the box has ended nothing since, for longer than it usually does."""
@@ -205,8 +213,7 @@
             return False
         result, close, lost = outcome.result, False, mark.lost
         if result not in (api.Result.TIMEOUT, api.Result.CANCELLED, api.Result.MOOT):
-            # From when something was out there: rule 3.
-            gap = min(1.0, now - max(server.heard_at, server.out[0].at if server.out else mark.at))
+            gap = min(1.0, now - self._owing_since(mark, server))
             server.gap = server.gap + 0.2 * (gap - server.gap) if server.gap else gap
             server.heard_at = now
         if not lost:
--- a/tests/crossings/mutants/others.py
+++ b/tests/crossings/mutants/others.py
@@ -131,10 +131,17 @@
     Mutant(
         "a usual answer is no silence",
         "firvane/rooms/evidence.py",
-        "since = max(server.heard_at, server.out[0].at if server.out else mark.at)",
-        "since = server.heard_at",
+        "return max(server.heard_at, server.out[0].at if server.out else mark.at)",
+        "return server.heard_at",
         "tests/test_choice.py::test_a_server_that_is_seldom_asked_is_not_silent_before_its_usual_time",
     ),
+    Mutant(
+        "one's own answers are not taken for those of all",
+        "firvane/rooms/evidence.py",
+        "self.pooled, self.flows = self.large and settings.limits.peers, {}",
+        "pass",
+        "tests/rooms/test_evidence.py::test_answers_are_those_of_all_only_while_proxies_tell_each_other_of_theirs",
+    ),
     Mutant(
         "a share is granted once, not by each proxy",
         "firvane/rooms/quotas.py",
--- a/tests/rooms/test_evidence.py
+++ b/tests/rooms/test_evidence.py
@@ -192,6 +192,30 @@
     assert made.rates[0] == pytest.approx(4 * 5 / 0.25, rel=0.1)
 
 
+@pytest.mark.parametrize("first", [True, False], ids=["no longer", "from now on"])
+def test_answers_are_those_of_all_only_while_proxies_tell_each_other_of_theirs(first: bool) -> None:
+    # Guards a SIGHUP that changes `peers`: of 40 proxies what all answered passed for what one did, a rate 40
+    # times too high, and the other way round the rate that was known was only forgotten.
+    def rate(made: Evidence, begin: int) -> float:
+        for window in range(begin, begin + 100):
+            now = 100.0 + window / 4
+            for n in range(11):  # the first of them is out there while it is looked at
+                made.sent(warm, 0, None, (window, n), now)
+                if n:
+                    made.ended(warm, None, api.Outcome(window, n, "a", api.Result.OK, 0.05, True), now)
+            made.told(1, kinds.pack({0: 390 * window}, now))  # heard where proxies hear one another
+            made.weigh([warm], 1600.0, 1.0, 0.25)
+            made.ended(warm, None, api.Outcome(window, 0, "a", api.Result.CANCELLED, 0.05, True), now)
+        return made.rates[0]
+
+    limits = [api.Limits(max_attempts=4, peers=peers) for peers in (first, not first)]
+    made = Evidence(settings(proxies=40, limits=limits[0]), random.Random(1), 100.0)
+    warm = Backend(server("a"), 1, 1.0, None)
+    assert rate(made, 0) == pytest.approx(1600.0, rel=0.1)
+    made.retune(settings(proxies=40, limits=limits[1]))
+    assert rate(made, 100) == pytest.approx(1600.0, rel=0.1)
+
+
 def test_a_box_without_a_place_for_a_connection_is_left_to_those_who_have_one() -> None:
     # Small boxes hold 33 connections, and 40 proxies dialled them again and again: up to 400 handshakes a
     # second for nothing, each one of a request's three attempts.
