Keep what a connection may be asked in a file of words, so that the HTTP codec knows no socket file

Cause: `net/http.py`, a codec, took `Stands` and `always` from `net/dial.py`, which opens sockets; lint-imports had no contract for it. No behaviour changes.

--- a/firvane/net/dial.py
+++ b/firvane/net/dial.py
@@ -12,12 +12,9 @@
 
 from firvane.endings import Ending
 from firvane.net.hands import Hands
+from firvane.net.words import Quiet
 
 P = TypeVar("P", bound=asyncio.BaseProtocol)
-# Whether nothing has come on an idle connection, neither bytes nor its end, as far as the kernel knows: the
-# loop may not know yet.
-Quiet = Callable[[], bool]
-Stands = Callable[[], bool]  # whether the other side has not ended it, however much of its is unread
 
 
 class Dialing(Protocol):
@@ -123,11 +120,6 @@
         return SocketDial(self, sock, deadline, factory, up, ended)
 
 
-def always() -> bool:
-    """Nothing ever comes unseen: for connections without a kernel behind them."""
-    return True
-
-
 class NoDial:
     """One that has ended before it began."""
 
--- a/firvane/net/door.py
+++ b/firvane/net/door.py
@@ -10,8 +10,9 @@
 from typing import Protocol
 
 from firvane.logs import QUIET, Log
-from firvane.net.dial import Quiet, Stands, always, is_quiet, stands
+from firvane.net.dial import is_quiet, stands
 from firvane.net.hands import Hands
+from firvane.net.words import Quiet, Stands, always
 
 BACKLOG = 1024  # connections that the kernel holds until they are accepted
 ACCEPTS = 32  # accepted in one turn of the loop at the most
--- a/firvane/net/forward.py
+++ b/firvane/net/forward.py
@@ -27,7 +27,7 @@
 from firvane.limits.account import SMALL, Held
 from firvane.limits.costs import IDLE_TARGET, WINDOW
 from firvane.limits.descriptors import Use
-from firvane.net.dial import Dialer, Dialing, Quiet
+from firvane.net.dial import Dialer, Dialing
 from firvane.net.guard import Guard
 from firvane.net.http import (
     LAST_CHUNK,
@@ -40,6 +40,7 @@
     framed,
     request_head,
 )
+from firvane.net.words import Quiet
 
 IDLE_PART = 0.5  # of the idle time in the settings: a target may close sooner than that, never later
 STALL = 10.0  # s without a byte of a long answer from a target that is not held
--- a/firvane/net/front.py
+++ b/firvane/net/front.py
@@ -15,10 +15,10 @@
 from firvane.limits.descriptors import Use
 from firvane.limits.gate import Gate
 from firvane.limits.overload import Measure
-from firvane.net.dial import Quiet, Stands, always
 from firvane.net.guard import Guard
 from firvane.net.http import Fault, Message, refusals, unescaped
 from firvane.net.listener import BUSY, IDLE, Listener
+from firvane.net.words import Quiet, Stands, always
 from firvane.tally import Counts
 
 # The same where places run short, by the requests that a connection has brought: those
--- a/firvane/net/listener.py
+++ b/firvane/net/listener.py
@@ -13,7 +13,7 @@
 from firvane.limits.descriptors import Use
 from firvane.limits.overload import Measure
 from firvane.limits.turns import CHUNKED, DECIDE, READ_ONE
-from firvane.net.dial import Quiet, Stands, always, resets
+from firvane.net.dial import resets
 from firvane.net.http import (
     LAST_CHUNK,
     Buffered,
@@ -29,6 +29,7 @@
     framed,
     is_again,
 )
+from firvane.net.words import Quiet, Stands, always
 from firvane.tally import Counts
 
 if TYPE_CHECKING:
--- a/firvane/quorum/fetch.py
+++ b/firvane/quorum/fetch.py
@@ -17,7 +17,8 @@
 
 from firvane.address import Address
 from firvane.endings import Ending
-from firvane.net.dial import Dialer, Dialing, Quiet
+from firvane.net.dial import Dialer, Dialing
+from firvane.net.words import Quiet
 from firvane.ops.calls import Call, got
 from firvane.quorum.puts import Gathered
 
--- a/firvane/rehearsal/virtual_proxy.py
+++ b/firvane/rehearsal/virtual_proxy.py
@@ -14,9 +14,10 @@
 from firvane.config.node import Config
 from firvane.endings import Ending
 from firvane.logs import Log
-from firvane.net.dial import Dialing, Quiet, always
+from firvane.net.dial import Dialing
 from firvane.net.door import Accept, LoopDoor
 from firvane.net.guard import Usage
+from firvane.net.words import Quiet, always
 from firvane.proxy import Proxy
 from firvane.rehearsal.memory import Memory
 from firvane.rehearsal.process import Process
