Write no repeat after the time in which its class is known again

Checked by reading: `Balancer.legal` judges the time when an attempt is decided on, and `Forwards._barred`, the one place where a first byte may still be forbidden, knew the flow's deadline alone: a further attempt whose dial came up after the window was written. Ruled out: the group (all), a first attempt's own late dial (the window counts from when it set out, which is sooner), idle connections (written in the same call); split and join: no break.

Change: `Send.by` says until when an attempt's first byte may go out, `Job.begins_by` tells it, `_barred` heeds it, and what is barred never ran.

--- a/firvane/choice.py
+++ b/firvane/choice.py
@@ -211,8 +211,7 @@
     def send(self, job: Job, server: Backend, now: float) -> None:
         job.out[job.sent] = server.entry.id
         job.tried.add(server.salt)
-        if not job.maybe:
-            job.group, job.kept_until = server.entry.group(job.cls.scope), now + job.cls.window
+        by = job.begins_by(server.entry, now)
         request, attempt = job.request, (job.request.id, job.sent)
         mark = self.evidence.sent(server, request.cls, request.work, attempt, now)
         job.sent, job.maybe = job.sent + 1, job.maybe + 1
@@ -221,7 +220,7 @@
         if self.evidence.is_cold(server, now):
             server.tokens -= 1
         self.large.mark(server)
-        self.actions.append(api.Send(job.request.id, server.entry.id))
+        self.actions.append(api.Send(job.request.id, server.entry.id, by=by))
         if self.settings.limits.second_copies and not job.out.keys() - {job.sent - 1}:
             first_look = min(DOUBT * job.cls.aim, self.evidence.late(mark.usual))
             self.wake(job, first_look)
--- a/firvane/engine.py
+++ b/firvane/engine.py
@@ -81,6 +81,7 @@
     """What a front needs to know of one forward or probe, and where it says how that ended."""
 
     deadline: float
+    by: float  # its first byte goes out before that, or never
 
     def written(self) -> None:
         """The last byte of the request is with the kernel."""
@@ -167,6 +168,7 @@
     """One attempt of a flow."""
 
     __slots__ = (
+        "by",
         "deadline",
         "engine",
         "flow",
@@ -181,9 +183,10 @@
     )
 
     def __init__(
-        self, engine: Engine[Q, A], flow: Flow[Q, A], target: str, since: float, deadline: float
+        self, engine: Engine[Q, A], flow: Flow[Q, A], target: str, since: float, deadline: float, by: float
     ) -> None:
-        self.engine, self.flow, self.target, self.since, self.deadline = engine, flow, target, since, deadline
+        self.engine, self.flow, self.target = engine, flow, target
+        self.since, self.deadline, self.by = since, deadline, by
         self.number = len(flow.forwards)
         self.handle: Handle | None = None
         self.timer: TimerHandle | None = None
@@ -218,6 +221,7 @@
 
     def __init__(self, engine: Engine[Q, A], target: str, since: float, deadline: float) -> None:
         self.engine, self.target, self.since, self.deadline = engine, target, since, deadline
+        self.by = deadline
         self.handle: Handle | None = None
         self.over = False
 
@@ -399,7 +403,7 @@
             return
         limits, now = self.settings.limits, self.clock.time()
         deadline = flow.deadline if action.timeout <= 0 else min(flow.deadline, now + action.timeout)
-        forward = Forward(self, flow, action.server, now, deadline)
+        forward = Forward(self, flow, action.server, now, deadline, action.by - self.offset)
         flow.forwards.append(forward)
         flow.live += 1
         allowed = flow.open and forward.number < limits.max_attempts and action.server in self.known
--- a/firvane/interface.py
+++ b/firvane/interface.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
@@ -308,11 +309,15 @@
 
 @dataclass(slots=True)
 class Send:
-    """Start the next attempt of a request; given up after `timeout` where that is above 0."""
+    """Start the next attempt of a request; given up after `timeout` where that is above 0.
+
+    Its first byte goes out before `by`, on the clock of the decisions, or never.
+    """
 
     id: int
     server: str
     timeout: float = 0.0
+    by: float = math.inf
 
 
 @dataclass(slots=True)
--- a/firvane/net/forward.py
+++ b/firvane/net/forward.py
@@ -5,8 +5,8 @@
 1. A run ends once. Who cancels it hears nothing more of it, and nothing more of it is written: its dial is
    given up, or its connection is closed with whatever of the request the kernel has not taken.
 2. Each way to a run's first byte, over an idle connection or a new one, passes `Forwards._barred`: neither
-   its target's grace nor its own time may be over, and whoever asked must still be there, as the kernel has
-   it: the loop may not have heard. What it bars never ran.
+   its target's grace nor its own time may be over, nor that in which it may begin, and whoever asked must
+   still be there, as the kernel has it: the loop may not have heard. What it bars never ran.
 3. A request is written once its last byte is with the kernel. A break before that never ran, one after it may
    have; where it cannot be told which, it may have.
 4. A connection whose answer has come rests for `SETTLE` before the next run: a second answer comes late by
@@ -407,7 +407,8 @@
             return Ending.TOO_LATE
         # Guards a target against a request whose time ran out in the same turn that its dial came up in, and
         # against a next attempt or a copy for a client whose end stands behind bytes that were not read.
-        over = now >= run.exchange.deadline or not run.request.wanted()
+        # And against one that would run again what it has run: it drops repeats up to a time.
+        over = now >= min(run.exchange.deadline, run.exchange.by) or not run.request.wanted()
         return Ending.WITHDRAWN if over else None
 
     def _dial(self, run: Run) -> None:
--- a/firvane/state.py
+++ b/firvane/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import struct
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -127,6 +128,18 @@
     out: dict[int, str] = field(default_factory=dict)
     tried: set[int] = field(default_factory=set)
 
+    def begins_by(self, entry: api.Server, now: float) -> float:
+        """When an attempt that sets out there now has to be on its way at the latest.
+
+        Guards a class whose repeats are dropped for a time alone against one that comes after it, since its
+        connection came up late: the box would run it again.
+        """
+        if not self.maybe:
+            self.group, self.kept_until = entry.group(self.cls.scope), now + self.cls.window
+        elif self.cls.repeat is api.Repeat.KEYED:
+            return self.kept_until
+        return math.inf
+
 
 class Row(NamedTuple):
     """A proxy's announced state."""
--- a/tests/crossings/mutants/attempts.py
+++ b/tests/crossings/mutants/attempts.py
@@ -22,6 +22,13 @@
         "if other:  # else",
         "tests/test_choice.py -k lost_attempt",
     ),
+    Mutant(
+        "no repeat is written after the time in which it is known again",
+        "firvane/state.py",
+        "            return self.kept_until\n",
+        "            return math.inf\n",
+        f"{FILE} -k time_for_repeats",
+    ),
     Mutant(
         "what is not written when its client leaves is not written at all",
         ENGINE,
@@ -74,7 +81,7 @@
     Mutant(
         "nothing is written once its time is over",
         FORWARD,
-        "over = now >= run.exchange.deadline or not run.request.wanted()",
+        "over = now >= min(run.exchange.deadline, run.exchange.by) or not run.request.wanted()",
         "over = not run.request.wanted()",
         f"{FILE} -k time_is_over",
     ),
--- a/tests/crossings/mutants/client_gone.py
+++ b/tests/crossings/mutants/client_gone.py
@@ -37,8 +37,8 @@
     Mutant(
         "nothing more is written for whom the kernel knows to have gone",
         "firvane/net/forward.py",
-        "over = now >= run.exchange.deadline or not run.request.wanted()",
-        "over = now >= run.exchange.deadline",
+        "over = now >= min(run.exchange.deadline, run.exchange.by) or not run.request.wanted()",
+        "over = now >= min(run.exchange.deadline, run.exchange.by)",
         f"{HERE} -k between_two_sweeps",
     ),
     Mutant(
--- a/tests/crossings/test_attempts.py
+++ b/tests/crossings/test_attempts.py
@@ -535,6 +535,40 @@
     play(work())
 
 
+@pytest.mark.parametrize("scope", ["all", "zone", "cell"])
+@pytest.mark.parametrize("late", [True, False], ids=["late", "in-time"])
+def test_a_repeat_whose_dial_comes_up_after_the_time_for_repeats_is_not_written(
+    tmp_path: Path, late: bool, scope: str
+) -> None:
+    window = 80 if late else 60_000
+    keyed = {"repeat": "token", "dedup-scope": scope, "window-ns": window * MS, "slo-ns": 4_000 * MS}
+    settings = params(classes=[a_class("keep", **{**keyed, "give-up-ns": 9_000 * MS})])
+
+    async def work() -> None:
+        async with rig(tmp_path, targets=2, settings=settings) as made:
+            await made.start()
+            client = await made.client()
+            await client.send(request("c1", "/keep/x", budget=8_000, body=b"body"))
+            link, _ = await first(made)
+            made.dialer.holding = True
+            await link.send(ERROR)  # it may have run: another of its group is asked, within the time
+            await made.dialer.came.wait()
+            (job,) = made.proxy.engine.balancer.jobs.values()
+            if late:
+                await made.see(lambda: made.proxy.engine.now() >= job.kept_until)
+            for target in made.targets:
+                made.later(target.serve())
+            made.dialer.let_go()
+            status = int((await client.until(b"\r\n"))[9:12])
+            # Refused only where a client's own next try is one more repeat for whoever may have run it.
+            assert status == ((503 if scope == "all" else 502) if late else 200)
+            served = [call for target in made.targets for call in target.calls]
+            assert served == ["c1"] * (1 if late else 2)
+            await at_rest(made)
+
+    play(work())
+
+
 # Every ending of the protocol's table, for every kind of class
 
 
--- a/tests/net_helpers.py
+++ b/tests/net_helpers.py
@@ -5,6 +5,7 @@
 import asyncio
 import heapq
 import itertools
+import math
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -139,8 +140,8 @@
 class Ended:
     """An exchange that notes how it ended."""
 
-    def __init__(self, deadline: float) -> None:
-        self.deadline = deadline
+    def __init__(self, deadline: float, by: float = math.inf) -> None:
+        self.deadline, self.by = deadline, by
         self.endings: list[Ending] = []
         self.answer: Any = None
         self.over = asyncio.Event()
--- a/tests/rehearsal/mutants.py
+++ b/tests/rehearsal/mutants.py
@@ -132,7 +132,7 @@
     """Now and then a request is sent to three boxes at once."""
     others = sorted(self.known - {action.server})[:2] if once_in(60) else []
     for server in (action.server, *others):
-        send(self, api.Send(action.id, server, action.timeout))
+        send(self, api.Send(action.id, server, action.timeout, action.by))
 
 
 def unbind(parse: Any, raw: Any) -> api.Settings:
