--- a/tests/crossings/test_handovers.py
+++ b/tests/crossings/test_handovers.py
@@ -163,8 +163,9 @@
                 waiting = [socket.create_connection(held.getsockname()) for _ in range(2)]
                 made.proxy.door._accept()  # both; neither has a transport yet
                 ending = made.later(made.proxy.drain())
-                await made.see(lambda: made.proxy.front.closing)
+                await asyncio.sleep(0)  # the order is heard; whoever comes from here on is the successor's
                 left = socket.create_connection(held.getsockname())
+                await made.see(lambda: made.proxy.front.closing)
                 clients = [Link(sock) for sock in waiting]
                 for n, client in enumerate(clients):
                     await client.send(request(f"c{n}"))
