Give the stand-ins for an exchange the time by which it has to begin

Need: a whole run of the tests: test_a_broken_proxy_is_caught[a send after the answer] failed, its mutant not found. Cause: the mutant's `Nobody` and a rolled version's `Unheard` stand in for whoever waits for an exchange, and had no `by`, which put into that interface: their forward ended in an AttributeError, and no request went out. Change: both have it.

--- a/firvane/rehearsal/versions.py
+++ b/firvane/rehearsal/versions.py
@@ -67,7 +67,7 @@
     """An attempt on which nobody waits."""
 
     def __init__(self, deadline: float) -> None:
-        self.deadline = deadline
+        self.deadline = self.by = deadline
 
     def written(self) -> None: ...
 
--- a/tests/rehearsal/mutants.py
+++ b/tests/rehearsal/mutants.py
@@ -156,7 +156,7 @@
     """Who waits for an exchange that nobody wants."""
 
     def __init__(self, deadline: float) -> None:
-        self.deadline = deadline
+        self.deadline = self.by = deadline
 
     def written(self) -> None: ...
 
