Spread the calls of a fleet of any size over 3 s at the most where its list is asked for

Checked: the rule of 6 s; `Pauses.span`, 0.1 s for each proxy, is 18 s there, for the first call of a new process and for each pause after a failure.

Change: the span ends at MOST, 3 s, and so do all pauses. One test asked for two seconds' pause after a silence at 40 proxies, half of their span of 4: it asks for half of the span still, which is 1.5. The property of the 6 s holds for fleets to 300 now (to 10 where watches fall silent).

Where lists are pushed nothing changes.

--- a/firvane/limits/pauses.py
+++ b/firvane/limits/pauses.py
@@ -6,7 +6,7 @@
    one that failed is made again soon, since what the list says binds a proxy whether it has it or not.
 2. Where it is asked for, one service answers the whole fleet, so much a second; whoever waits too long in its
    queue fails, and has cost it as much. So a fleet that starts together with a list of old calls spread over
-   a span that grows with its size, and after a failure each pause is twice the last. All of them are drawn:
+   a span that grows with its size up to MOST; after a failure each pause is twice the last. All are drawn:
    proxies that failed together must not call together again.
 3. A proxy that knows no list at all calls at once: there is nothing that it could do meanwhile.
 4. A watch that has brought a line is silent SILENCE after its last one. Discovery writes one every 2 s, and
@@ -21,9 +21,8 @@
 7. Where calls cost, one may wait in the queue: it is given SILENCE from its beginning on, and no less.
 8. Any line, be it empty, is an answer: the next failure is the first again.
 9. Whatever failed before, a change binds 6 s after discovery has it and could be reached. So no pause is
-   longer than MOST, which leaves a call the time that it may wait, and one after a silence, which has taken
-   most of those 6 s, is the first again. Only where a fleet's span is longer do its pauses go beyond that:
-   called sooner, all would wait in the queue until they fail.
+   longer than MOST, nor a fleet's span, however large it is: that leaves a call the time that it may wait.
+   One after a silence, which has taken most of those 6 s, is the first again.
 """
 
 from __future__ import annotations
@@ -37,7 +36,7 @@
 ANSWER = 0.2  # s without a byte after which a free call is given up; bound as those are
 SILENCE = 4.5  # s without a line, empty or not, after which a watch is given up
 EACH = 0.1  # s of a fleet's calls that each proxy of it is given, where one service answers them all
-MOST = 3.0  # s between two calls there at the most, or the span where that is longer
+MOST = 3.0  # s between two calls there, and of the span, at the most
 
 
 class Heard(NamedTuple):
@@ -58,7 +57,7 @@
 
     def __init__(self, fleet: int, dice: random.Random) -> None:
         """`fleet` proxies call one service, or 0 where calls are free."""
-        self.span, self.dice = EACH * fleet, dice
+        self.span, self.dice = min(EACH * fleet, MOST), dice
         self.told()
 
     def told(self) -> None:
@@ -76,7 +75,7 @@
             return 0.0
         if silent:
             self.pause = self.span
-        pause, most = self.pause, max(self.span, MOST) if self.span else LONGEST
+        pause, most = self.pause, MOST if self.span else LONGEST
         self.pause = min(most, 2.0 * pause)
         return pause * self.dice.uniform(0.5, 1.0) if self.span else pause
 
