Never send a request again on a connection on which it was turned away

Cause, found by the new model of connections to backends: a refusal that comes twice. The first one let the request be sent again, and where that took the same connection, the second one came with the very id of the second try: it passed for an answer that the request had not run, while the backend ran it.

Ruled out: bytes behind the refusal in the same read (the connection was closed), and in the kernel (looked at before use); only one still on its way does it. Closing each connection that turned a request away costs a new connection for every refusal of a full backend.

Change: a connection remembers whom it turned away, and these go over another one. After an answer to another request, or a 1xx, the connection is closed once its exchange is over.

--- a/firvane/router/upstream.py
+++ b/firvane/router/upstream.py
@@ -9,8 +9,11 @@
 3. A request is written once its last byte is with the kernel. A break before that never ran; one after it may
    have run.
 4. An answer counts for the exchange only where it echoes the request's id. One with another id belongs to an
-   earlier exchange and is read and dropped.
-5. Of a stream only whole events are passed on (`firvane.router.events`).
+   earlier exchange and is read and dropped. One without any id belongs to nobody: the exchange may have run.
+5. A connection is used again only after an exchange in perfect order: the request written whole, one answer,
+   framed and complete, and not a byte beside it. A request that was turned away on it never uses it again: if
+   the refusal comes a second time, its id would pass for the answer to the second try.
+6. Of a stream only whole events are passed on (`firvane.router.events`).
 """
 
 from __future__ import annotations
@@ -34,6 +37,7 @@
 CONNECT_TIMEOUT = 0.25  # s for a connection to a backend
 HELD_ANSWER = 64 * 1024  # bytes of an answer that is no stream and is held until it is whole
 MAX_ANSWER = 64 * 1024 * 1024  # bytes of one answer
+MAX_REFUSED = 256  # requests turned away on one connection before it is closed
 MAX_INTERIM = 8  # 1xx answers, or answers to earlier requests, before the one that is waited for
 DEFAULT_IDLE = 8.0  # s that an idle connection is kept where the backend names no time
 IDLE_PART = 0.6  # of the time that the backend names
@@ -55,12 +59,15 @@
         self.idle_limit = DEFAULT_IDLE
         self.progress_at = 0.0  # when progress of its streams was last reported
 
-    def take(self) -> UpstreamConnection | None:
-        while self.idle:
-            connection = self.idle.pop()
-            if connection.usable():
+    def take(self, request_id: bytes) -> UpstreamConnection | None:
+        """The newest idle connection that may carry this request; what is no longer usable is closed."""
+        for connection in reversed(self.idle.copy()):
+            if not connection.usable():
+                self.idle.remove(connection)
+                connection.close()
+            elif request_id not in connection.refused:
+                self.idle.remove(connection)
                 return connection
-            connection.close()
         return None
 
     def close_idle(self, before: float = float("inf")) -> None:
@@ -103,6 +110,7 @@
         self.run: Run | None = None
         self.written = True  # the last byte of the request is with the kernel
         self.skipped = 0  # answers passed over since the request was sent
+        self.refused: set[bytes] = set()  # requests that were turned away on this connection
         self.stream: Stream | None = None  # the answer that is being passed on
         self.framer: EventFramer | None = None  # where that is a stream of events
         self.idle_since = 0.0
@@ -203,6 +211,9 @@
             return True
         if self._belongs_elsewhere(message):
             return self._skip(message, followed)
+        if REQUEST_ID not in message.fields:
+            self._fail(Ending.BAD_ANSWER)
+            return False
         starts = self.stream is None and 200 <= message.status < 300 and self._is_passed_on(message)
         if starts and not self._begin(message):
             return False
@@ -273,13 +284,17 @@
             self.stream.end()
         run, self.run = self.run, None
         self._stop_streaming()
-        reusable = message.keep and message.framed and self.written and not followed
+        ending = answer_ending(message)
+        if run and ending is Ending.TURNED_AWAY:
+            self.refused.add(run.request.request_id)
+        is_clean = message.framed and self.written and not (followed or self.skipped)
+        reusable = message.keep and is_clean and len(self.refused) <= MAX_REFUSED
         if reusable and not self.lost and not self.transport.is_closing():
             self.upstreams.park(self, message)
         else:
             self.close()
         if run:
-            run.end(answer_ending(message), message)
+            run.end(ending, message)
 
     def _fail(self, ending: Ending) -> None:
         run, self.run = self.run, None
@@ -363,7 +378,7 @@
             run.end(Ending.TOO_LATE)
         elif barred := self._barred(run, now):
             run.end(barred)
-        elif connection := pool.take():
+        elif connection := pool.take(request.request_id):
             connection.send(run, now)
         else:
             self._dial(run, now)
--- /dev/null
+++ b/tests/router/test_upstream_model.py
@@ -0,0 +1,27 @@
+"""Drawn histories of connections to backends: every answer goes to its owner, and nothing runs twice."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+
+from tests.router.upstream_model import KINDS, play
+
+HISTORIES = 60
+
+
+@pytest.mark.parametrize("first", range(0, HISTORIES, 10))
+def test_no_answer_goes_astray_and_nothing_runs_twice(first: int) -> None:
+    for seed in range(first, first + 10):
+        play(seed)
+
+
+def test_the_histories_come_to_all_that_a_backend_may_do() -> None:
+    counts: Counter[str] = Counter()
+    for seed in range(10):
+        counts += play(seed).counts
+    endings = ("SERVED", "TURNED_AWAY", "BAD_ANSWER", "BROKE_SENT", "BROKE_UNSENT", "REFUSED")
+    for name in (*KINDS, *endings, "early"):
+        assert counts[name] > 0, name
+    assert counts["SERVED"] > 300
