--- a/firvane/cluster/agent.py
+++ b/firvane/cluster/agent.py
@@ -10,6 +10,7 @@
 from firvane.address import Address
 from firvane.cluster.core import ClusterCore, Effects, KnownMember, PayloadError
 from firvane.dissemination.items import Item
+from firvane.dissemination.machine import offer_everything
 from firvane.logs import Log
 from firvane.membership.members import Member, Role
 from firvane.transport.endpoint import Endpoint
@@ -46,15 +47,20 @@
         on_item: Callable[[Item], None],
         on_members: Callable[[], None],
         on_message: Callable[[Address, Channel, bytes], None],
+        is_withheld: Callable[[bytes], bool] = offer_everything,
     ) -> None:
-        """`seeds` are internal addresses. `on_item` gets newly learned items, not own ones."""
+        """`seeds` are internal addresses. `on_item` gets newly learned items, not own ones.
+
+        `is_withheld` tells of a key whether its item is not to be offered to others at this moment.
+        """
         self._loop = loop
         self._log = log
         self._on_item = on_item
         self._on_members = on_members
         self._on_message = on_message
         self._endpoint = Endpoint(loop, identity.address, self._log, self._on_payload)
-        self._core = ClusterCore(identity, seeds, random.Random(identity.incarnation), loop.time())
+        rng = random.Random(identity.incarnation)
+        self._core = ClusterCore(identity, seeds, rng, loop.time(), is_withheld)
         self._timer: asyncio.TimerHandle | None = None
         self._timer_due = float("inf")
         self._sweep_due = loop.time() + SWEEP_PERIOD
--- a/firvane/cluster/core.py
+++ b/firvane/cluster/core.py
@@ -4,7 +4,7 @@
 
 import random
 import struct
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from msgspec import Struct, field
 
@@ -21,7 +21,7 @@
 )
 from firvane.dissemination.codec import MessageError as DisseminationError
 from firvane.dissemination.items import Item
-from firvane.dissemination.machine import Dissemination, Output
+from firvane.dissemination.machine import Dissemination, Output, offer_everything
 from firvane.dissemination.machine import Send as ItemSend
 from firvane.dissemination.peers import Peer, PeerSet
 from firvane.membership.codec import MessageError as MembershipError
@@ -59,9 +59,17 @@
 class ClusterCore:
     """One member of the cluster. Methods that take `now` (monotonic seconds) return their effects."""
 
-    def __init__(self, identity: Member, seeds: Sequence[Address], rng: random.Random, now: float) -> None:
+    def __init__(
+        self,
+        identity: Member,
+        seeds: Sequence[Address],
+        rng: random.Random,
+        now: float,
+        is_withheld: Callable[[bytes], bool] = offer_everything,
+    ) -> None:
+        """`is_withheld` tells of a key whether its item is not to be offered to others at this moment."""
         self._membership = Membership(identity, seeds, rng, now)
-        self._dissemination = Dissemination(rng, now)
+        self._dissemination = Dissemination(rng, now, is_withheld)
         self._peers_version = -1
         self._members_version = self._membership.version
         self._queue: dict[Address, list[Section]] = {}
--- a/firvane/controller/configuration_publisher.py
+++ b/firvane/controller/configuration_publisher.py
@@ -1,7 +1,8 @@
 """Publishes the committed configuration through the cluster's dissemination.
 
 The owner publishes a version as soon as it is applied. Every other controller does so a little later, where
-the owner has not: it may have failed between commit and publication.
+the owner has not: it may have failed between commit and publication. A controller that has not heard of a
+majority lately, or has just read an old state from its disk, waits until its state is known to be current.
 """
 
 from __future__ import annotations
@@ -15,6 +16,7 @@
 
 CONFIGURATION_KEY = b"configuration"
 FOLLOWER_DELAY = 0.15  # s in which a version that the owner has published arrives here too
+CURRENT_RETRY = 0.25  # s between looks whether the state here is known to be current
 
 
 class Dissemination(Protocol):
@@ -40,10 +42,13 @@
         agent: Dissemination,
         timers: Timers,
         is_owner: Callable[[], bool],
+        is_current: Callable[[], bool],
         log: Log,
     ) -> None:
+        """`is_current` tells whether the state here was the newest of a majority lately."""
         self._state, self._agent, self._timers = state, agent, timers
-        self._is_owner, self._log = is_owner, log
+        self._is_owner, self._is_current, self._log = is_owner, is_current, log
+        self._is_waiting = False
 
     def changed(self) -> None:
         """A new version is in force here."""
@@ -58,5 +63,17 @@
         known = self._agent.item(CONFIGURATION_KEY)
         if version == 0 or (known is not None and known.version >= version):
             return
+        if not self._is_current():
+            self._wait_until_current()
+            return
         self._agent.publish(Item(CONFIGURATION_KEY, version, self._state.item_payload()))
         self._log.info("config: version published.", version=version)
+
+    def _wait_until_current(self) -> None:
+        if not self._is_waiting:
+            self._is_waiting = True
+            self._timers.call_later(CURRENT_RETRY, self._try_again)
+
+    def _try_again(self) -> None:
+        self._is_waiting = False
+        self.publish()
--- a/firvane/controller/configuration_service.py
+++ b/firvane/controller/configuration_service.py
@@ -4,8 +4,8 @@
 
 1. Nothing is acknowledged before it is committed: an acknowledgement is the result of `apply`, here or by a
    replica before, never that of a check.
-2. A conflict is told only where it is final: the order's base lies below the state here, which never goes
-   back, or the state here has been found current by a read of the group.
+2. A refusal is told only after a majority has confirmed, since the call came, that the state here is the
+   newest. So a controller that is cut off refuses nothing.
 3. An order whose end is not known is `UNCLEAR`, never a refusal.
 """
 
@@ -70,15 +70,17 @@
         if not self._replication.is_owner(CONFIGURATION_PART):
             return self._not_owner(self._replication.owner(CONFIGURATION_PART))
         result = await self._check(order)
-        if result.code is ResultCode.CONFLICT and order.base > result.version:
+        if not result.code.is_acknowledgement:
             current = await self._replication.read(CONFIGURATION_PART, READ_TIMEOUT)
             if current.status is not ProposalStatus.COMMITTED:
                 return self._undecided(current)
-            result = await self._check(order)
-        if result.code is not ResultCode.ACCEPTED:
+            if self._state.version != result.version:
+                result = await self._check(order)
+        if result.code is ResultCode.ACCEPTED:
+            return await self._propose(order)
+        if result.code is not ResultCode.REPEATED:
             self._log_refusal(order, result)
-            return Outcome(result.code, result.version, result.problems)
-        return await self._propose(order)
+        return Outcome(result.code, result.version, result.problems)
 
     async def read(self) -> Outcome:
         """The newest configuration that was committed by anybody before this call."""
--- a/firvane/controller/controller.py
+++ b/firvane/controller/controller.py
@@ -9,12 +9,13 @@
 from firvane.cluster.agent import Channel, ClusterAgent, Item, Member, Role
 from firvane.configuration.recovered import recovered_version
 from firvane.configuration.state import ConfigurationState
-from firvane.controller.configuration_publisher import ConfigurationPublisher
+from firvane.controller.configuration_publisher import CONFIGURATION_KEY, ConfigurationPublisher
 from firvane.controller.configuration_service import ConfigurationService
+from firvane.controller.failure_domains import FailureDomains
 from firvane.controller.fleet_service import FleetService
 from firvane.controller.http_server import HttpServer
 from firvane.controller.instance_poller import InstancePoller
-from firvane.controller.instance_records import InstanceRecords
+from firvane.controller.instance_records import InstanceRecords, service_of
 from firvane.controller.operator_api import OperatorApi
 from firvane.controller.options import ControllerOptions
 from firvane.controller.parts import ALL_PARTS, CONFIGURATION_PART, POLL_DUTY, part_of
@@ -41,9 +42,17 @@
         self.state = ConfigurationState()
         self.parts = {part: ServicePart(self._on_record) for part in ALL_PARTS if part != CONFIGURATION_PART}
         self.agent = self._make_agent()
+        self.domains = FailureDomains(
+            lambda: self.agent.members(Role.CONTROLLER), options.region_of_zone, options.loses_regions
+        )
         self.host = self._make_host()
         self.publisher = ConfigurationPublisher(
-            self.state, self.agent, loop, lambda: self.host.is_owner(CONFIGURATION_PART), log
+            self.state,
+            self.agent,
+            loop,
+            lambda: self.host.is_owner(CONFIGURATION_PART),
+            lambda: self.host.is_current(CONFIGURATION_PART),
+            log,
         )
         self.keeper = RecordKeeper(loop, self.host, self.agent, self.parts, self._on_restored, log)
         self.platform = PlatformClient(loop, options.platform) if options.platform else None
@@ -72,6 +81,7 @@
             on_item=self._on_item,
             on_members=lambda: None,
             on_message=self._on_message,
+            is_withheld=self._is_withheld,
         )
 
     def _make_host(self) -> ReplicationHost:
@@ -88,6 +98,7 @@
             target_size=options.group_size,
             send=lambda to, payload: self.agent.send(to, Channel.REPLICATION, payload),
             candidates=lambda: [member.address for member in self.agent.members(Role.CONTROLLER)],
+            domain_of=self.domains.domain_of,
             on_owner=self._on_owner,
             log=self.log,
         )
@@ -98,6 +109,13 @@
         records = InstanceRecords(self.log)
         return InstancePoller(self.loop, self.platform, records, self._publish_instances, self.log)
 
+    def _is_withheld(self, key: bytes) -> bool:
+        """Whether an item must not be handed out, since no majority of its part was heard lately."""
+        service = service_of(key)
+        if service is not None:
+            return not self.host.is_in_contact(part_of(service))
+        return key == CONFIGURATION_KEY and not self.host.is_in_contact(CONFIGURATION_PART)
+
     def _publish_instances(self, item: Item) -> None:
         self.agent.publish(item)
         self.keeper.published(item)
--- a/firvane/controller/options.py
+++ b/firvane/controller/options.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -22,6 +23,8 @@
     first_start: bool
     incarnation: int
     tolerated_losses: int  # of disks at the same time
+    region_of_zone: Mapping[str, str]
+    loses_regions: bool  # whether whole regions may be lost at the same time
     platform: Address | None
     grace: float  # s from SIGTERM to SIGKILL
 
--- a/firvane/controller/record_keeper.py
+++ b/firvane/controller/record_keeper.py
@@ -5,7 +5,8 @@
 1. Publication comes first and does not wait for this: a draining backend must leave every router in time.
 2. Only the owner of a part proposes; whoever becomes the owner proposes what its part lacks.
 3. For each part one proposal is under way at a time, always of the newest version.
-4. What a part has kept and the cluster does not know is published again: after all processes ended at once.
+4. What a part has kept and the cluster does not know is published again, once the part is known to be
+   current: after all processes ended at once.
 """
 
 from __future__ import annotations
@@ -24,6 +25,7 @@
 PROPOSE_TIMEOUT = 2.0  # s
 RETRY_DELAY = 1.0  # s after a proposal that was not committed
 PUBLISH_DELAY = 0.15  # s in which a record that was published arrives by itself
+CURRENT_RETRY = 0.25  # s between looks whether a part is known to be current here
 
 
 class Replication(Protocol):
@@ -33,6 +35,8 @@
 
     def is_owner(self, group: int) -> bool: ...
 
+    def is_current(self, group: int) -> bool: ...
+
 
 class Dissemination(Protocol):
     """What this needs of the cluster agent."""
@@ -92,9 +96,17 @@
 
     def _publish(self, item: Item) -> None:
         known = self._agent.item(item.key)
-        if not self._closed and (known is None or known.version < item.version):
-            self._log.info("instances: record restored.", service=service_of(item.key))
-            self._agent.publish(item)
+        service = service_of(item.key)
+        if self._closed or service is None or (known is not None and known.version >= item.version):
+            return
+        part = part_of(service)
+        if item.version < self._parts[part].version_of(service):
+            return  # a later one was taken, which is published in its turn
+        if not self._replication.is_current(part):
+            self._loop.call_later(CURRENT_RETRY, self._publish, item)
+            return
+        self._log.info("instances: record restored.", service=service)
+        self._agent.publish(item)
 
     def _outdated(self, part: int) -> ServiceRecord | None:
         """A record of this part that the cluster knows in a newer version than the part."""
--- a/firvane/controller/replication.py
+++ b/firvane/controller/replication.py
@@ -33,6 +33,7 @@
 from firvane.replication.proposals import Proposal, ProposalStatus, StateMachine
 from firvane.replication.records import encode_birth, encode_write
 from firvane.replication.replica import Replica, ReplicaOptions
+from firvane.replication.spread import DomainOf, each_alone
 from firvane.replication.status import GroupStatus, group_status
 from firvane.replication.transfer import TransferStart
 from firvane.replication.types import Member, Timing
@@ -49,6 +50,7 @@
 ]
 
 PAYLOAD_BYTES = 1_150  # what goes together into one payload; a larger envelope goes alone
+CONTACT_PATIENCE = 1.0  # seconds without a word of a majority after which nothing of a group is handed out
 START_PATIENCE = 1.0  # seconds that `start` waits for the disk; groups that open later join then
 LATE = 0.050  # seconds by which a timer is late when this process was held up
 READ_FIRST = 0.002  # seconds given to the datagrams that waited meanwhile
@@ -79,13 +81,14 @@
         target_size: int,
         send: Callable[[Address, bytes], None],
         candidates: Callable[[], Sequence[Address]],
+        domain_of: DomainOf = each_alone,
         on_owner: Callable[[int, bool, int], None],
         log: Log,
     ) -> None:
         self._loop = loop
         self._own = own
         self._machines = dict(groups)
-        self._options = ReplicaOptions(tuple(seeds), target_size, Timing())
+        self._options = ReplicaOptions(tuple(seeds), target_size, Timing(), domain_of)
         self._send = send
         self._candidates = candidates
         self._on_owner = on_owner
@@ -147,6 +150,16 @@
         known = self._groups.get(group)
         return known is not None and known.is_owner(time.monotonic())
 
+    def is_in_contact(self, group: int) -> bool:
+        """Whether a majority of the group has been heard lately, directly or through its owner."""
+        known = self._groups.get(group)
+        return known is not None and known.is_in_contact(time.monotonic(), CONTACT_PATIENCE)
+
+    def is_current(self, group: int) -> bool:
+        """Whether the state that is applied here was the newest of a majority lately."""
+        known = self._groups.get(group)
+        return known is not None and known.is_current(time.monotonic(), CONTACT_PATIENCE)
+
     def owner(self, group: int) -> Address | None:
         """The owner as far as it is known here."""
         known = self._groups.get(group)
@@ -322,7 +335,11 @@
         now = time.monotonic()
         identity = Member(self._own, opened.journal.identity)
         replica = Replica(identity, opened.recovered, self._options, self._random.uniform, now)
-        group = ReplicatedGroup(replica, self._machines[number], self._random.getrandbits(64))
+        try:
+            group = ReplicatedGroup(replica, self._machines[number], self._random.getrandbits(64))
+        except ValueError as error:
+            self._log.error("replication: state of another version, left.", group=number, reason=str(error))
+            return
         self._groups[number] = group
         self._writer.add(number, opened.journal)
         self._perform(number, group.tick(self._candidates(), now))
--- a/firvane/dissemination/machine.py
+++ b/firvane/dissemination/machine.py
@@ -9,12 +9,14 @@
 3. What comes as a repair is passed on only by a peer that had an older version: its neighbours may lack
    it as well. A process that has just joined has nothing to tell.
 4. A version never goes back.
+5. Items that `is_withheld` names are offered to nobody, neither in digests nor as repairs or answers, since
+   this process cannot know how old they are. What is learned newly is passed on all the same.
 """
 
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from msgspec import Struct, field
 
@@ -55,11 +57,20 @@
     learned: list[Item] = field(default_factory=list)
 
 
+def offer_everything(key: bytes) -> bool:
+    """Withhold no item: the rule of every process that keeps no control state."""
+    return False
+
+
 class Dissemination:
     """The items of one process. Methods that take `now` (monotonic seconds) return what to do."""
 
-    def __init__(self, rng: random.Random, now: float) -> None:
+    def __init__(
+        self, rng: random.Random, now: float, is_withheld: Callable[[bytes], bool] = offer_everything
+    ) -> None:
+        """`is_withheld` tells of a key whether its item is not to be offered at this moment."""
         self._rng = rng
+        self._is_withheld = is_withheld
         self._store = ItemStore()
         self._requests = Requests()
         self._uploads = Uploads()
@@ -93,7 +104,9 @@
 
     def digest_message(self) -> bytes:
         """All versions: who gets it sends what is missing. For a process that joins."""
-        versions = tuple(Version(key, version) for key, version in self._store.versions())
+        versions = tuple(
+            Version(key, version) for key, version in self._store.versions() if not self._is_withheld(key)
+        )
         return encode_message(Message(Kind.DIGEST, versions))
 
     def publish(self, item: Item, now: float) -> Output:
@@ -167,7 +180,11 @@
     def _repair(self, sender: Address, theirs: Sequence[Version], now: float, output: Output) -> None:
         """Send what the sender lacks, and ask for what is missing here."""
         known = {version.key: version.version for version in theirs}
-        newer = [item for item in self._store if item.version > known.get(item.key, -1)]
+        newer = [
+            item
+            for item in self._store
+            if item.version > known.get(item.key, -1) and not self._is_withheld(item.key)
+        ]
         self._spread(newer, [sender], output, Kind.REPAIR)
         self._fetch(sender, theirs, now, output)
 
@@ -214,11 +231,12 @@
         """Send the requested payloads, whatever their size."""
         for version in versions:
             item = self._store.get(version.key)
-            if item is not None and item.version >= version.version:
+            is_here = item is not None and item.version >= version.version
+            if item is not None and is_here and not self._is_withheld(item.key):
                 kind, size = Kind.ACCEPT, len(item.payload)
                 self._upload(item, [sender], now, output)
             else:
-                is_waiting = self._requests.wait(version, sender)
+                is_waiting = not is_here and self._requests.wait(version, sender)
                 kind, size = Kind.ACCEPT if is_waiting else Kind.REFUSE, version.size
             answer = Message(kind, (Version(version.key, version.version, size),))
             output.sends.append(Send(sender, encode_message(answer)))
--- a/firvane/replication/following.py
+++ b/firvane/replication/following.py
@@ -14,12 +14,14 @@
     def __init__(self, core: Core, leader: Member) -> None:
         self.core = core
         self.leader = leader
+        self.fed_at = float("-inf")  # when the leader last sent something of its log, a heartbeat included
         self._agreed = 0  # the log is known to agree with the leader's up to here
         self._owed: float | None = None  # an acknowledgement that waits for the disk; the echo it will carry
         self._owed_write = 0  # the write that it waits for
 
     def on_append(self, message: Append, now: float) -> None:
         """Take the entries in, or tell the leader from where to try."""
+        self.fed_at = now
         log = self.core.log
         entries = message.entries
         previous = message.previous_index
@@ -43,6 +45,7 @@
 
     def on_snapshot(self, message: InstallSnapshot, now: float) -> None:
         """Replace what the snapshot covers."""
+        self.fed_at = now
         core = self.core
         snapshot = message.snapshot
         if snapshot.index > core.commit_index:
--- a/firvane/replication/group.py
+++ b/firvane/replication/group.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass, field
 
 from firvane.address import Address
+from firvane.replication.contact import Contact
 from firvane.replication.core import Outputs, Write
 from firvane.replication.log import ENTRY_OVERHEAD
 from firvane.replication.messages import Message, Outgoing
@@ -55,6 +56,7 @@
         self.machine = machine
         self.applied_index = 0
         self._next_token = first_token
+        self.contact = Contact(replica, self._new_token)
         self._waiting: list[PendingProposal] = []
         self._appended: dict[int, PendingProposal] = {}  # by index
         self._reads: dict[int, PendingRead] = {}
@@ -73,6 +75,19 @@
         """Whether this replica surely owns the group now, and knows all that is committed."""
         return bool(self._owned_term) and now < self.replica.lease_until(now)
 
+    def is_in_contact(self, now: float, patience: float) -> bool:
+        """Whether a majority was reached, directly or through the owner, at most `patience` seconds ago.
+
+        Where the log is replicated to this controller, all that was committed then is applied here.
+        """
+        fed = self.contact.is_fed(now)
+        proven_at = self.contact.current_at(now) if fed else self.contact.reached_at(now)
+        return now - proven_at <= patience
+
+    def is_current(self, now: float, patience: float) -> bool:
+        """Whether what is applied here was the newest that a majority had, at most `patience` seconds ago."""
+        return self.contact.is_fed(now) and self.is_in_contact(now, patience)
+
     @property
     def owner(self) -> Address | None:
         """The owner as far as it is known here."""
@@ -162,6 +177,7 @@
         self._apply(now, actions)
         self._settle_proposals(now, actions)
         self._settle_reads(actions)
+        self.contact.advance(self.applied_index, now)
         self._tell_ownership(actions)
         self._take(self.replica.take_outputs(), actions)
         return actions
@@ -174,6 +190,8 @@
             self._applied_bytes = 0
         for ready in outputs.reads:
             read = self._reads.get(ready.token)
+            if self.contact.read_is_ready(ready.token, ready.index):
+                continue
             if read is not None and read.index is None:
                 read.index = ready.index
         actions.writes += outputs.writes
--- a/firvane/replication/leadership.py
+++ b/firvane/replication/leadership.py
@@ -17,6 +17,7 @@
 
 MAXIMUM_APPEND_BYTES = 1_000_000  # entries in one message; a single larger entry goes alone
 MAXIMUM_APPENDS_AT_ONCE = 8
+SNAPSHOTS_IN_VAIN = (4, 16, 64)  # numbers of unacknowledged snapshots that are told in the log
 MINIMUM_BEAT_GAP = 0.010  # seconds between heartbeats that waiting reads ask for
 
 
@@ -242,9 +243,16 @@
         snapshot = self.core.log.snapshot
         if snapshot is None or now < peer.resend_after:
             return
+        if now - peer.last_reply > self.core.timing.recent:  # let it show first that it is there
+            self._send_heartbeat(peer, now)
+            return
         self.core.send(peer.member, InstallSnapshot(self.core.term, now, snapshot))
         peer.next_index = snapshot.index + 1
-        peer.sent(snapshot.index, len(snapshot.state), now)
+        peer.sent_snapshot(snapshot.index, len(snapshot.state), now)
+        if peer.snapshots_sent in SNAPSHOTS_IN_VAIN:
+            self.core.log_event(
+                "snapshot not acknowledged", member=peer.member.address, sent=peer.snapshots_sent
+            )
 
     def _answer_reads(self, now: float) -> None:
         if self.ready and self.reads.waiting:
--- a/firvane/replication/progress.py
+++ b/firvane/replication/progress.py
@@ -10,6 +10,7 @@
 LARGE_BYTES = 1_000  # larger messages travel over a connection, and smaller later ones may pass them
 LARGE_PATIENCE = 0.050  # seconds before a large message counts as lost, beside the time for its bytes
 SLOW_LINK = 5_000_000  # bytes a second that any link between two controllers is expected to carry
+MOST_DOUBLINGS = 3  # of the patience with a snapshot that is sent again and again
 
 
 @dataclass(slots=True)
@@ -26,6 +27,7 @@
     superseded: bool = False  # another incarnation has answered from its address
     resend_after: float = 0.0  # until then a refusal may be one that a large message will have answered
     large_first: int = 0  # the first entry of the large message that was sent last
+    snapshots_sent: int = 0  # since anything was acknowledged that was not known before
 
     def sent(self, first: int, size: int, now: float) -> None:
         """Note a message of so many bytes whose first entry is `first`."""
@@ -33,6 +35,17 @@
             self.resend_after = now + LARGE_PATIENCE + size / SLOW_LINK
             self.large_first = first
 
+    def sent_snapshot(self, index: int, size: int, now: float) -> None:
+        """Note a snapshot. Each one that is sent in vain doubles the patience with the next.
+
+        So a link that is too slow for one snapshot is not filled with several, and has time for one at last.
+        """
+        self.sent(index, size, now)
+        doublings = min(self.snapshots_sent, MOST_DOUBLINGS)
+        self.resend_after = now + (LARGE_PATIENCE + size / SLOW_LINK) * 2**doublings
+        self.large_first = index
+        self.snapshots_sent += 1
+
     def heeds_refusal(self, hint: int, now: float) -> bool:
         """Whether a refusal calls for earlier entries than are on their way.
 
@@ -43,6 +56,8 @@
 
     def accepted(self, received: int, synced: int) -> None:
         """Note an acknowledgement; older ones may come late."""
+        if synced > self.match:
+            self.snapshots_sent = 0
         self.match = max(self.match, synced)
         self.received = max(self.received, received)
         self.next_index = max(self.next_index, self.received + 1)
--- a/firvane/replication/replica.py
+++ b/firvane/replication/replica.py
@@ -33,6 +33,7 @@
     Vote,
     VoteReply,
 )
+from firvane.replication.spread import DomainOf, each_alone
 from firvane.replication.types import DEFAULT_TIMING, NOBODY, Member, Snapshot, Timing
 from firvane.replication.voting import Voter
 
@@ -52,11 +53,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ReplicaOptions:
-    """What a replica is told at its start. `seeds`: the founders' addresses."""
+    """What a replica is told at its start.
+
+    `seeds`: the founders' addresses. `domain_of` names the failure domain of an address.
+    """
 
     seeds: tuple[Address, ...]
     target_size: int
     timing: Timing = DEFAULT_TIMING
+    domain_of: DomainOf = each_alone
 
 
 class Replica:
@@ -73,7 +78,7 @@
         timing = options.timing
         self.core = Core(identity, recovered, timing, uniform, now)
         self.policy = MembershipPolicy(
-            options.target_size, timing.learn_after, timing.replace_after, timing.recent
+            options.target_size, timing.learn_after, timing.replace_after, timing.recent, options.domain_of
         )
         abstain = now if recovered.blank else now + timing.election_minimum
         self.voter = Voter(self.core, abstain)
@@ -136,6 +141,18 @@
             return float("-inf")
         return self.leadership.lease_until(now)
 
+    def confirmed_at(self, now: float) -> float:
+        """When a majority last followed this replica as its leader; -inf where it does not lead."""
+        if self.leadership is None or not self.leadership.ready:
+            return float("-inf")
+        return self.leadership.confirmed_at(now)
+
+    def fed_at(self, now: float) -> float:
+        """When this replica was last sent something of the log by its leader, or leads; -inf if never."""
+        if self.leadership is not None:
+            return now
+        return self._follower.fed_at if self._follower is not None else float("-inf")
+
     def accepts_proposals(self, now: float) -> bool:
         """Whether a proposal made now has a good chance to be committed by this leader."""
         leadership = self.leadership
--- a/tests/controller/test_configuration_publisher.py
+++ b/tests/controller/test_configuration_publisher.py
@@ -40,7 +40,10 @@
         self.published: list[int] = []
         self.timers: list[Callable[[], None]] = []
         self.state = ConfigurationState()
-        self.publisher = ConfigurationPublisher(self.state, self, self, lambda: owner, QUIET)
+        self.current = True
+        self.publisher = ConfigurationPublisher(
+            self.state, self, self, lambda: owner, lambda: self.current, QUIET
+        )
         self.machine = ReplicatedConfiguration(self.state, self.publisher.changed, QUIET)
 
     def publish(self, item: Item) -> None:
@@ -121,3 +124,30 @@
     with pytest.raises(RecordError):
         rig.machine.load(b"damaged")
     assert rig.published == []
+
+
+def test_a_state_that_may_be_old_is_published_once_it_is_known_to_be_current() -> None:
+    first = Rig(owner=True)
+    first.machine.apply(1, order(0, 3).pack())
+    second = Rig(owner=False)
+    second.current = False
+    second.machine.load(first.machine.save())
+    for _ in range(5):
+        second.pass_time()
+    assert second.published == []
+    second.current = True
+    second.pass_time()
+    assert second.published == [3]
+    assert second.timers == []
+
+
+def test_a_state_that_was_old_is_not_published_after_all() -> None:
+    rig = Rig(owner=False)
+    rig.current = False
+    rig.machine.apply(1, order(0, 3).pack())
+    rig.pass_time()
+    rig.known = Item(CONFIGURATION_KEY, 9, b"")
+    rig.current = True
+    rig.pass_time()
+    assert rig.published == []
+    assert rig.timers == []
--- a/tests/controller/test_controller.py
+++ b/tests/controller/test_controller.py
@@ -101,6 +101,8 @@
             first_start=first,
             incarnation=self.incarnation,
             tolerated_losses=1,
+            region_of_zone={},
+            loses_regions=False,
             platform=self.platform_address,
             grace=5.0,
         )
--- /dev/null
+++ b/tests/controller/test_hand_out.py
@@ -0,0 +1,152 @@
+"""A controller that no majority is behind hands nothing out, confirms nothing and refuses nothing."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from pathlib import Path
+
+from firvane.cluster.agent import Channel, ClusterAgent, Item, Member, Role
+from firvane.controller.configuration_publisher import CONFIGURATION_KEY
+from firvane.controller.instance_records import item_key
+from firvane.controller.parts import ALL_PARTS, CONFIGURATION_PART
+from firvane.controller.replication import CONTACT_PATIENCE
+from firvane.logs import QUIET
+from tests.controller.test_controller import Core, document, play, until, until_true
+
+ROUTER_NUMBER = 77
+MORE_THAN_A_DIGEST = 2.5  # s in which a process that is told anything has learned it
+
+
+class Learner:
+    """A router's place in the cluster that has just started: what it is told of."""
+
+    def __init__(self, core: Core, *seeds: int) -> None:
+        self.items: dict[bytes, Item] = {}
+        address = core.address(ROUTER_NUMBER)
+        identity = Member(address, Role.ROUTER, "zone-1", None, random.getrandbits(48))
+        self.agent = ClusterAgent(
+            asyncio.get_running_loop(),
+            identity,
+            [core.address(seed) for seed in seeds],
+            QUIET,
+            on_item=self._on_item,
+            on_members=lambda: None,
+            on_message=self._on_message,
+        )
+
+    def _on_item(self, item: Item) -> None:
+        self.items[item.key] = item
+
+    @staticmethod
+    def _on_message(sender: object, channel: Channel, payload: bytes) -> None:
+        """Routers are sent nothing else here."""
+
+    def knows_member(self) -> bool:
+        return len(self.agent.members(Role.CONTROLLER)) > 0
+
+    def version(self) -> int:
+        item = self.items.get(CONFIGURATION_KEY)
+        return item.version if item else 0
+
+
+async def pass_time(seconds: float) -> None:
+    loop = asyncio.get_running_loop()
+    end = loop.time() + seconds
+
+    async def over() -> bool:
+        return loop.time() >= end
+
+    await until(over)
+
+
+def test_a_controller_without_a_majority_hands_out_nothing(tmp_path: Path) -> None:
+    async def scene(core: Core) -> None:
+        await core.start(1, 2, 3, first=True)
+        await core.replace(5, 0)
+        await until_true(lambda: core.controllers[3].agent.item(CONFIGURATION_KEY) is not None)
+        await until_true(lambda: core.controllers[3].agent.item(item_key("s")) is not None)
+        core.kill(1, 2)
+
+        def hears_nobody() -> bool:
+            return not any(core.controllers[3].host.is_in_contact(part) for part in ALL_PARTS)
+
+        await until_true(hears_nobody)
+        learner = Learner(core, 3)
+        await learner.agent.start()
+        await until_true(learner.knows_member)
+        await pass_time(MORE_THAN_A_DIGEST)
+        assert learner.items == {}
+        await core.start(1)
+        await until_true(lambda: learner.version() == 5)
+        await until_true(lambda: item_key("s") in learner.items)
+        learner.agent.close()
+
+    play(tmp_path, scene)
+
+
+def test_a_controller_that_starts_alone_hands_out_nothing_from_its_disk(tmp_path: Path) -> None:
+    async def scene(core: Core) -> None:
+        await core.start(1, 2, 3, first=True)
+        await core.replace(5, 0)
+        await until_true(lambda: core.controllers[2].state.version == 5)
+        core.kill(1, 2, 3)
+        await core.start(2)
+        learner = Learner(core, 2)
+        await learner.agent.start()
+        await until_true(learner.knows_member)
+        await pass_time(MORE_THAN_A_DIGEST)
+        assert learner.items == {}
+        await core.start(3)
+        await until_true(lambda: learner.version() == 5)
+        learner.agent.close()
+
+    play(tmp_path, scene)
+
+
+def test_controllers_with_a_majority_hand_out_at_once(tmp_path: Path) -> None:
+    async def scene(core: Core) -> None:
+        await core.start(1, 2, 3, first=True)
+        await core.replace(5, 0)
+        for number in (1, 2, 3):
+            controller = core.controllers[number]
+            await until_true(lambda controller=controller: controller.host.is_current(CONFIGURATION_PART))
+            learner = Learner(core, number)
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            await learner.agent.start()
+            await until_true(lambda learner=learner: learner.version() == 5)
+            assert loop.time() - began < CONTACT_PATIENCE
+            learner.agent.close()
+
+    play(tmp_path, scene)
+
+
+def test_a_controller_without_a_majority_refuses_nothing(tmp_path: Path) -> None:
+    orders = {
+        "late": (document(9), 0),
+        "of another version": (document(9), 7),
+        "invalid": (document(9, timeout_ms=0), 5),
+        "not above": (document(4), 5),
+        "valid": (document(9), 5),
+    }
+
+    async def scene(core: Core) -> None:
+        await core.start(1, 2, 3, first=True)
+        await core.replace(5, 0)
+        alone = core.owner()
+        assert alone
+        expected = {"late": 412, "of another version": 412, "invalid": 400, "not above": 400}
+        for name, status in expected.items():
+            body, base = orders[name]
+            answer = await core.call(alone, "POST", "/v1/config/replace", json.dumps(body).encode(), base)
+            assert answer[0] == status, name
+        core.kill(*(number for number in (1, 2, 3) if number != alone))
+        await until_true(lambda: not core.controllers[alone].host.is_owner(CONFIGURATION_PART))
+        for name, (body, base) in orders.items():
+            answer = await core.call(alone, "POST", "/v1/config/replace", json.dumps(body).encode(), base)
+            assert answer[0] == 503, name
+        assert (await core.call(alone, "GET", "/v1/config/read"))[0] == 503
+
+    play(tmp_path, scene)
--- a/tests/controller/test_record_keeper.py
+++ b/tests/controller/test_record_keeper.py
@@ -11,7 +11,7 @@
 from firvane.controller.parts import part_of
 from firvane.controller.record_keeper import RecordKeeper
 from firvane.controller.replication import Proposal, ProposalStatus
-from firvane.controller.service_part import ServicePart
+from firvane.controller.service_part import ServicePart, ServiceRecord
 from firvane.logs import QUIET
 
 SERVICE = "a"
@@ -27,6 +27,7 @@
         self.published: list[Item] = []
         self.restored: list[Item] = []
         self.own = True
+        self.current = True
         self.ending = ProposalStatus.COMMITTED
         self.proposals = 0
         self.timers: list[Callable[[], Any]] = []
@@ -51,6 +52,9 @@
     def is_owner(self, group: int) -> bool:
         return self.own
 
+    def is_current(self, group: int) -> bool:
+        return self.current
+
     async def propose(self, group: int, payload: bytes, timeout: float) -> Proposal:
         self.proposals += 1
         await asyncio.sleep(0)
@@ -150,3 +154,18 @@
     rig = Rig()
     rig.keeper.published(Item(b"configuration", 1, b""))
     assert rig.proposals == 0
+
+
+def test_a_record_that_may_be_old_waits_until_its_part_is_current() -> None:
+    rig = Rig()
+    rig.current = False
+    rig.parts[PART].apply(1, ServiceRecord(SERVICE, 7, b"kept").pack())
+    for _ in range(4):
+        rig.pass_time()
+    assert rig.published == []
+    rig.parts[PART].apply(2, ServiceRecord(SERVICE, 9, b"newer").pack())
+    rig.current = True
+    rig.pass_time()
+    assert [item.version for item in rig.published] == [9]
+    rig.pass_time()
+    assert rig.timers == []
--- a/tests/dissemination/test_machine.py
+++ b/tests/dissemination/test_machine.py
@@ -164,3 +164,59 @@
 def test_hostile_bytes_raise_the_one_error() -> None:
     with pytest.raises(MessageError):
         Dissemination(random.Random(1), 0.0).receive(address(1), b"nonsense", 0.0)
+
+
+class Pair:
+    """One machine that withholds, or does not, and one that knows nothing yet."""
+
+    def __init__(self) -> None:
+        self.withheld: set[bytes] = set()
+        self.holder = Dissemination(random.Random(1), 10.0, lambda key: key in self.withheld)
+        self.joiner = Dissemination(random.Random(2), 10.0)
+        for machine, other in ((self.holder, 1), (self.joiner, 0)):
+            machine.set_peers(PeerSet("a", [Peer(address(other), "a")], address(other)))
+
+    def exchange(self) -> None:
+        """What a process that joins and the one that it joins tell each other, to the end."""
+        waiting = [(0, self.holder.digest_message()), (1, self.joiner.digest_message())]
+        waiting.append((1, self.joiner.summary_message()))
+        while waiting:
+            source, payload = waiting.pop(0)
+            receiver = self.joiner if source == 0 else self.holder
+            output = receiver.receive(address(source), payload, 10.0)
+            waiting += [(1 - source, send.payload) for send in output.sends]
+
+
+@pytest.mark.parametrize("item", [SMALL, LARGE])
+def test_what_is_withheld_is_offered_to_nobody_until_it_may_be(item: Item) -> None:
+    pair = Pair()
+    pair.holder.publish(item, 10.0)
+    pair.withheld.add(item.key)
+    assert decode_message(pair.holder.digest_message()).versions == ()
+    pair.exchange()
+    request = encode_message(Message(Kind.REQUEST, (Version(item.key, item.version, len(item.payload)),)))
+    answer = pair.holder.receive(address(1), request, 10.0)
+    assert [decode_message(send.payload).kind for send in answer.sends] == [Kind.REFUSE]
+    assert pair.joiner.item(item.key) is None
+    pair.withheld.clear()
+    pair.exchange()
+    assert pair.joiner.item(item.key) == item
+
+
+def test_only_what_is_withheld_is_left_out() -> None:
+    pair = Pair()
+    pair.holder.publish(SMALL, 10.0)
+    pair.holder.publish(LARGE, 10.0)
+    pair.withheld.add(SMALL.key)
+    pair.exchange()
+    assert pair.joiner.item(SMALL.key) is None
+    assert pair.joiner.item(LARGE.key) == LARGE
+
+
+def test_news_is_taken_and_passed_on_also_where_it_would_be_withheld() -> None:
+    pair = Pair()
+    pair.withheld.add(SMALL.key)
+    push = encode_message(Message(Kind.PUSH, items=(SMALL,)))
+    output = pair.holder.receive(address(9), push, 10.0)
+    assert output.learned == [SMALL]
+    assert [send.to for send in output.sends] == [address(1)]
--- a/tests/replication/faults.py
+++ b/tests/replication/faults.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
+from firvane.address import Address
 from tests.replication.process import Machine
 from tests.replication.settings import WeakMoment
 from tests.replication.world import World
@@ -48,6 +49,9 @@
             self.cut_pairs,
             self.restart_quickly,
             self.damage_disk,
+            self.cut_in_halves,
+            self.wipe_oldest_in_the_dark,
+            self.replace_in_a_cut,
         ]
         chance = world.chance
         if world.settings.kinds:
@@ -219,8 +223,12 @@
         machine = self._one()
         if machine is None or not self.world.may_wipe(machine):
             return
+        self._wipe(machine)
+
+    def _wipe(self, machine: Machine) -> None:
         self.world.kill(machine)
         machine.disk.wipe()
+        machine.disk_since = self.world.now
         machine.incarnation = machine.journal = 0
         self._later(0.1, 1.5, lambda: self.world.boot(machine))
 
@@ -265,6 +273,43 @@
                     world.cuts[other, one] = held
         self._later(0.2, 2.5, world.heal)
 
+    def cut_in_halves(self) -> None:
+        """Two halves hear nothing of each other; one of them starts again meanwhile, or as the cut ends."""
+        world = self.world
+        addresses = list(world.machines)
+        world.chance.shuffle(addresses)
+        half = len(addresses) // 2
+        for one in addresses[:half]:
+            for other in addresses[half:]:
+                world.cuts[one, other] = world.cuts[other, one] = False
+        restarted = world.chance.choice((addresses[:half], addresses[half:], []))
+        lasts = world.chance.uniform(0.5, 2.5)
+        at = world.chance.choice((lasts / 2, lasts))
+        world.at(world.now + at, lambda: self._restart(restarted))
+        world.at(world.now + lasts, world.heal)
+
+    def _restart(self, addresses: Sequence[Address]) -> None:
+        for address in addresses:
+            machine = self.world.machines[address]
+            if machine.process is not None:
+                self.world.kill(machine)
+                self._later(0.05, 0.5, lambda machine=machine: self.world.boot(machine))
+
+    def wipe_oldest_in_the_dark(self) -> None:
+        """The disk that has lasted longest is lost, and all other machines lose power at that moment."""
+        world = self.world
+        present = [machine for machine in world.machines.values() if machine.present]
+        oldest = min(present, key=lambda machine: machine.disk_since)
+        if not world.may_wipe(oldest):
+            return
+        self._wipe(oldest)
+        self._power_cycle([machine for machine in present if machine is not oldest])
+
+    def replace_in_a_cut(self) -> None:
+        """A machine is replaced by an empty one while some links fail."""
+        self.cut_pairs()
+        self.replace()
+
     def fill_disk(self) -> None:
         if machine := self._one():
             machine.disk.full = True
--- a/tests/replication/histories.py
+++ b/tests/replication/histories.py
@@ -157,6 +157,57 @@
     )
 
 
+def _halves(seed: int) -> Settings:
+    """The machines are cut in two again and again, and one side starts again."""
+    machines = (3, 4, 5, 7)[seed % 4]
+    return Settings(
+        machines=machines,
+        target_size=(3, 3, 5, 5)[seed % 4],
+        duration=8.0,
+        fault_gap=0.8,
+        operation_gap=0.015,
+        kinds=("cut_in_halves", "cut_in_halves", "cut_one_way", "kill_all", "freeze"),
+        aimed=0.05,
+        blows=("cut_off_here", "freeze_here", "power_cycle_here"),
+        compact_bytes=(500, 2_000)[seed // 4 % 2],
+    )
+
+
+def _dark(seed: int) -> Settings:
+    """Disks are lost, the oldest first, while all other machines lose their power; machines are replaced."""
+    machines = (3, 4, 5, 6)[seed % 4]
+    return Settings(
+        machines=machines,
+        target_size=(3, 3, 5, 5)[seed % 4],
+        duration=10.0,
+        fault_gap=0.6,
+        operation_gap=0.02,
+        kinds=("wipe_oldest_in_the_dark", "wipe_oldest_in_the_dark", "replace_in_a_cut", "replace", "wipe"),
+        aimed=0.05,
+        blows=("power_cycle_all", "wipe_one"),
+        compact_bytes=(500, 1_000_000)[seed // 4 % 2],
+    )
+
+
+def _many_changes(seed: int) -> Settings:
+    """Hundreds of orders and a snapshot every few of them, while members are away for a long time."""
+    machines = (3, 5)[seed % 2]
+    return Settings(
+        machines=machines,
+        target_size=machines,
+        duration=8.0,
+        fault_gap=1.2,
+        operation_gap=0.004,
+        kinds=("cut", "cut_in_halves", "kill", "lose_power", "freeze", "wipe"),
+        aimed=0.02,
+        moments=(WeakMoment.COMPACTING, WeakMoment.ELECTED),
+        compact_bytes=(300, 1_500)[seed // 2 % 2],
+        keep_bytes=(0, 400)[seed // 4 % 2],
+        append_bytes=(200, 1_000_000)[seed // 2 % 2],
+        loss=0.05,
+    )
+
+
 def _drawn(seed: int) -> Settings:
     """What the seed stands for in the test command."""
     return settings_of(seed)
@@ -172,6 +223,9 @@
     "one by one": _one_by_one,
     "spoilt": _spoilt,
     "full": _full,
+    "halves": _halves,
+    "in the dark": _dark,
+    "many changes": _many_changes,
 }
 
 
--- a/tests/replication/mutants.py
+++ b/tests/replication/mutants.py
@@ -13,12 +13,13 @@
 from dataclasses import dataclass
 
 from tests.replication.mutant import Mutant
+from tests.replication.mutants_contact import CONTACT
 from tests.replication.mutants_elections import ELECTIONS, LEASES
 from tests.replication.mutants_log import REPLICATION, SNAPSHOTS
 from tests.replication.mutants_storage import ANSWERS, STORAGE, SUPERFLUOUS
 from tests.replication.mutation import Edit, loaded_histories
 
-MUTANTS = (*ELECTIONS, *LEASES, *REPLICATION, *SNAPSHOTS, *ANSWERS, *STORAGE)
+MUTANTS = (*CONTACT, *ELECTIONS, *LEASES, *REPLICATION, *SNAPSHOTS, *ANSWERS, *STORAGE)
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/replication/mutants_contact.py
@@ -0,0 +1,69 @@
+"""Deliberate faults of what a replica claims of the age of its state."""
+
+from __future__ import annotations
+
+from tests.replication.mutant import mutant
+
+CONTACT = (
+    mutant(
+        "contact from the answer",
+        "the age of a state counts from the coming of an answer, not from the question",
+        "many changes",
+        (0, 1, 12, 21),
+        12,
+        (
+            "replication.contact",
+            "self._current_at = max(self._current_at, read.begun_at)",
+            "self._current_at = max(self._current_at, now)",
+        ),
+    ),
+    mutant(
+        "contact before it is applied",
+        "a state counts as current once a leader has answered, applied or not",
+        "many changes",
+        range(8),
+        0,
+        (
+            "replication.contact",
+            "            if applied_index >= read.index:\n                self._current_at",
+            "            if applied_index >= 0:\n                self._current_at",
+        ),
+    ),
+    mutant(
+        "contact for good",
+        "a replica that was once in contact remains so",
+        "long cut",
+        range(6),
+        0,
+        ("replication.group", "return now - proven_at <= patience", "return proven_at > 0.0"),
+    ),
+    mutant(
+        "outsider's contact is a state",
+        "what a replica has reached before the log was sent to it counts as its state",
+        "members",
+        range(8),
+        0,
+        (
+            "replication.group",
+            "proven_at = self.contact.current_at(now) if fed else self.contact.reached_at(now)",
+            "proven_at = self.contact.reached_at(now)",
+        ),
+    ),
+    mutant(
+        "leader in contact without a majority",
+        "a leader takes its own word for a majority's, and leads on without one",
+        "long cut",
+        range(6),
+        1,
+        (
+            "replication.replica",
+            '            return float("-inf")\n        return self.leadership.confirmed_at(now)',
+            '            return float("-inf")\n        return now',
+        ),
+        (
+            "replication.leadership",
+            "return now - since > self.core.timing.election_maximum",
+            "return now - since > 1e9",
+        ),
+    ),
+)
--- a/tests/replication/mutants_storage.py
+++ b/tests/replication/mutants_storage.py
@@ -67,8 +67,8 @@
         "another's entry taken for one's own",
         "an order is acknowledged when another entry is committed in its place",
         "leases",
-        (9, 17),
-        9,
+        (0, 1, 19, 29),
+        19,
         ("replication.group", "if pending.term == entry.term:", "if pending:"),
     ),
 )
@@ -86,8 +86,8 @@
         "found bytes not synced",
         "what a killed process had written counts as synced by the next one",
         "elections",
-        range(6),
-        0,
+        range(8),
+        3,
         ("storage.journal", "        self._open().sync()\n", ""),
     ),
     mutant(
@@ -145,8 +145,8 @@
         "checksum not verified",
         "a frame is taken whatever its checksum says",
         "spoilt",
-        range(8),
-        0,
+        (0, 1, 11),
+        1,
         (
             "storage.frames",
             "return body if _checksum(identity, generation, found, body) == checksum else None",
@@ -157,8 +157,8 @@
         "torn tail accepted",
         "a frame that is cut off is taken as far as it goes",
         "power",
-        (8, 12, 19, 25, 37),
-        8,
+        (0, 1, 11),
+        1,
         (
             "storage.frames",
             "if magic != MAGIC or length > MAXIMUM_FRAME or start + length > len(data):",
--- a/tests/replication/oracle.py
+++ b/tests/replication/oracle.py
@@ -4,6 +4,7 @@
 
 import enum
 import struct
+from bisect import bisect_right
 from collections.abc import Callable, Iterable
 
 from firvane.replication.proposals import Proposal, ProposalStatus
@@ -38,6 +39,7 @@
     SNAPSHOT_VOTERS = "snapshot's voters"  # a snapshot names the voters of its place in the log
     SERVES_AGAIN = "serves again"  # once all faults are over: an owner, all voters, equal replicas
     LEADER_UNDISTURBED = "leader undisturbed"  # a leader that a majority follows is not deposed by a minority
+    HANDED_OUT_RECENT = "handed out is recent"  # a state that may be handed out is no older than is promised
     PROMPT_SUCCESSOR = "prompt successor"  # a planned end does not cost an election timeout
 
 
@@ -82,6 +84,7 @@
         self.commits: dict[int, int] = {}  # by a leader's term: the last index that it has committed
         self.voters: dict[int, Members] = {}  # by index: the voters that a committed entry names
         self.reads = 0
+        self._floors: list[tuple[float, int]] = [(float("-inf"), 0)]  # when the floor rose, and to what
 
     def applied(self, place: int, index: int, number: int) -> None:
         """A replica applies a command as its `place`-th."""
@@ -124,6 +127,21 @@
         self.floor = max(self.floor, seen)
         self.reads += 1
 
+    def note_floor(self, now: float) -> None:
+        """Something was answered now: what was known by then must be in each state that is recent."""
+        if self.floor > self._floors[-1][1]:
+            self._floors.append((now, self.floor))
+
+    def floor_at(self, when: float) -> int:
+        """How many commands were known to be committed at a moment."""
+        return self._floors[bisect_right(self._floors, when, key=lambda item: item[0]) - 1][1]
+
+    def handed_out(self, when: float, seen: int) -> None:
+        """A state may be handed out that is claimed to be no older than `when`."""
+        floor = self.floor_at(when)
+        told = f"a state of {seen} commands where {floor} were known at {when:.2f} s"
+        require(seen >= floor, Promise.HANDED_OUT_RECENT, told)
+
     def led(self, term: int, incarnation: int) -> None:
         """A replica leads a term."""
         other = self.leaders.setdefault(term, incarnation)
--- a/tests/replication/process.py
+++ b/tests/replication/process.py
@@ -58,6 +58,7 @@
     journal: int = 0  # the identity of the journal that is synced on the disk; 0 for none
     damaged: bool = False  # something that was synced in it has been spoilt
     powered: bool = True
+    disk_since: float = 0.0  # when the disk was last new
 
 
 class Process:
--- a/tests/replication/scenarios.py
+++ b/tests/replication/scenarios.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from firvane.replication.types import DEFAULT_TIMING
 from tests.replication.oracle import Promise, require
 from tests.replication.process import Machine, Process
 from tests.replication.settings import CROWDED, Settings
-from tests.replication.world import World, limits_of
+from tests.replication.world import HAND_OUT_PATIENCE, World, limits_of
 
 ROUNDS = 4  # how often the trouble comes in one history
+LONG_CUT = 20.0  # seconds
+SILENT_AFTER = 1.2  # seconds of a cut after which the machine must not claim to be in contact
+HANDS_OUT_AGAIN = 4.0  # seconds after a cut in which all must hand out again, also after a restart of most
 CUT_OFF = 2.0  # seconds, several election timeouts
 PROMPT = 0.100  # seconds in which a successor must have acknowledged an order; an election takes 0.3 at least
 
@@ -242,6 +245,61 @@
     return took
 
 
+def _cut_from(world: World, machine: Machine, others: Sequence[Machine], how: int) -> None:
+    """Cut a machine off: both ways, only what it sends, or only what it is sent."""
+    for other in others:
+        if how != 1:
+            world.cuts[other.address, machine.address] = False
+        if how != 2:
+            world.cuts[machine.address, other.address] = False
+
+
+def long_cut(seed: int) -> None:
+    """A machine is cut off for twenty seconds while orders are taken; it is asked for everything meanwhile.
+
+    In other histories only one direction is cut, the machine is the owner, or it starts again while it is cut
+    off; at the end of the cut every process of the other side is killed.
+    """
+    settings = calm_settings(seed)
+    settings.compact_bytes, settings.keep_bytes = 2_000, 400
+    world = calm_world(settings, seed)
+    owner = owner_of(world)
+    lost = owner.machine if seed % 2 else world.chance.choice(_others(world, owner))
+    others = [machine for machine in world.machines.values() if machine is not lost]
+    _cut_from(world, lost, others, seed // 2 % 3)
+    heard_until = world.now + SILENT_AFTER
+    while world.now < heard_until + LONG_CUT:
+        if lost.process is None:
+            world.boot(lost)
+        elif seed % 5 == 4 and world.chance.random() < 0.05:
+            world.kill(lost)
+            continue
+        if lost.process is not None:
+            world.call(lost.process)
+        world.run(world.now + 0.1)
+        _check_silence(world, lost, heard_until)
+    if seed % 3 == 2:
+        for machine in others:
+            world.kill(machine)
+            world.at(world.now + 0.5, lambda machine=machine: world.boot(machine))
+    world.heal()
+    world.run_until(lambda: _hands_out(world), HANDS_OUT_AGAIN)
+    world.finish()
+
+
+def _check_silence(world: World, lost: Machine, since: float) -> None:
+    """Whoever hears nothing, or is heard by nobody, soon has nothing to hand out."""
+    process = lost.process
+    if process is not None and world.now >= since:
+        contact = process.group.is_in_contact(process.now(), HAND_OUT_PATIENCE)
+        require(not contact, Promise.HANDED_OUT_RECENT, f"{lost.address} claims contact at {world.now:.2f} s")
+
+
+def _hands_out(world: World) -> bool:
+    """Whether every voter may hand its state out."""
+    return all(process.group.is_current(process.now(), HAND_OUT_PATIENCE) for process in world.running())
+
+
 SCENARIOS: dict[str, Callable[[int], None]] = {
     "rejoining": rejoining,
     "isolated owner": isolated_owner,
@@ -251,4 +309,5 @@
     "diverging tail": diverging_tail,
     "parting owner": parting_owner,
     "planned end": planned_end,
+    "long cut": long_cut,
 }
--- a/tests/replication/settings.py
+++ b/tests/replication/settings.py
@@ -45,7 +45,7 @@
     sync_time: float = SYNC
     contention: bool = False  # elections collide: hardly any spread, no reservation of pre-votes
     timing: Timing = DEFAULT_TIMING
-    fault_kinds: int = 20  # how many kinds of faults strike in this world
+    fault_kinds: int = 23  # how many kinds of faults strike in this world
     aimed: float = 0.0  # the share of weak moments at which a fault strikes
     first_fault: float = 1.0
     extreme_clocks: bool = False  # as fast or as slow as is assumed
@@ -77,7 +77,7 @@
         sync_time=draw.choice((SYNC, SYNC, 0.02, 0.08)),
         through_codec=draw.random() < 0.15,
         contention=draw.random() < 0.3,
-        fault_kinds=draw.choice((2, 3, 5, 20)),
+        fault_kinds=draw.choice((2, 3, 5, 23)),
         aimed=draw.choice((0.0, 0.02, 0.1, 0.3)),
         first_fault=draw.choice((1.0, 2.0)),
     )
--- a/tests/replication/test_progress.py
+++ b/tests/replication/test_progress.py
@@ -29,3 +29,26 @@
     assert peer.heeds_refusal(7, now=1.004)
     peer.refused(7)
     assert peer.next_index == 8
+
+
+def test_snapshots_in_vain_are_sent_more_and_more_rarely_but_never_given_up() -> None:
+    peer = progress()
+    waits = []
+    now = 1.0
+    for _ in range(6):
+        peer.sent_snapshot(40, 5_000_000, now)
+        waits.append(round(peer.resend_after - now, 2))
+        now = peer.resend_after
+    assert waits == [1.05, 2.1, 4.2, 8.4, 8.4, 8.4]
+    peer.accepted(40, 40)
+    peer.sent_snapshot(90, 5_000_000, now)
+    assert round(peer.resend_after - now, 2) == 1.05
+
+
+def test_an_acknowledgement_that_tells_nothing_new_leaves_the_patience_as_it_is() -> None:
+    peer = progress()
+    peer.accepted(11, 11)
+    peer.sent_snapshot(40, 1_000, 1.0)
+    peer.accepted(11, 11)
+    peer.sent_snapshot(40, 1_000, 2.0)
+    assert round(peer.resend_after - 2.0, 4) == 0.1004
--- a/tests/replication/world.py
+++ b/tests/replication/world.py
@@ -32,6 +32,7 @@
 LINK = 0.0014  # seconds one way
 CLOCK_SKEW = 0.045  # rates between 1 - and 1 + this: a ratio below the bound of 1.1
 
+HAND_OUT_PATIENCE = 0.5  # seconds of a process for which its state may be handed out after a proof
 MAXIMUM_DISK = 100_000  # bytes
 MAXIMUM_RECORD = 250  # bytes of an entry of 200 bytes in a frame of its own
 MAXIMUM_EVENTS = 300_000  # no drawn history comes near
@@ -105,6 +106,7 @@
             rate = 1 + self.chance.choice((-CLOCK_SKEW, CLOCK_SKEW))
         machine = Machine(address, SimulatedDisk(self.chance), rate, self.chance.uniform(0, 1e5))
         machine.sync_time = self.settings.sync_time
+        machine.disk_since = self.now
         self.machines[address] = machine
         return machine
 
@@ -222,6 +224,7 @@
 
         def answer(proposal: Proposal) -> None:
             self.oracle.proposed(number, proposal)
+            self.oracle.note_floor(self.now)
             if proposal.status is ProposalStatus.COMMITTED:
                 self.weak_moment(WeakMoment.COMMITTED, process.machine)
 
@@ -232,6 +235,7 @@
         def answer(proposal: Proposal) -> None:
             if proposal.status is ProposalStatus.COMMITTED:
                 self.oracle.read(floor, len(process.ledger.commands))
+                self.oracle.note_floor(self.now)
 
         process.read(timeout, answer)
 
@@ -240,6 +244,7 @@
         if self.quiet:
             return
         self.check_owners()
+        self.check_handed_out()
         processes = self.running()
         if processes:
             process = self.chance.choice(processes)
@@ -274,6 +279,14 @@
             if process.group.is_owner(process.now())
         )
 
+    def check_handed_out(self) -> None:
+        """No controller takes its state for a recent one that lacks what was known by then."""
+        for process in self.running():
+            if process.machine.frozen or not process.group.is_current(process.now(), HAND_OUT_PATIENCE):
+                continue
+            since = self.now - HAND_OUT_PATIENCE / process.machine.rate
+            self.oracle.handed_out(since, len(process.ledger.commands))
+
     def check_rivals(self) -> None:
         """Check the owners where more than one replica leads, as it may in different terms."""
         if sum(process.group.replica.leadership is not None for process in self.running()) > 1:
