--- /dev/null
+++ b/tests/crossings/mutants/control.py
@@ -0,0 +1,144 @@
+"""Promises of docs/control-guarantees.md beside those of the log: orders, members, hand-out, answers."""
+
+from tests.crossings.mutants import Mutant
+
+CONTROLLER, CONFIGURATION = "tests/controller/", "tests/configuration/"
+HAND_OUT, STATE = f"{CONTROLLER}test_hand_out.py::", f"{CONFIGURATION}test_state.py::"
+POLICY = "tests/replication/test_membership_policy.py"
+UPSTREAM = "tests/router/test_upstream_model.py"
+
+MUTANTS = [
+    Mutant(
+        "a controller without a majority hands nothing out",
+        "firvane/dissemination/machine.py",
+        "Version(key, version) for key, version in self._store.versions() if not self._is_withheld(key)",
+        "Version(key, version) for key, version in self._store.versions()",
+        "tests/dissemination/test_machine.py -k withheld",
+    ),
+    Mutant(
+        "what is withheld is not sent when it is asked for",
+        "firvane/dissemination/machine.py",
+        "if item is not None and is_here and not self._is_withheld(item.key):",
+        "if item is not None and is_here:",
+        "tests/dissemination/test_machine.py -k withheld",
+    ),
+    Mutant(
+        "what is withheld is not sent as a repair",
+        "firvane/dissemination/machine.py",
+        "if item.version > known.get(item.key, -1) and not self._is_withheld(item.key)",
+        "if item.version > known.get(item.key, -1)",
+        "tests/dissemination/test_machine.py -k withheld",
+    ),
+    Mutant(
+        "a state from the disk is published once it is current",
+        "firvane/controller/configuration_publisher.py",
+        "        if not self._is_current():\n",
+        "        if False:\n",
+        f"{CONTROLLER}test_configuration_publisher.py",
+    ),
+    Mutant(
+        "records of services are withheld like the configuration",
+        "firvane/controller/controller.py",
+        "            return not self.host.is_in_contact(part_of(service))\n",
+        "            return False\n",
+        f"{HAND_OUT}test_a_controller_without_a_majority_hands_out_nothing",
+    ),
+    Mutant(
+        "a controller without a majority refuses nothing",
+        "firvane/controller/configuration_service.py",
+        "        if not result.code.is_acknowledgement:\n",
+        "        if False:\n",
+        f"{CONTROLLER}test_operator_api.py",
+    ),
+    Mutant(
+        "an order that was taken is never refused, however long ago",
+        "firvane/configuration/order_history.py",
+        "return Fate.NOT_TAKEN if order.base >= self._complete_from else Fate.FORGOTTEN",
+        "return Fate.NOT_TAKEN",
+        f"{STATE}test_remembered_orders_are_bounded",
+    ),
+    Mutant(
+        "of two orders on one base one is taken",
+        "firvane/configuration/state.py",
+        "        if order.base < self._version:\n",
+        "        if order.base < 0:\n",
+        f"{CONFIGURATION}test_oracle.py",
+    ),
+    Mutant(
+        "an order that was taken is known in the next life",
+        "firvane/configuration/state.py",
+        "        self._history, draft = read(snapshot)\n",
+        "        _, draft = read(snapshot)\n",
+        f"{CONFIGURATION}test_state.py",
+    ),
+    Mutant(
+        "what is remembered of an order is its bytes",
+        "firvane/configuration/order_history.py",
+        "if self._digests.get(order.base) == digest or digest in self._without_base:",
+        "if order.base in self._digests:",
+        f"{CONFIGURATION}test_state.py",
+    ),
+    Mutant(
+        "a single voter is never left by a removal",
+        "firvane/replication/membership_policy.py",
+        "SMALLEST_REDUCED = 2",
+        "SMALLEST_REDUCED = 1",
+        POLICY,
+    ),
+    Mutant(
+        "nobody is removed for silence without a successor",
+        "firvane/replication/membership_policy.py",
+        "        if ready and silent:\n",
+        "        if silent:\n",
+        POLICY,
+    ),
+    Mutant(
+        "voters are spread over zones",
+        "firvane/replication/membership_policy.py",
+        "(leaving or (not in_doubt and spread.improves(ready)))",
+        "leaving",
+        POLICY,
+    ),
+    Mutant(
+        "a journal of another version is left as it is",
+        "firvane/storage/journal.py",
+        '        raise UnknownFormatError(f"a segment of version {version}")',
+        '        raise DamagedJournalError(f"a segment of version {version}")',
+        f"{CONTROLLER}test_old_formats.py",
+    ),
+    Mutant(
+        "a request that was turned away never uses that connection again",
+        "firvane/router/upstream.py",
+        "            elif request_id not in connection.refused:\n",
+        "            else:\n",
+        UPSTREAM,
+    ),
+    Mutant(
+        "an answer counts only for the request whose id it echoes",
+        "firvane/router/upstream.py",
+        "return run is not None and echoed is not None and echoed != run.request.request_id",
+        "return False",
+        UPSTREAM,
+    ),
+    Mutant(
+        "an answer without an id belongs to nobody",
+        "firvane/router/upstream.py",
+        "        if REQUEST_ID not in message.fields:\n",
+        "        if False:\n",
+        UPSTREAM,
+    ),
+    Mutant(
+        "a break after the last byte may have run",
+        "firvane/router/upstream.py",
+        "run.end(Ending.BROKE_SENT if self.written else Ending.BROKE_UNSENT)",
+        "run.end(Ending.BROKE_UNSENT)",
+        UPSTREAM,
+    ),
+    Mutant(
+        "a connection on which a request is not written whole is not used again",
+        "firvane/router/upstream.py",
+        "is_clean = message.framed and self.written and not",
+        "is_clean = message.framed and not",
+        UPSTREAM,
+    ),
+]
