--- a/firvane/replication/replica.py
+++ b/firvane/replication/replica.py
@@ -34,13 +34,11 @@
     VoteReply,
 )
 from firvane.replication.spread import DomainOf, each_alone
+from firvane.replication.succession import Succession
 from firvane.replication.types import DEFAULT_TIMING, NOBODY, Member, Snapshot, Timing
 from firvane.replication.voting import Voter
 
-LEAVE_INTERVAL = 0.2  # seconds between two announcements of a departure
 RETRY_AFTER_WITHDRAWAL = (0.1, 0.2)  # seconds, when another candidate was given way to
-TIMEOUT_NOW_REPEATS = 2
-TIMEOUT_NOW_INTERVAL = 0.030  # seconds
 
 
 class Role(enum.Enum):
@@ -89,11 +87,7 @@
         self.candidates: Sequence[Address] = ()  # live controllers, set by the driver
         self._candidacy: Candidacy | None = None
         self._follower: Follower | None = None
-        self._leaving = False
-        self._next_leave = now
-        self._successor: Member | None = None  # told to stand for election, and may not have heard it
-        self._successor_calls = 0
-        self._next_call = now
+        self._succession = Succession(self.core, now)
         self._election_deadline = now + uniform(timing.election_minimum, timing.election_maximum)
         self._handlers: dict[type, Callable[..., None]] = {
             Append: self._on_append,
@@ -169,11 +163,7 @@
             due = self._election_deadline
         if self.founding.waiting:
             due = min(due, self.founding.next_introduction)
-        if self._leaving:
-            due = min(due, self._next_leave)
-        if self._successor is not None:
-            due = min(due, self._next_call)
-        return due
+        return min(due, self._succession.deadline())
 
     def take_outputs(self) -> Outputs:
         """What came of the inputs since the last call."""
@@ -196,12 +186,7 @@
         if self.leadership is not None:
             self._tick_leader(self.leadership, now)
             return
-        if self._leaving and now >= self._next_leave:
-            self._next_leave = now + LEAVE_INTERVAL
-            if self._follower is not None and self.core.is_own_voter:
-                self.core.send(self._follower.leader, Leave(self.term))
-        if self._successor is not None and now >= self._next_call:
-            self._call_successor(now)
+        self._succession.tick(self._follower.leader if self._follower else None, now)
         if self.founding.waiting and self.founding.tick(now):
             self._election_deadline = now
         if self._candidacy is not None:
@@ -241,7 +226,7 @@
 
     def hand_over(self, now: float) -> None:
         """This process is about to stop: pass leadership on, and have a spare controller take its place."""
-        self._leaving = True
+        self._succession.leaving = True
         if self.leadership is not None:
             self.leadership.start_transfer(now)
             self._tick_leader(self.leadership, now)
@@ -264,7 +249,7 @@
         if leadership.has_lost_majority(now):
             self._step_down("majority_lost", now)
             return
-        if self._leaving or self.core.disk_trouble(now):
+        if self._succession.leaving or self.core.disk_trouble(now):
             self._consider_transfer(leadership, now)
         if leadership.transferring(now) and self._try_to_resign(leadership, now):
             return
@@ -273,7 +258,7 @@
 
     def _consider_transfer(self, leadership: Leadership, now: float) -> None:
         if not leadership.transferring(now) and leadership.has_healthy_voter(now):
-            self.core.log_event("transfer begun", leaving=self._leaving)
+            self.core.log_event("transfer begun", leaving=self._succession.leaving)
             leadership.start_transfer(now)
 
     def _try_to_resign(self, leadership: Leadership, now: float) -> bool:
@@ -282,19 +267,9 @@
             return False
         self.core.log_event("leadership transferred", to=successor.address)
         self._step_down("transferred", now)
-        self._successor = successor
-        self._successor_calls = 0
-        self._next_call = now + TIMEOUT_NOW_INTERVAL
+        self._succession.name(successor, now)
         return True
 
-    def _call_successor(self, now: float) -> None:
-        assert self._successor is not None
-        self.core.send(self._successor, TimeoutNow(self.term))
-        self._successor_calls += 1
-        self._next_call = now + TIMEOUT_NOW_INTERVAL
-        if self._successor_calls >= TIMEOUT_NOW_REPEATS:
-            self._successor = None
-
     def _leave_if_removed(self, now: float) -> None:
         core = self.core
         if not core.is_own_voter and core.commit_index >= core.log.members_index:
@@ -313,7 +288,7 @@
 
     def _follow_term(self, term: int, now: float) -> None:
         self._step_down("higher_term", now)
-        self._successor = None
+        self._succession.forget_successor()
         self.core.adopt(term, NOBODY, now)
 
     def _follow(self, leader: Member, term: int, now: float) -> Follower:
@@ -321,7 +296,7 @@
             self._follow_term(term, now)
         self.voter.heard_at = now
         self.voter.release()
-        self._successor = None
+        self._succession.forget_successor()
         self._reset_election(now)
         if self._follower is None or self._follower.leader != leader:
             self._step_down("other_leader", now)
@@ -339,7 +314,7 @@
         self._candidacy = None
         self.role = Role.FOLLOWER
         core = self.core
-        if self._leaving or core.disk_trouble(now) or self.voter.follows_leader(now):
+        if self._succession.leaving or core.disk_trouble(now) or self.voter.follows_leader(now):
             return
         if not self.voter.reserve(self.identity.incarnation, now):
             self._election_deadline = now + core.uniform(*RETRY_AFTER_WITHDRAWAL)
