--- a/firvane/configuration/state.py
+++ b/firvane/configuration/state.py
@@ -97,7 +97,7 @@
             document = documents.build(order, self._parsed)
         except DocumentError as error:
             return invalid(self._version, error.problems)
-        problems = find_problems(document, self._version)
+        problems = find_problems(document, self._version, self._parsed)
         if problems:
             return invalid(self._version, problems)
         text = documents.encode(document)
--- a/firvane/configuration/structure.py
+++ b/firvane/configuration/structure.py
@@ -17,8 +17,14 @@
 MAX_WEIGHT = 1e300  # keeps a sum of weights finite
 
 
-def find_problems(document: Document, current_version: int) -> list[Problem]:
-    """Name every fault of a whole document that would follow the version now in force."""
+def find_problems(
+    document: Document, current_version: int, accepted: Document | None = None
+) -> list[Problem]:
+    """Name every fault of a whole document that would follow the version now in force.
+
+    `accepted` is the document in force, which is valid: of routes that are the very objects that stand in it
+    only names and places are checked again, unless a service has gone.
+    """
     problems = list(_version_problems(document.get(VERSION), current_version))
     for key in (ROUTES, SERVICES):
         if key not in document:
@@ -34,12 +40,19 @@
     problems.extend(_name_problems(ROUTES, routes))
     known = {service["name"] for service in services if _has_name(service)}
     problems.extend(_place_problems(routes))
+    unchanged = _valid_routes(accepted or {}, known)
     for position, route in enumerate(routes):
-        if isinstance(route, dict):
+        if isinstance(route, dict) and id(route) not in unchanged:
             problems.extend(_route_problems(route, item_place(ROUTES, position, route), known))
     return problems
 
 
+def _valid_routes(accepted: Document, services: set[str]) -> set[int]:
+    """The identities of routes that are valid by themselves beside these services."""
+    before = {service["name"] for service in accepted.get(SERVICES, ())}
+    return {id(route) for route in accepted.get(ROUTES, ())} if before <= services else set()
+
+
 def _version_problems(version: Any, current: int) -> Iterator[Problem]:
     if version is None:
         yield Problem(ResultCode.MISSING_FIELD, VERSION, "must be there")
@@ -79,17 +92,17 @@
 
 
 def _place_problems(routes: list[Any]) -> Iterator[Problem]:
-    seen: dict[tuple[str, str], str] = {}
+    seen: dict[tuple[str, str], int] = {}
     for position, route in enumerate(routes):
         if not isinstance(route, dict):
             continue
         host, prefix = route.get("host"), route.get("path_prefix")
         if not isinstance(host, str) or not isinstance(prefix, str):
             continue
-        place = item_place(ROUTES, position, route)
-        first = seen.setdefault((host.lower(), prefix), place)
-        if first is not place:
-            yield Problem(ResultCode.DUPLICATE_PLACE, place, f"{host}{prefix} is that of {first} too")
+        first = seen.setdefault((host.lower(), prefix), position)
+        if first != position:
+            place, other = item_place(ROUTES, position, route), item_place(ROUTES, first, routes[first])
+            yield Problem(ResultCode.DUPLICATE_PLACE, place, f"{host}{prefix} is that of {other} too")
 
 
 def _route_problems(route: Document, place: str, services: set[str]) -> Iterator[Problem]:
--- a/firvane/replication/contact.py
+++ b/firvane/replication/contact.py
@@ -38,8 +38,10 @@
         """When a majority was last reached, directly or through its leader; -inf if never."""
         return max(self._reached_at, self._replica.confirmed_at(now))
 
-    def current_at(self, now: float) -> float:
+    def current_at(self, applied_index: int, now: float) -> float:
         """When what is applied here was last known to be the newest of a majority; -inf if never."""
+        if applied_index < self._replica.commit_index:  # also a leader may have more to apply
+            return self._current_at
         return max(self._current_at, self._replica.confirmed_at(now))
 
     def is_fed(self, now: float) -> bool:
--- a/firvane/replication/group.py
+++ b/firvane/replication/group.py
@@ -32,6 +32,8 @@
 from firvane.replication.types import EntryKind, Member
 
 COMPACT_BYTES = 1_000_000  # applied since the last snapshot before the next; twice its size if larger
+COMPACT_ENTRIES = 64  # applied since then, however small: what a restart applies again takes its time
+APPLY_AT_ONCE = 8  # entries applied in one turn, so that what is far behind still hears its leader meanwhile
 KEEP_BYTES = 200_000  # entries kept behind a snapshot for followers that are a little behind
 LOST_LEADERSHIP_GRACE = 1.0  # seconds in which the fate of an entry may show after leadership has ended
 READ_INTERVAL = 0.1  # seconds before a follower asks again for a read
@@ -63,6 +65,7 @@
         self._owned_term = 0  # the term for which ownership was told, 0 for none
         self._last_snapshot_size = 0
         self._applied_bytes = 0  # of the entries applied since the last snapshot
+        self._applied_entries = 0
         snapshot = replica.core.log.snapshot
         if snapshot is not None:
             machine.load(snapshot.state)
@@ -81,7 +84,7 @@
         Where the log is replicated to this controller, all that was committed then is applied here.
         """
         fed = self.contact.is_fed(now)
-        proven_at = self.contact.current_at(now) if fed else self.contact.reached_at(now)
+        proven_at = self.contact.current_at(self.applied_index, now) if fed else self.contact.reached_at(now)
         return now - proven_at <= patience
 
     def is_current(self, now: float, patience: float) -> bool:
@@ -102,6 +105,8 @@
 
     def deadline(self) -> float:
         """When `tick` is due next."""
+        if self.applied_index < self.replica.commit_index:
+            return float("-inf")
         due = self.replica.deadline()
         for pending in self._waiting:
             due = min(due, pending.deadline)
@@ -187,7 +192,7 @@
             self.machine.load(outputs.installed.state)
             self.applied_index = outputs.installed.index
             self._last_snapshot_size = len(outputs.installed.state)
-            self._applied_bytes = 0
+            self._applied_bytes = self._applied_entries = 0
         for ready in outputs.reads:
             read = self._reads.get(ready.token)
             if self.contact.read_is_ready(ready.token, ready.index):
@@ -221,10 +226,11 @@
 
     def _apply(self, now: float, actions: Actions) -> None:
         log = self.replica.core.log
-        while self.applied_index < self.replica.commit_index:
+        for _ in range(min(APPLY_AT_ONCE, self.replica.commit_index - self.applied_index)):
             self.applied_index += 1
             entry = log.entry(self.applied_index)
             self._applied_bytes += len(entry.payload) + ENTRY_OVERHEAD
+            self._applied_entries += entry.kind is EntryKind.COMMAND
             result = b""
             if entry.kind is EntryKind.COMMAND:
                 result = self.machine.apply(entry.index, entry.payload)
@@ -236,13 +242,14 @@
             else:
                 proposal = self._not_taken()
             self._resolve(actions, pending.token, proposal)
-        if self._applied_bytes > max(COMPACT_BYTES, 2 * self._last_snapshot_size):
+        is_large = self._applied_bytes > max(COMPACT_BYTES, 2 * self._last_snapshot_size)
+        if is_large or self._applied_entries >= COMPACT_ENTRIES:
             self._compact(now)
 
     def _compact(self, now: float) -> None:
         if self.replica.core.disk_trouble(now):
             return
-        self._applied_bytes = 0
+        self._applied_bytes = self._applied_entries = 0
         state = self.machine.save()
         self._last_snapshot_size = len(state)
         self.replica.compact(self.applied_index, state, KEEP_BYTES, now)
@@ -263,7 +270,8 @@
 
     def _ask_reads(self, now: float, actions: Actions) -> None:
         for read in list(self._reads.values()):
-            if now >= read.deadline:
+            is_outside = not self.contact.is_fed(now) and self._other_owner() is not None
+            if now >= read.deadline or is_outside:  # outside the group nothing is applied to wait for
                 del self._reads[read.token]
                 self._resolve(actions, read.token, self._not_taken())
             elif read.index is None and now >= read.ask_again_at:
@@ -282,7 +290,8 @@
         if self._owned_term and (not leads or self._owned_term != replica.term):
             actions.owner_changes.append((False, self._owned_term))
             self._owned_term = 0
-        if not self._owned_term and leads and replica.is_ready_leader():
+        knows_all = replica.is_ready_leader() and self.applied_index >= replica.commit_index
+        if not self._owned_term and leads and knows_all:
             self._owned_term = replica.term
             actions.owner_changes.append((True, replica.term))
 
--- a/tests/replication/mutants_contact.py
+++ b/tests/replication/mutants_contact.py
@@ -5,12 +5,24 @@
 from tests.replication.mutant import mutant
 
 CONTACT = (
+    mutant(
+        "leader current before it has applied",
+        "a leader's state counts as current while entries that are committed wait to be applied",
+        "many changes",
+        (1, 32),
+        32,
+        (
+            "replication.contact",
+            "if applied_index < self._replica.commit_index:  # also",
+            "if applied_index < 0:  # also",
+        ),
+    ),
     mutant(
         "contact from the answer",
         "the age of a state counts from the coming of an answer, not from the question",
-        "many changes",
-        (0, 1, 12, 21),
-        12,
+        "leases",
+        (5, 11, 15),
+        5,
         (
             "replication.contact",
             "self._current_at = max(self._current_at, read.begun_at)",
@@ -45,8 +57,8 @@
         0,
         (
             "replication.group",
-            "proven_at = self.contact.current_at(now) if fed else self.contact.reached_at(now)",
-            "proven_at = self.contact.reached_at(now)",
+            "self.contact.current_at(self.applied_index, now) if fed else self.contact.reached_at(now)",
+            "self.contact.reached_at(now)",
         ),
     ),
     mutant(
--- a/tests/replication/mutants_elections.py
+++ b/tests/replication/mutants_elections.py
@@ -51,7 +51,7 @@
         "logs are compared by their length, not by the term of their last entry first",
         "one by one",
         (0, 1, 20),
-        0,
+        20,
         (
             "replication.core",
             "return (last_term, last_index) >= (self.log.last_term, self.log.last_index)",
@@ -62,8 +62,8 @@
         "amnesiac votes",
         "a machine that has lost its disk returns as the same member, and votes",
         "members",
-        (0, 1, 6, 21),
-        6,
+        (0, 1, 3, 12),
+        3,
         (
             "replication.replica",
             "self.core = Core(identity, recovered, timing, uniform, now)",
@@ -155,8 +155,8 @@
         "vote within a promise",
         "a request for a vote is heeded while a leader may count on the voter",
         "stalled owner",
-        (0, 1, 21, 25),
-        21,
+        (0, 1, 5, 25),
+        5,
         ("replication.replica", "if not request.transfer and self.voter.follows_leader(now):", "if now < 0:"),
     ),
     mutant(
--- a/tests/replication/mutants_storage.py
+++ b/tests/replication/mutants_storage.py
@@ -145,8 +145,8 @@
         "checksum not verified",
         "a frame is taken whatever its checksum says",
         "spoilt",
-        (0, 1, 11),
-        1,
+        (0, 1, 11, 13),
+        11,
         (
             "storage.frames",
             "return body if _checksum(identity, generation, found, body) == checksum else None",
--- a/tests/replication/settings.py
+++ b/tests/replication/settings.py
@@ -41,6 +41,7 @@
     through_codec: bool = False
     compact_bytes: int = 2_000
     keep_bytes: int = 400
+    compact_entries: int = 1_000_000
     append_bytes: int = 1_000_000  # entries in one message
     sync_time: float = SYNC
     contention: bool = False  # elections collide: hardly any spread, no reservation of pre-votes
@@ -83,4 +84,5 @@
     )
     if settings.contention:
         settings.timing = CROWDED
+    settings.compact_entries = draw.choice((10, 64, 1_000_000))
     return settings
--- /dev/null
+++ b/tests/replication/test_contact.py
@@ -0,0 +1,130 @@
+"""What a replica claims of the age of its state, in calm and cut off, as a member and outside its group."""
+
+from __future__ import annotations
+
+from firvane.replication.contact import CONTACT_INTERVAL, FED_WITHIN
+from firvane.replication.group import APPLY_AT_ONCE, COMPACT_ENTRIES, Actions
+from firvane.replication.proposals import Proposal, ProposalStatus
+from tests.replication.process import Process
+from tests.replication.scenarios import calm_world, owner_of
+from tests.replication.settings import Settings
+from tests.replication.world import World, limits_of
+
+PATIENCE = 1.0  # seconds
+CALM = Settings(machines=4, loss=0.0, doubled=0.0, late=0.0, sync_time=0.001)
+
+
+def outside(world: World) -> Process:
+    members = owner_of(world).group.replica.core.log.members
+    return next(each for each in world.running() if each.group.replica.identity not in members)
+
+
+def follower(world: World) -> Process:
+    owner = owner_of(world)
+    return next(each for each in world.running() if each is not owner and each.group.replica.is_voter)
+
+
+def cut_off(world: World, process: Process) -> None:
+    own = process.machine.address
+    for other in world.machines:
+        world.cuts[own, other] = world.cuts[other, own] = False
+
+
+def test_in_calm_all_are_in_contact_and_members_are_current() -> None:
+    world = calm_world(CALM, 3)
+    for _ in range(20):
+        world.run(world.now + 0.1)
+        for process in world.running():
+            now = process.now()
+            assert process.group.is_in_contact(now, PATIENCE)
+            assert process.group.is_current(now, PATIENCE) is process.group.replica.is_voter
+
+
+def test_a_cut_ends_contact_within_the_patience_and_its_end_brings_it_back() -> None:
+    for choose in (owner_of, follower, outside):
+        world = calm_world(CALM, 4)
+        process = choose(world)
+        cut_off(world, process)
+        world.run(world.now + PATIENCE * 1.1 + 0.05)
+        assert not process.group.is_in_contact(process.now(), PATIENCE)
+        assert not process.group.is_current(process.now(), PATIENCE)
+        world.heal()
+        world.run(world.now + 1.0)
+        assert process.group.is_in_contact(process.now(), PATIENCE)
+
+
+def test_a_process_that_starts_claims_nothing_until_it_has_asked() -> None:
+    world = calm_world(CALM, 5)
+    machine = follower(world).machine
+    world.kill(machine)
+    world.boot(machine)
+    process = machine.process
+    assert process is not None
+    assert not process.group.is_in_contact(process.now(), PATIENCE)
+    world.run(world.now + 1.0)
+    assert process.group.is_current(process.now(), PATIENCE)
+
+
+def test_a_frozen_process_is_out_of_contact_in_the_moment_in_which_it_wakes() -> None:
+    world = calm_world(CALM, 6)
+    process = follower(world)
+    world.freeze(process.machine)
+    world.run(world.now + 5.0)
+    assert not process.group.is_in_contact(process.now(), PATIENCE)
+
+
+def test_a_read_outside_the_group_names_the_owner_at_once() -> None:
+    world = calm_world(CALM, 7)
+    process, answers = outside(world), list[Proposal]()
+    process.read(1.0, answers.append)
+    assert [answer.status for answer in answers] == [ProposalStatus.NOT_OWNER]
+    assert answers[0].owner == owner_of(world).machine.address
+
+
+def test_contact_costs_three_questions_a_second() -> None:
+    world = calm_world(CALM, 8)
+    process = follower(world)
+    asked: list[float] = []
+    read = process.group.replica.read
+    process.group.replica.read = lambda token, now: (asked.append(now), read(token, now))[1]  # type: ignore
+    world.quiet = True
+    world.run(world.now + 10.0)
+    assert 10.0 / CONTACT_INTERVAL * 0.7 < len(asked) <= 10.0 / CONTACT_INTERVAL * 1.1
+    assert FED_WITHIN >= 3 * CONTACT_INTERVAL
+
+
+def count_turns(process: Process) -> list[int]:
+    """How many commands each turn of a group applies from now on."""
+    act, ledger, turns = process.group._act, process.ledger, list[int]()
+
+    def counted(now: float) -> Actions:
+        before = len(ledger.commands)
+        actions = act(now)
+        turns.append(len(ledger.commands) - before)
+        return actions
+
+    process.group._act = counted  # type: ignore[method-assign]
+    return turns
+
+
+def test_what_is_far_behind_is_applied_in_turns_and_then_compacted() -> None:
+    settings = Settings(compact_entries=COMPACT_ENTRIES, compact_bytes=1_000_000, keep_bytes=1_000_000)
+    with limits_of(settings):
+        world = calm_world(CALM, 9)
+        process = follower(world)
+        machine = process.machine
+        world.kill(machine)
+        for _ in range(3 * COMPACT_ENTRIES):
+            world.propose(owner_of(world))
+            world.run(world.now + 0.004)
+        world.boot(machine)
+        late = machine.process
+        assert late is not None
+        turns = count_turns(late)
+        world.run_until(lambda: late.group.applied_index == owner_of(world).group.applied_index, 2.0)
+        assert max(turns) == APPLY_AT_ONCE
+        assert sum(turns) >= 2 * COMPACT_ENTRIES
+        owner = owner_of(world).group.replica.core.log
+        assert owner.snapshot is not None
+        assert owner.last_index - owner.snapshot.index <= COMPACT_ENTRIES + 20
+        world.finish()
--- a/tests/replication/world.py
+++ b/tests/replication/world.py
@@ -374,6 +374,7 @@
         for module, name, value in (
             (group_module, "COMPACT_BYTES", settings.compact_bytes),
             (group_module, "KEEP_BYTES", settings.keep_bytes),
+            (group_module, "COMPACT_ENTRIES", settings.compact_entries),
             (leadership_module, "MAXIMUM_APPEND_BYTES", settings.append_bytes),
             (voting_module, "RESERVATION", -1.0 if settings.contention else voting_module.RESERVATION),
         ):
