--- a/firvane/router/upstream_connection.py
+++ b/firvane/router/upstream_connection.py
@@ -68,12 +68,13 @@
 
     def take(self, request_id: bytes) -> UpstreamConnection | None:
         """The newest idle connection that may carry this request; what is no longer usable is closed."""
-        for connection in reversed(self.idle.copy()):
+        for position in range(len(self.idle) - 1, -1, -1):
+            connection = self.idle[position]
             if not connection.usable():
-                self.idle.remove(connection)
+                del self.idle[position]
                 connection.close()
             elif request_id not in connection.refused:
-                self.idle.remove(connection)
+                del self.idle[position]
                 return connection
         return None
 
--- a/firvane/storage/filesystem.py
+++ b/firvane/storage/filesystem.py
@@ -76,9 +76,7 @@
     """The file system of the operating system."""
 
     def make_directory(self, path: str) -> None:
-        if os.path.isdir(path):
-            return
-        os.makedirs(path, exist_ok=True)
+        os.makedirs(path, exist_ok=True)  # one that is there may be of a life that was killed before its sync
         self.sync_directory(os.path.dirname(path) or ".")
 
     def names(self, path: str) -> list[str]:
