--- a/tests/router/test_proxying.py
+++ b/tests/router/test_proxying.py
@@ -280,3 +280,31 @@
             assert len(backend.requests) == 1
 
     run(scene())
+
+
+def test_a_refusal_that_comes_twice_never_answers_the_next_try() -> None:
+    """Found by the model of connections: the second copy bears the very id of the next try."""
+    refusal = b"HTTP/1.1 503 Busy\r\nX-Request-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+    first: list[asyncio.StreamWriter] = []
+
+    async def refuse_twice(
+        request: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if not first:
+            first.append(writer)
+            writer.write(refusal % request_id(request))
+            return
+        first[0].write(refusal % request_id(request))  # the copy arrives before the answer
+        await first[0].drain()
+        await whole_stream(request, reader, writer)
+
+    async def scene() -> None:
+        backend = Backend("a", refuse_twice)
+        async with rig([backend]) as made:
+            made.decisions.backends.append("a")  # the next try goes to the same backend
+            answer = await made.ask(CLOSING % b"one")
+            assert answer.startswith(b"HTTP/1.1 200")
+            assert body_of(answer) == b"".join(map(event, (1, 2, 3)))
+            assert len(backend.requests) == 2 and backend.connections == 2
+
+    run(scene())
--- a/tests/storage/test_filesystem.py
+++ b/tests/storage/test_filesystem.py
@@ -13,7 +13,7 @@
 def test_a_folder_lasts_once_it_is_made_whoever_made_it(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, exists: bool
 ) -> None:
-    """A process that is killed between making a folder and the sync leaves a name that power may take away."""
+    """A process that is killed between making a folder and its sync leaves a name that may be lost."""
     files, synced = SystemFileSystem(), list[str]()
     monkeypatch.setattr(files, "sync_directory", synced.append)
     folder = tmp_path / "group-0"
