--- a/Makefile
+++ b/Makefile
@@ -47,3 +47,5 @@
 	cp -f ../given/kit/more/mass/other/real.json ../given/kit/more/mass/other/wire.json \
 		../given/kit/more/mass/other/unlock.txt deploy/sites/
 	chmod u+w deploy/sites/*.json deploy/sites/unlock.txt
+	cp -f ../given/kit/more/system/sites/wire.json benchmarks/fleet_days/sites/
+	chmod u+w benchmarks/fleet_days/sites/wire.json
