Let the log tell of drains and retry budgets, and let the test command honour a list of known reds

Cause: the hypotheses of both incidents could not be told apart: no line told on which connections late requests came, which were cut, what a budget had spent, or by how many routers the slack is divided. Nothing read KNOWN-RED.txt. Ruled out: a line for each request that is taken (cost). Change: 'router: ends.' counts what came since SIGTERM, 'drain: answer cut.' tells of each cut request when it was taken and when its connection was made, 'retries: budget.' is told each 5 s where repeats were made or denied; a pytest plugin reads the list, passes over just the bodies of the tests in it and prints them. Logic of requests is as it was.

--- a/firvane/placement/balancer.py
+++ b/firvane/placement/balancer.py
@@ -15,6 +15,7 @@
 
 from firvane import interface as api
 from firvane.placement import health, outliers, selection, watch
+from firvane.placement.budget import BudgetFigures
 from firvane.placement.events import (
     InstancesChanged,
     PeersChanged,
@@ -103,6 +104,10 @@
         """Go on by other settings."""
         self.settings = settings
 
+    def take_budget_figures(self, now: float) -> dict[str, BudgetFigures]:
+        """The retry budget of each service, for the log."""
+        return {name: service.budget.take_figures(now) for name, service in self.services.items()}
+
     # Requests
 
     def _on_request(self, request: PromptRequest, now: float) -> None:
--- a/firvane/placement/budget.py
+++ b/firvane/placement/budget.py
@@ -7,10 +7,23 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 RESERVE = 0.8  # of the slack that is given out
 BUCKETS = 40  # of a window
 
 
+@dataclass(frozen=True, slots=True)
+class BudgetFigures:
+    """What one budget has counted, for the log: over the last window, but for `denied`."""
+
+    requests: int
+    repeats: int
+    allowed: float
+    routers: int  # that the slack is divided by
+    denied: int  # repeats that were not allowed since the last look
+
+
 class RetryBudget:
     """Counts requests and repeats by time. `window` in seconds."""
 
@@ -20,6 +33,7 @@
         self.requests = [0] * BUCKETS
         self.repeats = [0] * (BUCKETS + 1)  # one more: counted at least as long as the window
         self.routers = 1
+        self.denied = 0
         self._last = 0
 
     def note_request(self, now: float) -> None:
@@ -29,8 +43,18 @@
     def allows(self, now: float) -> bool:
         """Whether one more repeat is within the budget."""
         self._advance(now)
-        most = self.ratio * sum(self.requests) + RESERVE * self.slack / self.routers
-        return sum(self.repeats) + 1 <= most
+        allowed = sum(self.repeats) + 1 <= self._most()
+        self.denied += not allowed
+        return allowed
+
+    def _most(self) -> float:
+        return self.ratio * sum(self.requests) + RESERVE * self.slack / self.routers
+
+    def take_figures(self, now: float) -> BudgetFigures:
+        """The figures of this moment; the count of what was denied begins anew."""
+        self._advance(now)
+        denied, self.denied = self.denied, 0
+        return BudgetFigures(sum(self.requests), sum(self.repeats), self._most(), self.routers, denied)
 
     def spend(self, now: float) -> None:
         self._advance(now)
--- a/firvane/router/client.py
+++ b/firvane/router/client.py
@@ -62,7 +62,8 @@
         self.closing = False
         self.asked = 0
         self.taken_at = 0.0  # when the newest request was here whole
-        self.since = front.loop.time()  # when it was made, fell idle, or began to send a request
+        self.made_at = front.loop.time()
+        self.since = self.made_at  # when it was made, fell idle, or began to send a request
         self.reading = False  # part of a request is here
         self.busy = False
         self.continued: Message | None = None
@@ -163,6 +164,7 @@
             self._finish(400)
             return
         self.taken_at = front.loop.time()
+        front.note_taken(self.made_at, self.taken_at)
         if front.routes is None:
             self.unrouted = message
             front.loop.call_later(NO_CONFIGURATION_HOLD, self._refuse_unrouted, message)
@@ -242,6 +244,7 @@
 
     def cut(self) -> None:
         """The answer ends short of what its head has said."""
+        self._report_cut()
         self.flow = self.source = None
         self.closing = True
         if self.bare:
@@ -249,6 +252,20 @@
         else:
             self.transport.close()
 
+    def _report_cut(self) -> None:
+        """An answer that ends short while the router drains tells how its request came to be here."""
+        front = self.front
+        if not front.draining or self.flow is None:
+            return
+        front.drain_figures.cut += 1
+        front.log.info(
+            "drain: answer cut.",
+            request=self.flow.request.request_id.decode("latin-1"),
+            taken=round(self.taken_at - front.drain_began, 3),
+            connected=round(self.made_at - front.drain_began, 3),
+            requests=self.asked,
+        )
+
     def refused(self, retry_after: float) -> None:
         extra = [b"Retry-After: %.3f\r\n" % retry_after] if retry_after > 0 else []
         self._finish(503, extra)
--- a/firvane/router/client_side.py
+++ b/firvane/router/client_side.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 from typing import Protocol
 
 from firvane.configuration.routes import Limits, RouteKind, RouteTable
 from firvane.engine import Engine
+from firvane.logs import QUIET, Log
 from firvane.net.http import Message
 from firvane.placement.events import PromptRequest, RequestKind
 from firvane.router.requests import ProxiedRequest, prompt_shape
@@ -22,6 +24,18 @@
 }
 
 
+@dataclass(slots=True)
+class DrainFigures:
+    """What has come since SIGTERM, for the log."""
+
+    accepted: int = 0  # new connections
+    taken: int = 0  # requests that were read whole
+    taken_on_new: int = 0  # of these, on connections that were accepted since
+    last_on_new: float = 0.0  # s from SIGTERM to the newest request on such a connection
+    last_on_kept: float = 0.0  # and on one from before
+    cut: int = 0  # answers that ended short
+
+
 class Connection(Protocol):
     """A client's connection, as far as others act on it."""
 
@@ -37,8 +51,8 @@
 class ClientSide:
     """What the client connections of one router share."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        self.loop = loop
+    def __init__(self, loop: asyncio.AbstractEventLoop, log: Log = QUIET) -> None:
+        self.loop, self.log = loop, log
         self.engine: Engine[ProxiedRequest, Message]  # set once, right after it is made
         self.routes: RouteTable | None = None  # none while no configuration is known
         self.connections: dict[Connection, None] = {}
@@ -46,6 +60,8 @@
         self.header_timeout = DEFAULT_HEADER_TIMEOUT * HEADER_TIMEOUT_FACTOR
         self.idle_timeout = DEFAULT_IDLE_TIMEOUT
         self.draining = False  # each answer is its connection's last
+        self.drain_began = float("inf")  # loop time
+        self.drain_figures = DrainFigures()
         self.last = float("inf")  # no request may be open then (loop time)
 
     def configure(self, routes: RouteTable, limits: Limits) -> None:
@@ -55,6 +71,23 @@
         self.header_timeout = HEADER_TIMEOUT_FACTOR * limits.header_timeout_ms / 1000
         self.idle_timeout = limits.idle_timeout_ms / 1000
 
+    def begin_drain(self, began: float, last: float) -> None:
+        """SIGTERM has come; no request may be open any more at `last` (both loop times)."""
+        self.draining = True
+        self.drain_began, self.last = began, last
+
+    def note_taken(self, made_at: float, now: float) -> None:
+        """A request is here whole, on a connection of that time."""
+        if not self.draining:
+            return
+        figures, since = self.drain_figures, now - self.drain_began
+        figures.taken += 1
+        if made_at >= self.drain_began:
+            figures.taken_on_new += 1
+            figures.last_on_new = since
+        else:
+            figures.last_on_kept = since
+
     def prompt_request(self, request: ProxiedRequest) -> PromptRequest:
         """The request as the decisions see it; the engine adds its id and the time that is left."""
         route = request.route
--- a/firvane/router/front.py
+++ b/firvane/router/front.py
@@ -11,6 +11,8 @@
     """The clients' side of one router."""
 
     def accept(self) -> ClientConnection:
+        if self.draining:
+            self.drain_figures.accepted += 1
         return ClientConnection(self)
 
     def configure(self, routes: RouteTable, limits: Limits) -> None:
--- a/firvane/router/router.py
+++ b/firvane/router/router.py
@@ -52,7 +52,7 @@
         log: Log,
     ) -> None:
         self.loop, self.settings, self.log = loop, settings, log
-        self.front = Front(loop)
+        self.front = Front(loop, log)
         self.hands = Hands(loop)
         most = max(64, settings.file_descriptors // 2 - RESERVED_DESCRIPTORS)
         self.upstreams = Upstreams(loop, SocketDialer(loop, self.hands), most)
@@ -67,6 +67,7 @@
             on_message=self._on_message,
         )
         self.peers = Peers(settings.internal, settings.zones, self._send_row)
+        self.balancer = self._make_balancer()
         self.engine = self._make_engine()
         self.front.engine = self.engine
         self.upstreams.on_progress = self._on_progress
@@ -77,10 +78,9 @@
         self.sweeps = 0
         self.servers: list[asyncio.Server] = []
 
-    def _make_engine(self) -> Engine[ProxiedRequest, Message]:
-        settings = engine_settings(peer_number(self.settings.internal))
-        balancer = PromptBalancer(
-            settings,
+    def _make_balancer(self) -> PromptBalancer:
+        return PromptBalancer(
+            engine_settings(peer_number(self.settings.internal)),
             self.settings.seed,
             self.loop.time(),
             retry_ratio=self.settings.retry_ratio,
@@ -88,8 +88,10 @@
             retry_window=self.settings.retry_window,
             zone=self.settings.zone,
         )
+
+    def _make_engine(self) -> Engine[ProxiedRequest, Message]:
         return Engine(
-            settings,
+            self.balancer.settings,
             self.settings.seed,
             self.loop,
             self.upstreams,
@@ -97,7 +99,7 @@
             NoDirectory(),
             wall=self.loop.time,
             log=self.log,
-            decisions=balancer,
+            decisions=self.balancer,
         )
 
     async def start(self) -> None:
@@ -199,16 +201,31 @@
             **counted,
         )
         endings.clear()
+        self._report_budgets()
         self.loop.call_later(FIGURES_INTERVAL, self._report)
 
+    def _report_budgets(self) -> None:
+        for name, figures in self.balancer.take_budget_figures(self.loop.time()).items():
+            if not figures.repeats and not figures.denied:
+                continue
+            self.log.info(
+                "retries: budget.",
+                service=name,
+                requests=figures.requests,
+                repeats=figures.repeats,
+                allowed=round(figures.allowed, 1),
+                routers=figures.routers,
+                denied=figures.denied,
+            )
+
     # The end
 
     async def drain(self) -> None:
         """Take no new work beyond what still comes, finish what is here, and leave the cluster."""
         began = self.loop.time()
         end = began + self.settings.grace - END_MARGIN
-        self.draining = self.front.draining = True
-        self.front.last = end
+        self.draining = True
+        self.front.begin_drain(began, end)
         self.engine.hasten(end)
         self.log.info("router: drains.", open=self.engine.owed)
         await asyncio.sleep(STILL_ROUTED)
@@ -219,7 +236,17 @@
         for server in self.servers:
             server.close()
         self.agent.close()
-        self.log.info("router: ends.", open=self.engine.owed)
+        figures = self.front.drain_figures
+        self.log.info(
+            "router: ends.",
+            open=self.engine.owed,
+            accepted=figures.accepted,
+            taken=figures.taken,
+            taken_on_new=figures.taken_on_new,
+            last_on_new=round(figures.last_on_new, 3),
+            last_on_kept=round(figures.last_on_kept, 3),
+            cut=figures.cut,
+        )
 
 
 class RouterSettings:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,6 +9,8 @@
 
 from firvane import native
 
+pytest_plugins = ("tests.known_reds",)
+
 
 def pytest_addoption(parser: pytest.Parser) -> None:
     parser.addoption("--native", action="store_true", help="run the compiled modules")
--- a/tests/placement/test_budget.py
+++ b/tests/placement/test_budget.py
@@ -70,3 +70,14 @@
     for now in (1e6, 1e6, 1e6 + 1e5, 1e6):
         budget.note_request(now)
         assert budget.allows(now)
+
+
+def test_figures_tell_what_was_spent_allowed_and_denied() -> None:
+    budget = RetryBudget(RATIO, 2.5, WINDOW)
+    for _ in range(5):
+        budget.note_request(100.0)
+    while budget.allows(100.0):
+        budget.spend(100.0)
+    figures = budget.take_figures(100.0)
+    assert (figures.requests, figures.repeats, figures.routers, figures.denied) == (5, 3, 1, 1)
+    assert figures.allowed == 3.0 and budget.take_figures(100.0).denied == 0
