Bound repeats by a token bucket that begins empty, so that lives of a router cannot add up beyond the budget

Cause: a router allowed itself a fifth of its requests of the last 10 s and its part of the slack, by counts in its memory. A kill forgets them: the next life spends anew within the same window of the rule. The slack was divided by the routers whose rows are heard, so that routers that do not hear each other share it out several times. Class: a bound over time or over the fleet that rests on memory which a crash or a partition takes away. Ruled out: peers that remember a router's spending (all may be killed at once), nothing to spend for a window after a start (ten seconds without repeats after each restart), a store at the controllers (killed at the same moment). Change: RetryBudget is a token bucket; Sharers counts the most routers known at once within 300 s. Tests that were changed with it, each as strict: an idle router had its part of the slack at once, now one that has had requests has it; repeats were given back by time, now by requests alone; figures tell tokens.

--- a/firvane/placement/balancer.py
+++ b/firvane/placement/balancer.py
@@ -55,15 +55,14 @@
         *,
         retry_ratio: float = 0.2,
         retry_slack: float = 0.0,
-        retry_window: float = 10.0,
         zone: str = "",
     ) -> None:
-        """`retry_*`: the retry budget of each service over all routers, its window in s.
+        """`retry_*`: the retry budget of each service over all routers.
 
         `zone` is the name of the own zone as instances tell it; without it, zones do not matter.
         """
         self.settings, self.random = settings, random.Random(seed)
-        limits = RetryLimits(retry_ratio, retry_slack, retry_window)
+        limits = RetryLimits(retry_ratio, retry_slack)
         self.services = Services(settings.me, limits, zone, self.random)
         self.jobs: dict[int, Job] = {}
         self.held = HoldQueue()
--- a/firvane/placement/budget.py
+++ b/firvane/placement/budget.py
@@ -1,8 +1,18 @@
 """The retry budget of one service: this router's part of what all routers together may spend.
 
-Within each window of the rule the arrivals beyond the first of each request stay below
-`ratio` x requests + `slack`, over all routers. Each router spends at most `ratio` x its own requests and its
-part of the slack, with a reserve for routers that start anew and forget what they have spent.
+In any window the arrivals beyond the first of each request must stay below `ratio` x requests + `slack`,
+over all routers. A router may be killed at any moment, and forgets all that it has counted. So nothing here
+depends on what was spent before:
+
+1. Each router keeps a bucket of tokens. A request puts `ratio` tokens in, a repeat takes one out, and no more
+   are kept than the router's part of the slack.
+2. A new process begins with an empty bucket. Whatever the process before it has spent, its own requests had
+   paid for, or the tokens that it kept.
+3. The slack is divided by all routers that may be there, heard or not: by the most that were known at once
+   for as long as a partition may last (`Sharers`).
+
+Over any span, and whoever is killed in it, the repeats are at most `ratio` x the requests in it, and the
+tokens that were kept when it began: at most `RESERVE` x the slack.
 """
 
 from __future__ import annotations
@@ -10,69 +20,84 @@
 from dataclasses import dataclass
 
 RESERVE = 0.8  # of the slack that is given out
-BUCKETS = 40  # of a window
+LEAST_CAPACITY = 1.0  # tokens: a bucket that holds less never allows a repeat
+ROUNDING = 1e-9  # of sums of tokens
+SHARER_MEMORY = 300.0  # s for which a router that has left the membership still counts as one that may spend
+
+
+class Sharers:
+    """How many routers may spend from one budget: the most that were known at once within the memory."""
+
+    def __init__(self) -> None:
+        self._known = 1
+        self._former: list[tuple[int, float]] = []  # larger counts, and until when they held; largest first
+
+    def note(self, count: int, now: float) -> None:
+        """So many routers are known from now on, this one included."""
+        if count < self._known:
+            self._former = [each for each in self._former if each[0] > self._known]
+            self._former.append((self._known, now))
+        self._known = max(1, count)
+
+    def count(self, now: float) -> int:
+        """The divisor of the slack."""
+        while self._former and self._former[0][1] < now - SHARER_MEMORY:
+            del self._former[0]
+        return max(self._known, self._former[0][0] if self._former else 1)
 
 
 @dataclass(frozen=True, slots=True)
 class BudgetFigures:
-    """What one budget has counted, for the log: over the last window, but for `denied`."""
+    """What one budget tells the log; the counts are since the last look."""
 
+    tokens: float
+    capacity: float
     requests: int
     repeats: int
-    allowed: float
-    routers: int  # that the slack is divided by
-    denied: int  # repeats that were not allowed since the last look
+    denied: int  # repeats that were not allowed
 
 
 class RetryBudget:
-    """Counts requests and repeats by time. `window` in seconds."""
+    """A bucket of tokens, one for each repeat that may be made."""
+
+    def __init__(self, ratio: float, slack: float, sharers: Sharers) -> None:
+        self.ratio, self.slack, self.sharers = ratio, slack, sharers
+        self._tokens = 0.0
+        self._requests = self._repeats = self._denied = 0
 
-    def __init__(self, ratio: float, slack: float, window: float) -> None:
-        self.ratio, self.slack = ratio, slack
-        self.span = window / BUCKETS
-        self.requests = [0] * BUCKETS
-        self.repeats = [0] * (BUCKETS + 1)  # one more: counted at least as long as the window
-        self.routers = 1
-        self.denied = 0
-        self._last = 0
+    def capacity(self, now: float) -> float:
+        """The most tokens that are kept."""
+        return max(LEAST_CAPACITY, RESERVE * self.slack / self.sharers.count(now))
 
     def note_request(self, now: float) -> None:
-        self._advance(now)
-        self.requests[self._last % BUCKETS] += 1
+        """A request has come: it pays for a part of a repeat."""
+        self._requests += 1
+        self._add(self.ratio, now)
 
     def allows(self, now: float) -> bool:
         """Whether one more repeat is within the budget."""
-        self._advance(now)
-        allowed = sum(self.repeats) + 1 <= self._most()
-        self.denied += not allowed
+        self._add(0.0, now)
+        allowed = self._tokens >= 1.0 - ROUNDING
+        self._denied += not allowed
         return allowed
 
-    def _most(self) -> float:
-        return self.ratio * sum(self.requests) + RESERVE * self.slack / self.routers
-
-    def take_figures(self, now: float) -> BudgetFigures:
-        """The figures of this moment; the count of what was denied begins anew."""
-        self._advance(now)
-        denied, self.denied = self.denied, 0
-        return BudgetFigures(sum(self.requests), sum(self.repeats), self._most(), self.routers, denied)
-
     def spend(self, now: float) -> None:
-        self._advance(now)
-        self.repeats[self._last % (BUCKETS + 1)] += 1
+        """A repeat goes out."""
+        self._repeats += 1
+        self._tokens -= 1.0
 
     def refund(self, now: float) -> None:
         """A repeat reached no backend."""
-        self._advance(now)
-        place = self._last % (BUCKETS + 1)
-        if self.repeats[place]:
-            self.repeats[place] -= 1
-
-    def _advance(self, now: float) -> None:
-        """Clear the buckets that have passed since the last call."""
-        number = int(now / self.span)
-        if number <= self._last:
-            return
-        for passed in range(max(self._last + 1, number - BUCKETS), number + 1):
-            self.requests[passed % BUCKETS] = 0
-            self.repeats[passed % (BUCKETS + 1)] = 0
-        self._last = number
+        self._repeats -= 1
+        self._add(1.0, now)
+
+    def _add(self, tokens: float, now: float) -> None:
+        """Put tokens in; the capacity may also have become smaller."""
+        self._tokens = min(self.capacity(now), self._tokens + tokens)
+
+    def take_figures(self, now: float) -> BudgetFigures:
+        """The figures of this moment; the counts begin anew."""
+        self._add(0.0, now)
+        figures = BudgetFigures(self._tokens, self.capacity(now), self._requests, self._repeats, self._denied)
+        self._requests = self._repeats = self._denied = 0
+        return figures
--- a/firvane/placement/exchange.py
+++ b/firvane/placement/exchange.py
@@ -89,6 +89,7 @@
     def update(self, event: PeersChanged, now: float) -> bool:
         """The membership has changed; whether these are the first peers, which are to be asked for rows."""
         was_alone = not self.peers.others()
+        self.services.sharers.note(len(event.numbers), now)
         for number in self.peers.update(event.numbers, event.zones, now):
             announcement.forget_peer(number, self.services.values())
         self.refresh(now)
--- a/firvane/placement/service.py
+++ b/firvane/placement/service.py
@@ -56,7 +56,6 @@
     def assign(self, routers: Sequence[int]) -> None:
         """The live routers are these now."""
         self.routers = routers
-        self.budget.routers = max(1, len(routers))
         self._deal()
 
     def update(self, instances: Sequence[Instance]) -> None:
--- a/firvane/placement/services.py
+++ b/firvane/placement/services.py
@@ -6,17 +6,16 @@
 from dataclasses import dataclass
 from random import Random
 
-from firvane.placement.budget import RetryBudget
+from firvane.placement.budget import RetryBudget, Sharers
 from firvane.placement.service import Service
 
 
 @dataclass(frozen=True, slots=True)
 class RetryLimits:
-    """The retry budget of each service over all routers; `window` in seconds."""
+    """The retry budget of each service over all routers, for any window of the rule."""
 
     ratio: float
     slack: float
-    window: float
 
 
 class Services(dict[str, Service]):
@@ -26,9 +25,10 @@
         super().__init__()
         self.me, self.limits, self.zone, self.random = me, limits, zone, random
         self.routers: Sequence[int] = (me,)
+        self.sharers = Sharers()  # of the retry budgets
 
     def __missing__(self, name: str) -> Service:
-        budget = RetryBudget(self.limits.ratio, self.limits.slack, self.limits.window)
+        budget = RetryBudget(self.limits.ratio, self.limits.slack, self.sharers)
         found = self[name] = Service(name, self.me, budget, self.zone)
         found.assign(self.routers)
         return found
--- a/firvane/programs/router.py
+++ b/firvane/programs/router.py
@@ -47,7 +47,6 @@
         grace=settings.bounds.grace_s,
         retry_ratio=settings.bounds.retry_budget_ratio,
         retry_slack=settings.bounds.retry_slack,
-        retry_window=settings.bounds.budget_window_s,
     )
 
 
--- a/firvane/router/router.py
+++ b/firvane/router/router.py
@@ -85,7 +85,6 @@
             self.loop.time(),
             retry_ratio=self.settings.retry_ratio,
             retry_slack=self.settings.retry_slack,
-            retry_window=self.settings.retry_window,
             zone=self.settings.zone,
         )
 
@@ -213,9 +212,9 @@
                 service=name,
                 requests=figures.requests,
                 repeats=figures.repeats,
-                allowed=round(figures.allowed, 1),
-                routers=figures.routers,
                 denied=figures.denied,
+                tokens=round(figures.tokens, 1),
+                capacity=round(figures.capacity, 1),
             )
 
     # The end
@@ -266,12 +265,11 @@
         grace: float,
         retry_ratio: float,
         retry_slack: float,
-        retry_window: float,
     ) -> None:
         self.internal, self.front, self.readiness, self.seeds = internal, front, readiness, seeds
         self.zone, self.zones, self.incarnation = zone, zones, incarnation
         self.file_descriptors, self.grace = file_descriptors, grace
-        self.retry_ratio, self.retry_slack, self.retry_window = retry_ratio, retry_slack, retry_window
+        self.retry_ratio, self.retry_slack = retry_ratio, retry_slack
         self.seed = random.Random(incarnation).getrandbits(32)
 
 
--- a/tests/placement/helpers.py
+++ b/tests/placement/helpers.py
@@ -49,6 +49,13 @@
         if servers:
             self.give(InstancesChanged(SERVICE, instances(servers)))
         self.next_id = 0
+        if slack:
+            self.fill_budget()
+
+    def fill_budget(self) -> None:
+        """The router has run for a while: its retry budget is what earlier requests have paid for."""
+        for _ in range(1000):
+            self.balancer.services[SERVICE].budget.note_request(self.now)
 
     def give(self, event: object, after: float = 0.0) -> list[api.Action]:
         self.now += after
--- a/tests/placement/test_silence.py
+++ b/tests/placement/test_silence.py
@@ -139,6 +139,7 @@
     server = one.balancer.services[SERVICE].servers[one.serve()]
     lost = 0
     for number in range(200):
+        one.fill_budget()  # what is lost is more than a fifth
         send = stuck(one, max_attempts=2, chain=((number, 300),))
         if send.server != server.id:
             one.begins(send)
