Take no request that may be cut at the end of a drain: refuse it whole, close the listener, end kept connections

Cause: after SIGTERM a router went on taking requests until its last moment, and only cut the time that they had; each taken later than 3 s and not answered by the end is lost, though its backend is at work. The log of 'drain: answer cut.' shows new connections alone: the platform uses routers that say no while fewer than half of a zone say yes. On kept connections requests were taken for 3.2 s, 0.2 s too long. Class: completion has an end and admission has none. Change: requests that are here whole later than 2.8 s after SIGTERM, or half of the time until the end, get a whole 503, whatever they came on; the listener and idle connections end then; a connection ends with the answer that is under way. The same class elsewhere: a controller that ends waited only for orders under way at that moment; it waits now also for those whose last byte comes then. The new test of the controller fails on the code before with asyncio's own loop, not with uvloop.

--- a/firvane/controller/http_server.py
+++ b/firvane/controller/http_server.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import enum
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -63,6 +64,7 @@
         self.bounds = bounds or Bounds()
         self.connections: set[Connection] = set()
         self.stopping = False
+        self._one_ended = asyncio.Event()
         self._server: asyncio.Server | None = None
 
     async def start(self, address: Address) -> None:
@@ -87,10 +89,21 @@
             connection.close_if_idle()
 
     async def drain(self, timeout: float) -> None:
-        """Wait up to `timeout` seconds for the requests that are under way."""
-        tasks = [connection.task for connection in self.connections if connection.task]
-        if tasks:
-            await asyncio.wait(tasks, timeout=timeout)
+        """Wait up to `timeout` seconds for the requests that are received, handled or answered.
+
+        One whose last byte comes only now is handled like the others: its operator would not know what became
+        of an order that is cut.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout):
+                while self.connections:
+                    self._one_ended.clear()
+                    await self._one_ended.wait()
+
+    def forget(self, connection: Connection) -> None:
+        """A connection has ended."""
+        self.connections.discard(connection)
+        self._one_ended.set()
 
     def close(self) -> None:
         """End everything at once."""
@@ -147,7 +160,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self._enter(State.CLOSED)
-        self.server.connections.discard(self)
+        self.server.forget(self)
 
     def data_received(self, data: bytes) -> None:
         if self.state in (State.HANDLING, State.WRITING):
--- a/firvane/router/client.py
+++ b/firvane/router/client.py
@@ -30,7 +30,7 @@
     answer_head,
     framed,
 )
-from firvane.router.client_side import ClientSide
+from firvane.router.client_side import LATE_PAUSE, ClientSide
 from firvane.router.requests import (
     REQUEST_ID,
     ProxiedRequest,
@@ -165,6 +165,10 @@
             return
         self.taken_at = front.loop.time()
         front.note_taken(self.made_at, self.taken_at)
+        if not front.takes_requests(self.taken_at):
+            front.drain_figures.late += 1
+            self.refused(LATE_PAUSE)
+            return
         if front.routes is None:
             self.unrouted = message
             front.loop.call_later(NO_CONFIGURATION_HOLD, self._refuse_unrouted, message)
@@ -298,6 +302,8 @@
             self.close()
         elif self.pending and not self.busy:
             self._advance()
+        if self.is_idle() and not self.front.takes_requests(self.since):
+            self.close()
 
     # Flow control
 
--- a/firvane/router/client_side.py
+++ b/firvane/router/client_side.py
@@ -17,6 +17,9 @@
 DEFAULT_HEADER_TIMEOUT = 3.0  # s for a request from its first byte to its last
 DEFAULT_IDLE_TIMEOUT = 15.0  # s between requests
 HEADER_TIMEOUT_FACTOR = 2.0  # a body may take longer than a head
+TAKEN_FOR = 2.8  # s from SIGTERM on in which requests are taken; the platform turns away within 2 s of it
+TAKEN_PART = 0.5  # of the time until the end, where that is less
+LATE_PAUSE = 0.05  # s asked for after that: others take the request at once
 KINDS = {
     RouteKind.IDEMPOTENT: RequestKind.IDEMPOTENT,
     RouteKind.NON_IDEMPOTENT: RequestKind.NON_IDEMPOTENT,
@@ -33,6 +36,7 @@
     taken_on_new: int = 0  # of these, on connections that were accepted since
     last_on_new: float = 0.0  # s from SIGTERM to the newest request on such a connection
     last_on_kept: float = 0.0  # and on one from before
+    late: int = 0  # requests that came after the last moment, and were refused
     cut: int = 0  # answers that ended short
 
 
@@ -61,6 +65,7 @@
         self.idle_timeout = DEFAULT_IDLE_TIMEOUT
         self.draining = False  # each answer is its connection's last
         self.drain_began = float("inf")  # loop time
+        self.take_until = float("inf")  # no request is taken that is here whole only later (loop time)
         self.drain_figures = DrainFigures()
         self.last = float("inf")  # no request may be open then (loop time)
 
@@ -75,6 +80,15 @@
         """SIGTERM has come; no request may be open any more at `last` (both loop times)."""
         self.draining = True
         self.drain_began, self.last = began, last
+        self.take_until = began + min(TAKEN_FOR, TAKEN_PART * (last - began))
+
+    def takes_requests(self, now: float) -> bool:
+        """Whether a request that is here whole now is passed on.
+
+        One that is taken late may be cut at the end while its backend is at work: then it is lost, and nobody
+        may send it again. So it is refused while it has surely not run.
+        """
+        return now < self.take_until
 
     def note_taken(self, made_at: float, now: float) -> None:
         """A request is here whole, on a connection of that time."""
--- a/firvane/router/router.py
+++ b/firvane/router/router.py
@@ -37,7 +37,6 @@
 SWEEP_INTERVAL = 0.05  # s between looks at silent streams
 SLOW_SWEEPS = 10  # sweeps between looks at idle connections
 FIGURES_INTERVAL = 5.0  # s between lines of figures in the log
-STILL_ROUTED = 3.2  # s after SIGTERM in which the platform may still send new connections
 END_MARGIN = 0.8  # s before the end of the grace by which all answers are out
 LAST_LOOK = 0.05  # s between looks for what is still open at the end
 
@@ -77,6 +76,7 @@
         self.draining = False
         self.sweeps = 0
         self.servers: list[asyncio.Server] = []
+        self.front_server: asyncio.Server  # set by `start`
 
     def _make_balancer(self) -> PromptBalancer:
         return PromptBalancer(
@@ -104,7 +104,7 @@
     async def start(self) -> None:
         self.hands.start()
         await self.agent.start()
-        await self._listen(self.settings.front, self.front.accept)
+        self.front_server = await self._listen(self.settings.front, self.front.accept)
         await self._listen(self.settings.readiness, self._accept_question)
         self._on_members()
         self.engine.start()
@@ -112,11 +112,12 @@
         self.loop.call_later(FIGURES_INTERVAL, self._report)
         self.log.info("router: listens.", front=f"{self.settings.front[0]}:{self.settings.front[1]}")
 
-    async def _listen(self, address: Address, factory: Callable[[], asyncio.BaseProtocol]) -> None:
+    async def _listen(self, address: Address, factory: Callable[[], asyncio.BaseProtocol]) -> asyncio.Server:
         server = await self.loop.create_server(
             factory, address[0], address[1], backlog=BACKLOG, reuse_address=True
         )
         self.servers.append(server)
+        return server
 
     def _accept_question(self) -> ReadinessConnection:
         return ReadinessConnection(self.is_ready, self.members_call)
@@ -227,7 +228,8 @@
         self.front.begin_drain(began, end)
         self.engine.hasten(end)
         self.log.info("router: drains.", open=self.engine.owed)
-        await asyncio.sleep(STILL_ROUTED)
+        await asyncio.sleep(self.front.take_until - began)
+        self.front_server.close()
         self.front.close_idle()
         while self.loop.time() < end + LAST_LOOK and self.front.connections:
             await asyncio.sleep(LAST_LOOK)
@@ -244,6 +246,7 @@
             taken_on_new=figures.taken_on_new,
             last_on_new=round(figures.last_on_new, 3),
             last_on_kept=round(figures.last_on_kept, 3),
+            late=figures.late,
             cut=figures.cut,
         )
 
--- a/tests/controller/test_http_server.py
+++ b/tests/controller/test_http_server.py
@@ -334,3 +334,58 @@
     assert answer.startswith(b"HTTP/1.1 307 Temporary Redirect\r\n")
     assert b"Location: http://127.0.0.1:1/x\r\n" in answer
     assert answer.endswith(b"{}")
+
+
+@pytest.mark.parametrize("loop_factory", [asyncio.new_event_loop, uvloop.new_event_loop])
+def test_the_end_waits_for_a_request_whose_last_byte_comes_only_then(loop_factory: LoopFactory) -> None:
+    async def scene() -> bytes:
+        loop = asyncio.get_running_loop()
+        handled = asyncio.Event()
+
+        async def handle(request: Message) -> Response:
+            await handled.wait()
+            return Response(200, b"{}")
+
+        server = HttpServer(loop, handle, QUIET)
+        await server.start(("127.0.0.1", 0))
+        reader, writer = await asyncio.open_connection(*server.address())
+        order = with_length(bytes(1000))
+        writer.write(order[:-1])
+        while not any(connection.state is State.BODY for connection in server.connections):
+            await asyncio.sleep(0)
+        server.stop_accepting()
+        ending = loop.create_task(server.drain(5.0))
+        writer.write(order[-1:])
+        while not any(connection.state is State.HANDLING for connection in server.connections):
+            await asyncio.sleep(0)
+        assert not ending.done()
+        handled.set()
+        await ending
+        server.close()
+        answer = await reader.read()
+        writer.close()
+        return answer
+
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
+        answer = runner.run(scene())
+    assert answer.startswith(b"HTTP/1.1 200 ") and answer.endswith(b"{}")
+
+
+def test_the_end_does_not_wait_for_ever() -> None:
+    async def scene() -> None:
+        async def handle(request: Message) -> Response:
+            raise AssertionError("nothing whole comes")
+
+        server = HttpServer(asyncio.get_running_loop(), handle, QUIET)
+        await server.start(("127.0.0.1", 0))
+        _, writer = await asyncio.open_connection(*server.address())
+        writer.write(b"POST ")
+        while not any(connection.state is State.HEAD for connection in server.connections):
+            await asyncio.sleep(0)
+        server.stop_accepting()
+        await server.drain(0.02)
+        assert server.connections
+        server.close()
+        writer.close()
+
+    asyncio.run(asyncio.wait_for(scene(), 10))
--- a/tests/router/test_drain.py
+++ b/tests/router/test_drain.py
@@ -5,8 +5,11 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+import pytest
+
 from tests.router.helpers import REQUEST, STREAM_HEAD, Backend, Rig, chunk, event, request_id, rig
 
+LAST_CHUNK = b"0\r\n\r\n"
 SENT_LATEST = 3.0  # s after SIGTERM; a request that is sent later has to be answered whole
 
 
@@ -15,6 +18,15 @@
     await asyncio.Event().wait()
 
 
+async def whole_stream(request: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    writer.write(STREAM_HEAD % request_id(request) + chunk(event(1)) + LAST_CHUNK)
+
+
+async def until(holds: Callable[[], bool]) -> None:
+    while not holds():
+        await asyncio.sleep(0)
+
+
 def play(scene: Callable[[Rig, Backend], Awaitable[None]]) -> None:
     async def whole() -> None:
         backend = Backend("a", never_ends)
@@ -40,3 +52,102 @@
         assert answer.startswith(b"HTTP/1.1 503 ") and b"Connection: close" in answer
 
     play(scene)
+
+
+def test_a_request_on_a_kept_connection_is_served_early_and_refused_late() -> None:
+    async def scene(made: Rig, backend: Backend) -> None:
+        backend.handler = whole_stream
+        for since, status in ((1.0, b"200"), (SENT_LATEST + 0.5, b"503")):
+            reader, writer = await made.connect()
+            writer.write(REQUEST % b"before")
+            await reader.readuntil(LAST_CHUNK)
+            drain(made, since)
+            writer.write(REQUEST % b"after")
+            answer = await reader.read()
+            assert answer.startswith(b"HTTP/1.1 " + status)
+            assert b"Connection: close" in answer
+            assert answer.endswith(LAST_CHUNK if status == b"200" else b"503\n")
+            made.front.draining, made.front.take_until = False, float("inf")
+            writer.close()
+        assert [request_id(each) for each in backend.requests] == [b"before", b"after", b"before"]
+
+    play(scene)
+
+
+def test_what_stands_behind_an_answer_that_began_before_sigterm_has_a_whole_answer() -> None:
+    """The head of the first answer could not say yet that the connection will be closed."""
+
+    async def scene(made: Rig, backend: Backend) -> None:
+        go_on = asyncio.Event()
+
+        async def in_two_parts(
+            request: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(STREAM_HEAD % request_id(request) + chunk(event(1)))
+            await go_on.wait()
+            writer.write(chunk(event(2)) + LAST_CHUNK)
+
+        backend.handler = in_two_parts
+        reader, writer = await made.connect()
+        writer.write(REQUEST % b"first" + REQUEST % b"second")
+        head = await reader.readuntil(b"data: 1\n\n")
+        assert b"Connection: close" not in head
+        drain(made, since=SENT_LATEST + 1.0)
+        go_on.set()
+        rest = await reader.read()
+        first, _, second = rest.partition(LAST_CHUNK)
+        assert b"data: 2\n\n" in first
+        assert second.startswith(b"HTTP/1.1 503 ") and second.endswith(b"503\n")
+        assert [request_id(each) for each in backend.requests] == [b"first"]
+        writer.close()
+
+    play(scene)
+
+
+def test_a_request_whose_last_byte_comes_late_has_a_whole_answer_and_is_not_passed_on() -> None:
+    async def scene(made: Rig, backend: Backend) -> None:
+        reader, writer = await made.connect()
+        request = REQUEST % b"slow"
+        writer.write(request[:-2])
+        await until(lambda: any(each.reading for each in made.front.connections))
+        drain(made, since=SENT_LATEST + 1.0)
+        made.front.close_idle()  # it is not idle
+        writer.write(request[-2:])
+        answer = await reader.read()
+        assert answer.startswith(b"HTTP/1.1 503 ") and answer.endswith(b"503\n") and not backend.requests
+        writer.close()
+
+    play(scene)
+
+
+def test_a_connection_ends_with_the_answer_that_is_under_way_once_no_request_is_taken() -> None:
+    async def scene(made: Rig, backend: Backend) -> None:
+        go_on = asyncio.Event()
+
+        async def waits(request: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(STREAM_HEAD % request_id(request) + chunk(event(1)))
+            await go_on.wait()
+            writer.write(LAST_CHUNK)
+
+        backend.handler = waits
+        reader, writer = await made.connect()
+        writer.write(REQUEST % b"first")
+        await reader.readuntil(b"data: 1\n\n")
+        drain(made, since=SENT_LATEST + 1.0)
+        go_on.set()
+        assert (await reader.read()).endswith(LAST_CHUNK)  # and nothing is waited for
+        writer.close()
+
+    play(scene)
+
+
+@pytest.mark.parametrize(("grace", "taken_for"), ((7.2, 2.8), (4.0, 2.0), (0.5, 0.25)))
+def test_until_when_requests_are_taken(grace: float, taken_for: float) -> None:
+    """Within the 3 s in which a late end is excused, and with time to answer where the grace is short."""
+
+    async def scene(made: Rig, backend: Backend) -> None:
+        made.front.begin_drain(100.0, 100.0 + grace)
+        assert made.front.takes_requests(100.0 + taken_for - 0.001)
+        assert not made.front.takes_requests(100.0 + taken_for)
+
+    play(scene)
