Give a router's drain a module of its own

Ruled out: a change of what happens. Change: router/drain.py holds when the drain began, until when requests are taken, by when all is out, and the figures; the log line of the end is these figures.

--- a/firvane/router/client.py
+++ b/firvane/router/client.py
@@ -30,7 +30,8 @@
     answer_head,
     framed,
 )
-from firvane.router.client_side import LATE_PAUSE, ClientSide
+from firvane.router.client_side import ClientSide
+from firvane.router.drain import LATE_PAUSE
 from firvane.router.requests import (
     REQUEST_ID,
     ProxiedRequest,
@@ -164,9 +165,8 @@
             self._finish(400)
             return
         self.taken_at = front.loop.time()
-        front.note_taken(self.made_at, self.taken_at)
-        if not front.takes_requests(self.taken_at):
-            front.drain_figures.late += 1
+        front.drain.note_request(self.made_at, self.taken_at)
+        if not front.drain.takes_requests(self.taken_at):
             self.refused(LATE_PAUSE)
             return
         if front.routes is None:
@@ -196,7 +196,7 @@
             return
         waits_ms = client_deadline_ms(message)
         limit_ms = route.timeout_ms if waits_ms is None else min(waits_ms, route.timeout_ms)
-        deadline = min(self.taken_at + limit_ms / 1000, front.last)
+        deadline = min(self.taken_at + limit_ms / 1000, front.drain.end_by)
         request = ProxiedRequest(message, route, request_id)
         flow = Flow[ProxiedRequest, Message](request, self, deadline, request_id)
         flow.bounded = True
@@ -230,7 +230,7 @@
             length is None and self.flow is not None and self.flow.request.message.version == b"1.1"
         )
         self.bare = length is None and not self.chunked
-        self.keep = self.keep and not self.bare and not self.front.draining
+        self.keep = self.keep and not self.bare and not self.front.drain.has_begun
         if self.bare:
             resets(self.transport)
         self.transport.writelines(answer_head(message, self.chunked, not self.keep))
@@ -258,15 +258,15 @@
 
     def _report_cut(self) -> None:
         """An answer that ends short while the router drains tells how its request came to be here."""
-        front = self.front
-        if not front.draining or self.flow is None:
+        drain = self.front.drain
+        if not drain.has_begun or self.flow is None:
             return
-        front.drain_figures.cut += 1
-        front.log.info(
+        drain.figures.cut += 1
+        self.front.log.info(
             "drain: answer cut.",
             request=self.flow.request.request_id.decode("latin-1"),
-            taken=round(self.taken_at - front.drain_began, 3),
-            connected=round(self.made_at - front.drain_began, 3),
+            taken=drain.since(self.taken_at),
+            connected=drain.since(self.made_at),
             requests=self.asked,
         )
 
@@ -289,7 +289,7 @@
         self._write_whole(status, [body], len(body), headers or [])
 
     def _write_whole(self, status: int, body: list[Piece], size: int, headers: list[bytes]) -> None:
-        self.keep = self.keep and not self.front.draining
+        self.keep = self.keep and not self.front.drain.has_begun
         self.transport.writelines(answer(status, body, size, not self.keep, headers))
         self._over()
 
@@ -302,7 +302,7 @@
             self.close()
         elif self.pending and not self.busy:
             self._advance()
-        if self.is_idle() and not self.front.takes_requests(self.since):
+        if self.is_idle() and not self.front.drain.takes_requests(self.since):
             self.close()
 
     # Flow control
--- a/firvane/router/front.py
+++ b/firvane/router/front.py
@@ -11,8 +11,7 @@
     """The clients' side of one router."""
 
     def accept(self) -> ClientConnection:
-        if self.draining:
-            self.drain_figures.accepted += 1
+        self.drain.note_connection()
         return ClientConnection(self)
 
     def configure(self, routes: RouteTable, limits: Limits) -> None:
--- a/firvane/router/router.py
+++ b/firvane/router/router.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from dataclasses import asdict
 
 from firvane import interface as api
 from firvane.address import Address
@@ -73,7 +74,6 @@
         self.backends = Backends(self.upstreams, self.engine)
         self.members_call = MembersCall(loop, self._members_report)
         self.configuration: Configuration | None = None
-        self.draining = False
         self.sweeps = 0
         self.servers: list[asyncio.Server] = []
         self.front_server: asyncio.Server  # set by `start`
@@ -131,7 +131,7 @@
 
     def is_ready(self) -> bool:
         """Whether the platform should send new connections here."""
-        return not self.draining and self.configuration is not None and self.backends.any_ready()
+        return not self.front.drain.has_begun and self.configuration is not None and self.backends.any_ready()
 
     # The cluster's side
 
@@ -222,33 +222,20 @@
 
     async def drain(self) -> None:
         """Take no new work beyond what still comes, finish what is here, and leave the cluster."""
-        began = self.loop.time()
-        end = began + self.settings.grace - END_MARGIN
-        self.draining = True
-        self.front.begin_drain(began, end)
-        self.engine.hasten(end)
+        began, drain = self.loop.time(), self.front.drain
+        drain.begin(began, began + self.settings.grace - END_MARGIN)
+        self.engine.hasten(drain.end_by)
         self.log.info("router: drains.", open=self.engine.owed)
-        await asyncio.sleep(self.front.take_until - began)
+        await asyncio.sleep(drain.take_until - began)
         self.front_server.close()
         self.front.close_idle()
-        while self.loop.time() < end + LAST_LOOK and self.front.connections:
+        while self.loop.time() < drain.end_by + LAST_LOOK and self.front.connections:
             await asyncio.sleep(LAST_LOOK)
             self.front.close_idle()
         for server in self.servers:
             server.close()
         self.agent.close()
-        figures = self.front.drain_figures
-        self.log.info(
-            "router: ends.",
-            open=self.engine.owed,
-            accepted=figures.accepted,
-            taken=figures.taken,
-            taken_on_new=figures.taken_on_new,
-            last_on_new=round(figures.last_on_new, 3),
-            last_on_kept=round(figures.last_on_kept, 3),
-            late=figures.late,
-            cut=figures.cut,
-        )
+        self.log.info("router: ends.", open=self.engine.owed, **asdict(drain.figures))
 
 
 class RouterSettings:
--- a/tests/router/test_drain.py
+++ b/tests/router/test_drain.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from firvane.router.drain import Drain
 from tests.router.helpers import REQUEST, STREAM_HEAD, Backend, Rig, chunk, event, request_id, rig
 
 LAST_CHUNK = b"0\r\n\r\n"
@@ -39,7 +40,7 @@
 def drain(made: Rig, since: float, left: float = 3.0) -> None:
     """SIGTERM came `since` seconds ago, and `left` are left until the end."""
     now = made.front.loop.time()
-    made.front.begin_drain(now - since, now + left)
+    made.front.drain.begin(now - since, now + left)
 
 
 def test_a_request_on_a_connection_made_long_after_sigterm_is_not_passed_on_but_refused() -> None:
@@ -67,7 +68,7 @@
             assert answer.startswith(b"HTTP/1.1 " + status)
             assert b"Connection: close" in answer
             assert answer.endswith(LAST_CHUNK if status == b"200" else b"503\n")
-            made.front.draining, made.front.take_until = False, float("inf")
+            made.front.drain = Drain()
             writer.close()
         assert [request_id(each) for each in backend.requests] == [b"before", b"after", b"before"]
 
@@ -146,8 +147,8 @@
     """Within the 3 s in which a late end is excused, and with time to answer where the grace is short."""
 
     async def scene(made: Rig, backend: Backend) -> None:
-        made.front.begin_drain(100.0, 100.0 + grace)
-        assert made.front.takes_requests(100.0 + taken_for - 0.001)
-        assert not made.front.takes_requests(100.0 + taken_for)
+        made.front.drain.begin(100.0, 100.0 + grace)
+        assert made.front.drain.takes_requests(100.0 + taken_for - 0.001)
+        assert not made.front.drain.takes_requests(100.0 + taken_for)
 
     play(scene)
--- a/tests/router/test_drain_figures.py
+++ b/tests/router/test_drain_figures.py
@@ -36,14 +36,14 @@
             (connection,) = made.front.connections
             connection.made_at -= 1.0
             now = made.front.loop.time()
-            made.front.begin_drain(now, now + 60.0)
+            made.front.drain.begin(now, now + 60.0)
             new, new_writer = await made.connect()
             new_writer.write(REQUEST % b"after")
             await new.readuntil(b"data: 1\n\n")
             made.engine.hasten(made.front.loop.time())
             assert not (await new.read()).endswith(b"0\r\n\r\n")
             await kept.read()
-            figures = made.front.drain_figures
+            figures = made.front.drain.figures
             assert (figures.accepted, figures.taken, figures.taken_on_new, figures.cut) == (1, 1, 1, 2)
             assert figures.last_on_new > 0.0 and figures.last_on_kept == 0.0
             told = {fields["request"]: fields for text, fields in log.events if text == "drain: answer cut."}
