--- a/firvane/localfleet/daemons.py
+++ b/firvane/localfleet/daemons.py
@@ -21,6 +21,7 @@
 PACKAGE_PARENT = Path(__file__).resolve().parents[2]
 RESTART_AFTER = 1.0  # s from a kill, or an end of its own, to the next start
 TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+ENDING_SIGNALS = (signal.SIGTERM, signal.SIGKILL)
 LOG_LINE_START = "timestamp="
 ERROR_LEVELS = ("level=error", "level=critical")
 STATUS_PEAK = "VmHWM:"  # kB
@@ -59,8 +60,17 @@
 class Daemon:
     """One daemon over all its lives."""
 
-    def __init__(self, node: Node, layout: Layout, platform: PlatformTerms, folder: Path) -> None:
+    def __init__(
+        self,
+        node: Node,
+        layout: Layout,
+        platform: PlatformTerms,
+        folder: Path,
+        program_root: Path = PACKAGE_PARENT,
+    ) -> None:
+        """`folder`: settings, data and logs of all daemons; `program_root` holds the program's package."""
         self.node = node
+        self._program_root = program_root
         self.starts = 0
         self.own_ends: list[int] = []  # exit codes of lives that nobody ended
         self.peak_mb = 0.0
@@ -77,12 +87,33 @@
         """Whether its process is there."""
         return self._process is not None and self._process.returncode is None
 
-    def problems(self) -> list[str]:
-        """What its log says of errors."""
+    @property
+    def pid(self) -> int:
+        """Of the newest process; 0 where there never was one."""
+        return self._process.pid if self._process else 0
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process that runs."""
+        if self._process is None or not self.runs:
+            return
+        if number in ENDING_SIGNALS:
+            self._ended_by_us = True
+        _signal(self._process, number)
+
+    async def wait_end(self) -> int:
+        """The status with which the newest process has ended; below 0 for a signal."""
+        return await self._process.wait() if self._process else 0
+
+    def log_text(self) -> str:
+        """What it has written, over all lives."""
         try:
-            return problems_in_log(self._log.read_text(errors="replace"))
+            return self._log.read_text(errors="replace")
         except OSError:
-            return []
+            return ""
+
+    def problems(self) -> list[str]:
+        """What its log says of errors."""
+        return problems_in_log(self.log_text())
 
     async def start(self) -> None:
         """Write the settings of this life and start the process."""
@@ -103,8 +134,8 @@
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
-                cwd=PACKAGE_PARENT,
-                env=_environment(settings),
+                cwd=self._program_root,
+                env=_environment(settings, self._program_root),
                 start_new_session=True,  # a terminal's interrupt reaches only the command
             )
         self.starts += 1
@@ -147,9 +178,9 @@
         process.send_signal(number)
 
 
-def _environment(settings: Path) -> dict[str, str]:
+def _environment(settings: Path, program_root: Path) -> dict[str, str]:
     kept = {name: os.environ[name] for name in KEPT_VARIABLES if name in os.environ}
-    return {**kept, "PYTHONPATH": str(PACKAGE_PARENT), "FIRVANE_BOOT": str(settings)}
+    return {**kept, "PYTHONPATH": str(program_root), "FIRVANE_BOOT": str(settings)}
 
 
 def problems_in_log(text: str) -> list[str]:
--- a/firvane/localfleet/load.py
+++ b/firvane/localfleet/load.py
@@ -14,9 +14,9 @@
 from firvane.localfleet.http_client import ClientConnection
 from firvane.localfleet.ingress import Ingress
 from firvane.localfleet.outcomes import RequestRecord
-from firvane.localfleet.profiles import MODEL
+from firvane.localfleet.request_message import compose_request
 from firvane.localfleet.retries import TryEnd, TryResult, retry_pause
-from firvane.localfleet.run_ledger import PROMPT_HEADERS, SentTry, fingerprint
+from firvane.localfleet.run_ledger import SentTry
 from firvane.localfleet.schedule import PlannedRequest
 
 CONNECT_TIMEOUT = 1.0  # s
@@ -87,7 +87,8 @@
         if connection is None:
             return TryResult(TryEnd.NOT_CONNECTED)
         request_id = b"%016x" % self._random.getrandbits(64)
-        request, sent = self._compose(planned, request_id, stream.last_number, deadline)
+        left_ms = int((deadline - self._loop.time()) * 1000)
+        request, sent = compose_request(planned, request_id, stream.last_number, left_ms)
         self.tries[request_id] = sent
         trying = ClientTry(self._loop, connection, request_id, stream, pauses)
         result = await trying.run(request, planned.kind.silence, deadline)
@@ -95,31 +96,6 @@
         self._put_back(planned.client, router, connection)
         return result
 
-    def _compose(
-        self, planned: PlannedRequest, request_id: bytes, last_event: int, deadline: float
-    ) -> tuple[bytes, SentTry]:
-        """The bytes of a request, and what is remembered of it."""
-        kind, body = planned.kind, planned.body()
-        target = f"{kind.path_prefix}{planned.number % kind.subjects}"
-        prompt = {
-            "x-model": MODEL,
-            "x-token-count": planned.prompt.token_count_header,
-            "x-prompt-prefix": planned.prompt.prefix_header,
-        }
-        headers = {
-            "Host": kind.host,
-            "X-Request-Id": request_id.decode(),
-            **prompt,
-            "X-Deadline-Ms": str(max(1, int((deadline - self._loop.time()) * 1000))),
-            "Content-Length": str(len(body)),
-        }
-        if last_event:
-            headers["Last-Event-Id"] = str(last_event)
-        lines = [f"POST {target} HTTP/1.1", *(f"{name}: {value}" for name, value in headers.items())]
-        values = [prompt[name].encode() for name in PROMPT_HEADERS]
-        mark = fingerprint(b"POST", target.encode(), values, body)
-        return "\r\n".join([*lines, "", ""]).encode() + body, SentTry(kind.resumable, mark)
-
     # Connections
 
     async def _connect(self, client: int, router: Address, *, fresh: bool) -> ClientConnection | None:
--- a/firvane/localfleet/model_server.py
+++ b/firvane/localfleet/model_server.py
@@ -68,7 +68,11 @@
     async def start(self) -> None:
         """Listen on the instance's address."""
         host, port = self.instance.address
-        self._listener = await self.loop.create_server(lambda: ModelConnection(self), host, port)
+        self._listener = await self.loop.create_server(self.make_connection, host, port)
+
+    def make_connection(self) -> ModelConnection:
+        """A caller has connected."""
+        return ModelConnection(self)
 
     def close(self) -> None:
         """End at once; what is under way is cut off."""
@@ -103,7 +107,7 @@
         body = b"".join(request.body)
         events_before = _number(request, b"last-event-id", 0)
         request_id = request.fields[b"x-request-id"]
-        run = Run(request_id, self.instance.id, events_before, _fingerprint(request, body))
+        run = Run(request_id, self.instance.id, events_before, request_fingerprint(request, body))
         work = _Work(connection, zlib.crc32(body), run)
         self._numbers += 1
         number = self._numbers
@@ -219,6 +223,7 @@
     return int(text) if text.isdigit() and len(text) < 10 else default
 
 
-def _fingerprint(request: Message, body: bytes) -> int:
+def request_fingerprint(request: Message, body: bytes) -> int:
+    """What of a request must arrive as it was sent, as a number."""
     values = [request.fields.get(name.encode(), b"") for name in PROMPT_HEADERS]
     return fingerprint(request.method, request.url, values, body)
--- /dev/null
+++ b/firvane/localfleet/request_message.py
@@ -0,0 +1,33 @@
+"""A request of a client as bytes, and what has to be remembered of it."""
+
+from __future__ import annotations
+
+from firvane.localfleet.profiles import MODEL
+from firvane.localfleet.run_ledger import PROMPT_HEADERS, SentTry, fingerprint
+from firvane.localfleet.schedule import PlannedRequest
+
+
+def compose_request(
+    planned: PlannedRequest, request_id: bytes, last_event: int, left_ms: int
+) -> tuple[bytes, SentTry]:
+    """The bytes of a request, and what is remembered of it; `last_event` is 0 where nothing is resumed."""
+    kind, body = planned.kind, planned.body()
+    target = f"{kind.path_prefix}{planned.number % kind.subjects}"
+    prompt = {
+        "x-model": MODEL,
+        "x-token-count": planned.prompt.token_count_header,
+        "x-prompt-prefix": planned.prompt.prefix_header,
+    }
+    headers = {
+        "Host": kind.host,
+        "X-Request-Id": request_id.decode(),
+        **prompt,
+        "X-Deadline-Ms": str(max(1, left_ms)),
+        "Content-Length": str(len(body)),
+    }
+    if last_event:
+        headers["Last-Event-Id"] = str(last_event)
+    lines = [f"POST {target} HTTP/1.1", *(f"{name}: {value}" for name, value in headers.items())]
+    values = [prompt[name].encode() for name in PROMPT_HEADERS]
+    mark = fingerprint(b"POST", target.encode(), values, body)
+    return "\r\n".join([*lines, "", ""]).encode() + body, SentTry(kind.resumable, mark)
--- /dev/null
+++ b/firvane/soak/__main__.py
@@ -0,0 +1,5 @@
+"""`python -m firvane.soak`."""
+
+from firvane.soak import run
+
+run()
--- /dev/null
+++ b/firvane/soak/backends.py
@@ -0,0 +1,200 @@
+"""Backends that fail as a plan says: localfleet's model servers, with every arrival written down."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from firvane.localfleet.instance_list import InstanceList, ListedInstance
+from firvane.localfleet.layout import ZONES, Layout
+from firvane.localfleet.model_connection import ModelConnection, ServerState
+from firvane.localfleet.model_server import ModelServer, request_fingerprint
+from firvane.localfleet.platform_server import PlatformServer
+from firvane.localfleet.profiles import SERVICE, ServerProfile
+from firvane.localfleet.run_ledger import Run, ServerRecords
+from firvane.localfleet.settings_files import PlatformTerms
+from firvane.net.http import Message
+from firvane.soak.plan import FaultMode
+from firvane.soak.records import Arrival, Record, RunEnd
+
+LONGEST_UNTIL_CUT = 0.6  # s after which an answer that is to be cut has been
+CRASHED_LISTED = 2.0  # s for which the list still shows a backend that is gone
+NOT_EXECUTED = b"x-not-executed"
+
+
+class Faults:
+    """What strikes requests now: of each mode, until when and which share."""
+
+    def __init__(self, seed: int) -> None:
+        self._dice = random.Random(f"{seed}/backends")
+        self._now: list[tuple[FaultMode, float, float]] = []
+
+    def add(self, mode: FaultMode, until: float, share: float) -> None:
+        """From now on, until that time."""
+        self._now.append((mode, until, share))
+
+    def draw(self, now: float) -> FaultMode | None:
+        """The fault of one request, if there is one."""
+        self._now = [each for each in self._now if each[1] > now]
+        for mode, _, share in self._now:
+            if self._dice.random() < share:
+                return mode
+        return None
+
+    def time_until_cut(self) -> float:
+        """Seconds until an answer is cut."""
+        return self._dice.uniform(0.0, LONGEST_UNTIL_CUT)
+
+
+class SoakServer(ModelServer):
+    """One incarnation of a backend."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        instance: ListedInstance,
+        records: ServerRecords,
+        record: Record,
+        faults: Faults,
+        seed: int,
+    ) -> None:
+        super().__init__(loop, instance, ServerProfile(), records, seed)
+        self.soak_record, self.faults = record, faults
+
+    def make_connection(self) -> ModelConnection:
+        return SoakServerConnection(self)
+
+
+class SoakServerConnection(ModelConnection):
+    """Writes down each arrival and how it ended, and fails requests."""
+
+    def __init__(self, server: SoakServer) -> None:
+        super().__init__(server)
+        self._soak = server
+        self._arrival: Arrival | None = None
+
+    def on_request(self, request: Message) -> None:
+        request_id = request.fields.get(b"x-request-id", b"")
+        if not request_id:
+            super().on_request(request)
+            return
+        now = self._soak.loop.time()
+        self._arrival = Arrival(request_id.decode("latin-1"), self._soak.instance.id, now)
+        self._soak.soak_record.arrivals.append(self._arrival)
+        mode = self._soak.faults.draw(now)
+        if mode in (None, FaultMode.CUT):
+            super().on_request(request)
+            if mode is FaultMode.CUT:
+                self._soak.loop.call_later(self._soak.faults.time_until_cut(), self._cut, self._arrival)
+        elif mode is FaultMode.SHED:
+            self._request_id = request_id
+            self.turn_away(503)
+        else:
+            mark = request_fingerprint(request, b"".join(request.body))
+            self._soak.records.runs.append(Run(request_id, self._soak.instance.id, 0, mark))
+            self._fail(mode, request_id)
+
+    def _fail(self, mode: FaultMode, request_id: bytes) -> None:
+        if mode is FaultMode.ERROR:
+            self.respond(500, [(b"X-Request-Id", request_id)])
+        elif mode is FaultMode.RESET:
+            self.break_off()
+
+    def _cut(self, arrival: Arrival) -> None:
+        if self._arrival is arrival and self.busy and not self.closing:
+            self.break_off()
+
+    def turn_away(self, status: int) -> None:
+        self._note(RunEnd.TURNED_AWAY)
+        super().turn_away(status)
+
+    def on_answered(self) -> None:
+        self._note(RunEnd.ANSWERED)
+        super().on_answered()
+
+    def break_off(self) -> None:
+        self._note(RunEnd.BROKE_OFF)
+        super().break_off()
+
+    def on_end(self) -> None:
+        self._note(RunEnd.CANCELLED)
+        super().on_end()
+
+    def _note(self, end: RunEnd) -> None:
+        arrival, self._arrival = self._arrival, None
+        if arrival:
+            arrival.end, arrival.ended = end, self._soak.loop.time()
+
+
+class SoakBackends:
+    """All backends and the platform's list of them."""
+
+    def __init__(self, layout: Layout, record: Record, seed: int) -> None:
+        terms = PlatformTerms()
+        self.records = ServerRecords()
+        self.faults = Faults(seed)
+        self._loop = asyncio.get_running_loop()
+        self._instances = InstanceList(terms.lag, terms.page_size, terms.rate_per_s)
+        self._platform = PlatformServer(self._loop, layout.platform, self._instances)
+        self._layout, self._record, self._seed = layout, record, seed
+        self._servers: list[SoakServer] = []
+        self._started = 0
+
+    async def start(self, count: int) -> None:
+        """Start so many backends, which are listed at once, and the list."""
+        for _ in range(count):
+            server = await self._start_one()
+            self._instances.put(server.instance, self._loop.time(), at_once=True)
+        await self._platform.start()
+
+    async def crash(self, count: int, others_after: float) -> None:
+        """These are gone in the middle of their work; as many others come later."""
+        gone, self._servers = self._servers[:count], self._servers[count:]
+        for server in gone:
+            for connection in list(server.connections):
+                connection.break_off()
+            server.close()
+        await asyncio.sleep(others_after)
+        for _ in gone:
+            server = await self._start_one()
+            self._instances.put(server.instance, self._loop.time())
+        await asyncio.sleep(max(0.0, CRASHED_LISTED - others_after))
+        for server in gone:
+            self._instances.remove(server.instance.id, self._loop.time())
+
+    async def replace(self) -> None:
+        """The oldest one drains and goes, and another one comes."""
+        oldest = self._servers.pop(0)
+        newest = await self._start_one()
+        self._instances.put(newest.instance, self._loop.time())
+        self._instances.drain(oldest.instance.id, self._loop.time())
+        oldest.state = ServerState.DRAINING
+        profile, terms = ServerProfile(), PlatformTerms()
+        await asyncio.sleep(terms.lag + profile.drain_s)
+        oldest.state = ServerState.REFUSING
+        await asyncio.sleep(profile.linger_s)
+        self._instances.remove(oldest.instance.id, self._loop.time())
+        oldest.close()
+
+    def close(self) -> None:
+        """End everything at once."""
+        for server in self._servers:
+            server.close()
+        self._platform.close()
+
+    async def _start_one(self) -> SoakServer:
+        number = self._started
+        self._started += 1
+        instance = ListedInstance(
+            f"i-{number + 1}",
+            SERVICE,
+            self._layout.backend(number),
+            ZONES[number % len(ZONES)],
+            ServerProfile().slots,
+        )
+        server = SoakServer(
+            self._loop, instance, self.records, self._record, self.faults, self._seed + number
+        )
+        await server.start()
+        self._servers.append(server)
+        return server
--- /dev/null
+++ b/firvane/soak/command.py
@@ -0,0 +1,150 @@
+"""The command `firvane-soak`: plans drawn from seeds, played and judged."""
+
+from __future__ import annotations
+
+import asyncio
+import shutil
+import sys
+import tempfile
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+import uvloop
+
+from firvane.localfleet.daemons import PACKAGE_PARENT
+from firvane.soak.judge import Terms, Violation, judge
+from firvane.soak.plan import SIZES, Plan, draw_plan, plan_from_json
+from firvane.soak.player import Played, Player, StartError
+from firvane.soak.records import TryEnd
+from firvane.soak.shrink import shrink
+from firvane.soak.story import tell
+
+DONE = 0
+BROKEN = 1
+BAD_USAGE = 2
+NOT_STARTED = 3
+MOST_STORIES = 5
+MOST_SHRINKING_PLAYS = 40
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """One run and its judgement."""
+
+    played: Played
+    violations: list[Violation]
+
+
+def play(plan: Plan, program_root: Path = PACKAGE_PARENT) -> Outcome:
+    """Play a plan on a loop of its own and judge it; `StartError` where the fleet does not get ready."""
+    folder = Path(tempfile.mkdtemp(prefix="firvane-soak-"))
+    try:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            played = runner.run(_play(plan, folder, program_root))
+    finally:
+        shutil.rmtree(folder, ignore_errors=True)
+    return Outcome(played, judge(played.record, Terms()))
+
+
+async def _play(plan: Plan, folder: Path, program_root: Path) -> Played:
+    return await Player(plan, folder, program_root).play()
+
+
+def soak(
+    *,
+    seed: int = 1,
+    seeds: int = 1,
+    size: str = "usual",
+    replay: Path | None = None,
+    shrink: bool = False,
+    show_plan: bool = False,
+    keep: Path | None = None,
+    program_root: Path = PACKAGE_PARENT,
+) -> int:
+    """Play plans drawn from seeds with the real daemons, and judge what clients and backends saw.
+
+    Ends with 0 if no rule was broken, 1 if one was, 2 for bad usage, 3 if a fleet did not get ready.
+
+    :param seed: the first seed
+    :param seeds: how many seeds, one after the other
+    :param size: small, usual or large
+    :param replay: play the plan in this file instead
+    :param shrink: make a plan that breaks a rule shorter while it still does, and print it
+    :param show_plan: print each plan before it is played
+    :param keep: folder for the plan and the logs of each run that breaks a rule
+    :param program_root: folder with the package whose daemons are played
+    """
+    try:
+        plans = _plans(seed, seeds, size, replay)
+    except (ValueError, OSError) as error:
+        print(error, file=sys.stderr)
+        return BAD_USAGE
+    status = DONE
+    for plan in plans:
+        if show_plan:
+            print(plan.to_json())
+        try:
+            outcome = play(plan, program_root)
+        except StartError as error:
+            print(f"seed {plan.seed}: {error}", file=sys.stderr)
+            return NOT_STARTED
+        print(summary(plan, outcome), flush=True)
+        if outcome.violations:
+            status = BROKEN
+            _report(plan, outcome, keep)
+            if shrink:
+                print(_shorten(plan, outcome, program_root).to_json())
+    return status
+
+
+def _plans(seed: int, seeds: int, size: str, replay: Path | None) -> list[Plan]:
+    if replay:
+        return [plan_from_json(replay.read_text())]
+    if size not in SIZES:
+        raise ValueError(f"size: {size!r} is none of {', '.join(SIZES)}")
+    if seeds < 1:
+        raise ValueError("seeds: at least one")
+    return [draw_plan(number, SIZES[size]) for number in range(seed, seed + seeds)]
+
+
+def summary(plan: Plan, outcome: Outcome) -> str:
+    """One line: what was played and what was broken."""
+    record = outcome.played.record
+    ends = Counter(each.end for each in record.tries.values() if each.end)
+    rules = Counter(violation.rule for violation in outcome.violations)
+    kinds = Counter(step.kind.value for step in plan.steps)
+    told = " ".join(f"{kind}:{count}" for kind, count in sorted(kinds.items()))
+    broken = " ".join(f"{rule}:{count}" for rule, count in sorted(rules.items())) or "none"
+    counted = " ".join(f"{end.name.lower()}={ends[end]}" for end in TryEnd)
+    return (
+        f"seed {plan.seed}: broken {broken}; {len(record.tries)} requests ({counted}), "
+        f"{len(record.arrivals)} arrivals, {record.orders_acknowledged} orders; {told}; "
+        f"delay {record.clock_delay * 1000:.0f} ms"
+    )
+
+
+def _report(plan: Plan, outcome: Outcome, keep: Path | None) -> None:
+    for violation in outcome.violations[:MOST_STORIES]:
+        print(tell(violation, outcome.played))
+    if keep:
+        folder = keep / f"seed-{plan.seed}"
+        folder.mkdir(parents=True, exist_ok=True)
+        (folder / "plan.json").write_text(plan.to_json())
+        stories = [tell(violation, outcome.played) for violation in outcome.violations]
+        (folder / "stories.txt").write_text("\n\n".join(stories) + "\n")
+        for name, text in outcome.played.logs.items():
+            (folder / f"{name}.log").write_text(text)
+
+
+def _shorten(plan: Plan, outcome: Outcome, program_root: Path) -> Plan:
+    rules = {violation.rule for violation in outcome.violations}
+    return shrink(plan, _breaks(rules, program_root), MOST_SHRINKING_PLAYS)
+
+
+def _breaks(rules: set[str], program_root: Path) -> Callable[[Plan], bool]:
+    def breaks(plan: Plan) -> bool:
+        return any(violation.rule in rules for violation in play(plan, program_root).violations)
+
+    return breaks
--- /dev/null
+++ b/firvane/soak/connection.py
@@ -0,0 +1,155 @@
+"""A client's connection that may hold several requests at once, one behind the other."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from typing import cast
+
+import httptools
+
+from firvane.localfleet.event_stream import StreamCheck, StreamError
+from firvane.net.http import Fault, Message, Reader
+from firvane.soak.records import TryEnd, TryRecord
+
+MAX_ANSWER = 16 * 1024 * 1024  # bytes
+
+
+class Exchange:
+    """One request on a connection, and the answer that comes for it."""
+
+    def __init__(self, record: TryRecord, digest: int) -> None:
+        self.record = record
+        self.ended = asyncio.Event()
+        self.begun = asyncio.Event()  # the head of the answer is here
+        self._stream = StreamCheck(digest)
+
+    def on_head(self, message: Message) -> None:
+        """Check the head; an answer that belongs to another request is wrong."""
+        self.record.status = message.status
+        self.begun.set()
+        if 200 <= message.status < 300:
+            if message.fields.get(b"x-request-id") != self.record.id.encode():
+                raise StreamError("an answer to another request")
+            if not message.fields.get(b"x-server-seal"):
+                raise StreamError("a success without a seal")
+
+    def on_body(self, data: bytes) -> None:
+        """Check the events that are whole."""
+        if 200 <= self.record.status < 300:
+            self._stream.feed(data)
+
+    def on_complete(self) -> None:
+        """The answer has ended in order."""
+        if 200 <= self.record.status < 300:
+            self._stream.end_answer()
+
+    def finish(self, end: TryEnd, now: float, detail: str = "") -> None:
+        """The end of the request for its client; only the first one counts."""
+        if self.record.end is None:
+            self.record.end, self.record.ended, self.record.detail = end, now, detail
+        self.ended.set()
+
+
+class SoakConnection(asyncio.Protocol):
+    """Takes requests until it ends; answers belong to the oldest request without one."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, router: str) -> None:
+        self._loop, self.router = loop, router
+        self._reader = Reader(httptools.HttpResponseParser, MAX_ANSWER, MAX_ANSWER)
+        self._waiting: deque[Exchange] = deque()
+        self._head_told = False
+        self.requests = 0
+        self.made = loop.time()
+        self.closed = False
+        self.told_to_close = False  # an answer said that it is the last
+        self.unasked = 0  # bytes that came while no request was waiting
+        self.transport: asyncio.Transport
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)  # that of uvloop is no subclass
+
+    def add(self, exchange: Exchange) -> None:
+        """A request begins; its bytes are written by `write`."""
+        self.requests += 1
+        record = exchange.record
+        record.router, record.connected, record.number = self.router, self.made, self.requests
+        if not self._waiting:
+            record.turn = self._loop.time()
+        self._waiting.append(exchange)
+
+    def write(self, exchange: Exchange, data: bytes, last: bool) -> None:
+        """Write a part of a request."""
+        now = self._loop.time()
+        record = exchange.record
+        if self.closed or self.transport.is_closing():
+            return
+        self.transport.write(data)
+        record.sent = min(record.sent, now)
+        if last:
+            record.sent_whole = now
+
+    def leave(self, detail: str) -> None:
+        """The client closes the connection, whatever is under way."""
+        now = self._loop.time()
+        for exchange in self._waiting:
+            exchange.finish(TryEnd.LEFT, now, detail)
+        self._end()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        message = self._reader.message
+        if error is None and message and not message.framed and not self._reader.in_head:
+            self._complete(message)  # without a length, an answer ends with its connection
+        self.closed = True
+        for exchange in self._waiting:
+            exchange.finish(TryEnd.BROKEN, self._loop.time(), f"connection ended ({error or 'closed'})")
+        self._waiting.clear()
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self._reader.feed(data)
+            self._pass_on()
+        except (Fault, StreamError) as error:
+            self._wrong(f"bytes that are no answer ({error})" if isinstance(error, Fault) else str(error))
+
+    def _pass_on(self) -> None:
+        while self._reader.done:
+            self._tell(self._reader.done[0])
+            self._complete(self._reader.done.pop(0))
+        if self._reader.message and not self._reader.in_head:
+            self._tell(self._reader.message)
+
+    def _tell(self, message: Message) -> None:
+        if not self._waiting:
+            self.unasked += 1
+            return
+        exchange = self._waiting[0]
+        if not self._head_told:
+            self._head_told = True
+            self.told_to_close = self.told_to_close or not message.keep
+            exchange.on_head(message)
+        if pieces := message.taken():
+            exchange.on_body(b"".join(pieces))
+
+    def _complete(self, message: Message) -> None:
+        self._head_told = False
+        if not self._waiting:
+            return
+        exchange = self._waiting.popleft()
+        exchange.on_complete()
+        now = self._loop.time()
+        exchange.finish(TryEnd.WHOLE, now)
+        if self._waiting:
+            self._waiting[0].record.turn = now
+
+    def _wrong(self, detail: str) -> None:
+        if self._waiting:
+            self._waiting.popleft().finish(TryEnd.WRONG, self._loop.time(), detail)
+        else:
+            self.unasked += 1
+        self.leave("after a wrong answer")
+
+    def _end(self) -> None:
+        self.closed = True
+        self._waiting.clear()
+        self.transport.abort()
--- /dev/null
+++ b/firvane/soak/judge.py
@@ -0,0 +1,253 @@
+"""Judges a record by the rules of the protocol's pages. Pure; it knows nothing of the daemons.
+
+| rule | sentence of the pages |
+| --- | --- |
+| LOST | around a SIGTERM a process has read a whole request, and the connection ends without a whole answer |
+| BUDGET | repeats at a service in any window exceed the ratio of its requests and the slack |
+| ATTEMPTS | a request runs on more backends than its route's `max_attempts` |
+| TWICE | what may not be repeated runs more than once |
+| REFUSED | what was answered with a promise that it has not run has run, or runs later |
+| UNASKED | a backend is sent what no client has sent, or something else |
+| MIXED | a client gets an answer that is not its own or not whole, or bytes that it did not ask for |
+| CONFIG | an order is refused, or what was acknowledged is not read back |
+| END | a process ends by itself, with a status that is not 0, or later than its grace |
+| LOG | a line on standard error is an error, or no line of the log |
+| LEVEL | a process holds more memory or descriptors than so few clients can need |
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+
+from firvane.soak.records import (
+    Arrival,
+    ProcessEvent,
+    Record,
+    RunEnd,
+    SignalKind,
+    TryEnd,
+    TryRecord,
+)
+from firvane.soak.retry_rule import RetryRule
+
+
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """The bounds of the settings that the rules name, in s where they are times."""
+
+    grace: float = 8.0
+    contact: float = 3.0
+    loss_slack: float = 0.2
+    excused_until: float = (
+        3.0  # after SIGTERM: what was sent by then may be cut in the last part of the grace
+    )
+    last_part: float = 1 / 6  # of the grace
+    after_grace: float = 1.0
+    retry: RetryRule = field(default_factory=lambda: RetryRule(ratio=0.2, slack=52.0, window=10.0))
+    memory_mb: float = 120.0
+    descriptors: int = 900
+    start_blind: float = 1.0  # a process that has just begun may not listen for signals yet
+    deadline_margin: float = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """A broken rule; `request` is the id of the request that shows it, if there is one."""
+
+    rule: str
+    at: float
+    text: str
+    request: str = ""
+    daemon: str = ""
+
+
+TROUBLES = (SignalKind.KILLED, SignalKind.STOPPED, SignalKind.CONTINUED)
+
+
+def judge(record: Record, terms: Terms) -> list[Violation]:
+    """All broken rules, in the order of their times."""
+    found = [
+        *_lost(record, terms),
+        *_budget(record, terms),
+        *_attempts(record),
+        *_ids("TWICE", "ran more than once", record.doubled),
+        *_ids("REFUSED", "ran although its client was told that it has not", record.ran_after_refusal),
+        *_ids("UNASKED", "no client has sent it", record.unasked),
+        *_ids("UNASKED", "was changed on its way", record.altered),
+        *_mixed(record),
+        *_config(record),
+        *_ends(record, terms),
+        *_logs(record),
+        *_levels(record, terms),
+    ]
+    return sorted(found, key=lambda violation: violation.at)
+
+
+# LOST
+
+
+def _lost(record: Record, terms: Terms) -> Iterator[Violation]:
+    arrivals = arrivals_by_request(record.arrivals)
+    processes = _by_daemon(record.processes)
+    for each in record.tries.values():
+        if each.end is not TryEnd.BROKEN or each.sent_whole > each.ended:
+            continue
+        events = processes.get(each.router, [])
+        term = _term_before(events, each.ended, terms)
+        if term is None or _is_excused(each, arrivals.get(each.id, []), events, term, terms):
+            continue
+        if not (arrivals.get(each.id) or _was_read(each, terms, record.clock_delay)):
+            continue
+        after, lasted = each.sent_whole - term, each.ended - each.sent_whole
+        text = f"sent {after:.3f} s after SIGTERM of {each.router}, cut {lasted:.3f} s later"
+        yield Violation("LOST", each.ended, text, each.id, each.router)
+
+
+def _term_before(events: list[ProcessEvent], moment: float, terms: Terms) -> float | None:
+    """When the process that was there at this moment got its first SIGTERM, within the bounds of the rule."""
+    term = None
+    for event in events:
+        if event.at > moment:
+            break
+        if event.kind is SignalKind.STARTED:
+            term = None
+        elif event.kind is SignalKind.TERM and term is None:
+            term = event.at
+    if term is None or moment > term + terms.grace + terms.after_grace:
+        return None
+    return term
+
+
+def _was_read(each: TryRecord, terms: Terms, delay: float) -> bool:
+    """Whether the process must have read a request that it did not pass on.
+
+    What comes behind another request is read once that one is answered, and is not at all where that never was.
+    """
+    if each.turn > each.ended:
+        return False
+    readable = max(each.sent_whole, each.turn, each.blind_until)
+    return each.ended - readable > terms.loss_slack + delay
+
+
+def _is_excused(
+    each: TryRecord, arrivals: list[Arrival], events: list[ProcessEvent], term: float, terms: Terms
+) -> bool:
+    if each.ended >= each.deadline - terms.deadline_margin:
+        return True
+    if any(arrival.end is RunEnd.BROKE_OFF for arrival in arrivals):
+        return True
+    begins = each.sent - terms.contact
+    if any(event.kind in TROUBLES and begins <= event.at <= each.ended for event in events):
+        return True
+    in_last_part = term + terms.grace * (1.0 - terms.last_part)
+    works = any(arrival.at <= each.ended and arrival.ended >= in_last_part for arrival in arrivals)
+    return works and each.ended >= in_last_part and each.sent_whole <= term + terms.excused_until
+
+
+# BUDGET, ATTEMPTS
+
+
+def _budget(record: Record, terms: Terms) -> Iterator[Violation]:
+    requests = sorted(each.sent for each in record.tries.values() if each.end is not TryEnd.NOT_CONNECTED)
+    seen: set[str] = set()
+    repeats: list[float] = []
+    for arrival in sorted(record.arrivals, key=lambda each: each.at):
+        if arrival.id in seen:
+            repeats.append(arrival.at)
+        seen.add(arrival.id)
+    excess = terms.retry.worst_excess(requests, repeats)
+    if excess > 0.0:
+        text = f"{excess:.1f} arrivals beyond what is allowed in the worst window, of {len(repeats)} in all"
+        yield Violation("BUDGET", repeats[0], text)
+
+
+def _attempts(record: Record) -> Iterator[Violation]:
+    for request, arrivals in arrivals_by_request(record.arrivals).items():
+        sent = record.tries.get(request)
+        backends = {arrival.backend for arrival in arrivals if arrival.end is not RunEnd.TURNED_AWAY}
+        if sent and len(backends) > sent.max_attempts:
+            text = f"ran on {len(backends)} backends, {sent.max_attempts} allowed"
+            yield Violation("ATTEMPTS", arrivals[-1].at, text, request, sent.router)
+
+
+# The rest
+
+
+def _ids(rule: str, text: str, ids: Iterable[str]) -> Iterator[Violation]:
+    for request in ids:
+        yield Violation(rule, 0.0, text, request)
+
+
+def _mixed(record: Record) -> Iterator[Violation]:
+    for each in record.tries.values():
+        if each.end is TryEnd.WRONG:
+            yield Violation("MIXED", each.ended, each.detail, each.id, each.router)
+    if record.unasked_bytes:
+        yield Violation("MIXED", 0.0, f"{record.unasked_bytes} bytes came to clients without a request")
+
+
+def _config(record: Record) -> Iterator[Violation]:
+    for status in record.orders_refused:
+        yield Violation("CONFIG", 0.0, f"an order on top of the newest version was refused with {status}")
+    if not record.read_back:
+        yield Violation("CONFIG", 0.0, "the newest acknowledged configuration was not read back")
+
+
+def _ends(record: Record, terms: Terms) -> Iterator[Violation]:
+    for daemon, events in _by_daemon(record.processes).items():
+        started = told = killed = float("-inf")
+        for event in events:
+            if event.kind is SignalKind.STARTED:
+                started, told, killed = event.at, float("-inf"), float("-inf")
+            elif event.kind is SignalKind.TERM:
+                told = event.at if told < started else told
+            elif event.kind is SignalKind.KILLED:
+                killed = event.at
+            elif killed < started and (fault := _fault_of_end(event, started, told, events, terms)):
+                yield Violation("END", event.at, fault, daemon=daemon)
+
+
+def _fault_of_end(
+    event: ProcessEvent, started: float, told: float, events: list[ProcessEvent], terms: Terms
+) -> str:
+    if event.kind is not SignalKind.ENDED:
+        return ""
+    if told < started:
+        return f"ended by itself with {event.code}"
+    blind = told - started < terms.start_blind
+    if event.code != 0 and not (blind and event.code < 0):
+        return f"ended with {event.code} after SIGTERM"
+    frozen = any(each.kind in TROUBLES and told - terms.contact <= each.at <= event.at for each in events)
+    if event.at - told > terms.grace and not frozen:
+        return f"ended {event.at - told:.1f} s after SIGTERM"
+    return ""
+
+
+def _logs(record: Record) -> Iterator[Violation]:
+    for daemon, lines in record.log_problems.items():
+        for line in lines[:3]:
+            yield Violation("LOG", 0.0, line[:300], daemon=daemon)
+
+
+def _levels(record: Record, terms: Terms) -> Iterator[Violation]:
+    for usage in record.usage:
+        if usage.memory_mb > terms.memory_mb or usage.descriptors > terms.descriptors:
+            text = f"holds {usage.memory_mb:.0f} MB and {usage.descriptors} descriptors"
+            yield Violation("LEVEL", 0.0, text, daemon=usage.daemon)
+
+
+def arrivals_by_request(arrivals: Iterable[Arrival]) -> dict[str, list[Arrival]]:
+    """The arrivals of each request in the order of their times."""
+    found: dict[str, list[Arrival]] = defaultdict(list)
+    for arrival in sorted(arrivals, key=lambda each: each.at):
+        found[arrival.id].append(arrival)
+    return found
+
+
+def _by_daemon(events: Iterable[ProcessEvent]) -> dict[str, list[ProcessEvent]]:
+    found: dict[str, list[ProcessEvent]] = defaultdict(list)
+    for event in sorted(events, key=lambda each: each.at):
+        found[event.daemon].append(event)
+    return found
--- /dev/null
+++ b/firvane/soak/player.py
@@ -0,0 +1,184 @@
+"""Plays a plan: daemons, backends, clients and the operator beside each other, and the end in order."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from dataclasses import dataclass
+from pathlib import Path
+
+from firvane.localfleet.config_operator import ConfigOperator
+from firvane.localfleet.configurations import Configurations
+from firvane.localfleet.daemons import PACKAGE_PARENT, Daemon, problems_in_log
+from firvane.localfleet.ingress import Ingress
+from firvane.localfleet.layout import DaemonRole, Layout, find_free_ports, make_layout
+from firvane.localfleet.loop_delay import LoopDelay
+from firvane.localfleet.profiles import LONG_PROMPTS, SHORT_PROMPTS, RequestClass, ServerProfile
+from firvane.localfleet.readiness import ReadinessProber
+from firvane.localfleet.run_ledger import judge as compare_runs
+from firvane.localfleet.schedule import PlannedRequest, draw_schedule
+from firvane.localfleet.settings_files import GRACE_S, PlatformTerms
+from firvane.soak.backends import SoakBackends
+from firvane.soak.clients import Clients
+from firvane.soak.plan import Plan, Step, StepKind
+from firvane.soak.processes import SoakProcess
+from firvane.soak.records import Record
+
+START_TIMEOUT = 90.0  # s until all routers are ready, on a busy machine too
+READ_BACK_TIMEOUT = 10.0  # s
+LONG_SHARE = 0.12  # of the requests
+SPARE_BACKENDS = 20  # addresses for backends that come later
+SLOW_CHANGES = 4.0  # s between changes of the configuration where the plan asks for none
+
+
+class StartError(Exception):
+    """The fleet did not become ready."""
+
+
+@dataclass(frozen=True, slots=True)
+class Played:
+    """What a run leaves for the judge and for stories."""
+
+    record: Record
+    logs: dict[str, str]  # by daemon
+    began: float  # of the load, on the clock of the record
+
+
+class Player:
+    """One run; `folder` is its own, `program_root` holds the daemons' package."""
+
+    def __init__(self, plan: Plan, folder: Path, program_root: Path = PACKAGE_PARENT) -> None:
+        size = plan.size
+        self._plan, self._loop = plan, asyncio.get_running_loop()
+        ports = find_free_ports(size.controllers, size.routers, size.backends + SPARE_BACKENDS)
+        self._layout: Layout = make_layout(size.controllers, size.routers, ports)
+        self.record = Record()
+        daemons = [
+            Daemon(node, self._layout, PlatformTerms(), folder, program_root) for node in self._layout.nodes
+        ]
+        self._processes = {daemon.node.name: SoakProcess(daemon, self.record, GRACE_S) for daemon in daemons}
+        self._backends = SoakBackends(self._layout, self.record, plan.seed)
+        self._ingress = Ingress(self._layout.fronts)
+        self._prober = ReadinessProber(self._ingress, self._layout)
+        self._kinds = request_kinds(size.rate)
+        configurations = Configurations(self._kinds, ServerProfile())
+        self._operator = ConfigOperator(self._loop, self._layout.controls, configurations, plan.seed)
+        self._clients = Clients(self._layout, self._ingress, self.record, plan.seed)
+        self._delay = LoopDelay(self._loop)
+        self._began = 0.0
+
+    async def play(self) -> Played:
+        """Start everything, play the plan, end everything; `StartError` where it does not get ready."""
+        try:
+            await self._start()
+            prober = asyncio.create_task(self._prober.run())
+            try:
+                await self._play_all()
+            finally:
+                prober.cancel()
+        finally:
+            await self._end()
+        self._gather()
+        logs = {name: process.daemon.log_text() for name, process in self._processes.items()}
+        return Played(self.record, logs, self._began)
+
+    async def _start(self) -> None:
+        await self._backends.start(self._plan.size.backends)
+        await asyncio.gather(*(process.start() for process in self._processes.values()))
+        try:
+            async with asyncio.timeout(START_TIMEOUT):
+                await self._operator.send_first()
+                await self._prober.await_all()
+        except TimeoutError:
+            raise StartError(f"not ready after {START_TIMEOUT:g} s") from None
+        self._delay.start()
+
+    async def _play_all(self) -> None:
+        self._began = self._loop.time()
+        async with asyncio.TaskGroup() as tasks:
+            changes = tasks.create_task(self._operator.change_every(self._change_interval()))
+            steps = [tasks.create_task(self._play_step(step)) for step in self._plan.steps]
+            await self._clients.run(self._schedule())
+            self._operator.stop()
+            await asyncio.gather(changes, *steps)
+        await self._operator.read_back(READ_BACK_TIMEOUT)
+        usages = (process.usage() for process in self._processes.values())
+        self.record.usage = [usage for usage in usages if usage]
+
+    def _change_interval(self) -> float:
+        gaps = [step.gap for step in self._plan.steps if step.kind is StepKind.CHANGES]
+        return min(gaps, default=SLOW_CHANGES)
+
+    def _schedule(self) -> list[PlannedRequest]:
+        size, seed = self._plan.size, self._plan.seed
+        planned = draw_schedule(self._kinds, size.seconds, size.clients, seed)
+        for place, step in enumerate(self._plan.steps):
+            if step.kind is StepKind.BURST:
+                more = draw_schedule(
+                    request_kinds(size.rate * step.share), step.span, size.clients, seed + 1 + place
+                )
+                planned += [
+                    dataclasses.replace(each, at=step.at + each.at, number=len(planned) + number)
+                    for number, each in enumerate(more)
+                ]
+        return sorted(planned, key=lambda each: each.at)
+
+    # Steps
+
+    async def _play_step(self, step: Step) -> None:
+        await asyncio.sleep(max(0.0, self._began + step.at - self._loop.time()))
+        if process := self._processes.get(step.target):
+            await self._strike(process, step)
+        elif step.kind is StepKind.BACKEND_FAULT:
+            self._backends.faults.add(step.mode, self._loop.time() + step.span, step.share)
+        elif step.kind is StepKind.BACKEND_CRASH:
+            await self._backends.crash(step.count, step.span)
+        elif step.kind is StepKind.BACKEND_DRAIN:
+            await self._backends.replace()
+
+    async def _strike(self, process: SoakProcess, step: Step) -> None:
+        if step.kind is StepKind.TERM:
+            await process.restart()
+        elif step.kind is StepKind.TERM_TWICE:
+            await process.restart(second_after=step.span)
+        elif step.kind is StepKind.TERM_IN_START:
+            await process.restart_in_start(step.span)
+        elif step.kind is StepKind.KILL:
+            await process.kill(step.span)
+        elif step.kind is StepKind.HUP:
+            process.hang_up()
+        elif step.kind is StepKind.FREEZE:
+            await process.freeze(step.span)
+        elif step.kind is StepKind.QUOTA:
+            await process.limit(step.span, step.share)
+
+    # The end
+
+    async def _end(self) -> None:
+        self._delay.stop()
+        for role in (DaemonRole.ROUTER, DaemonRole.CONTROLLER):
+            ending = [each for each in self._processes.values() if each.daemon.node.role is role]
+            await asyncio.gather(*(process.close() for process in ending))
+        self._backends.close()
+
+    def _gather(self) -> None:
+        record, verdict = self.record, compare_runs(self._backends.records.runs, self._clients.sent)
+        record.doubled = [each.decode("latin-1") for each in verdict.doubled]
+        record.ran_after_refusal = [each.decode("latin-1") for each in verdict.ran_after_refusal]
+        record.unasked = [each.decode("latin-1") for each in verdict.unasked]
+        record.altered = [each.decode("latin-1") for each in verdict.altered]
+        record.orders_refused = self._operator.record.refused
+        record.orders_acknowledged = self._operator.record.acknowledged
+        record.read_back = self._operator.record.read_back
+        record.clock_delay = self._delay.longest
+        for name, process in self._processes.items():
+            if problems := problems_in_log(process.daemon.log_text()):
+                record.log_problems[name] = problems
+
+
+def request_kinds(rate: float) -> tuple[RequestClass, ...]:
+    """Both classes of requests, so many a second together."""
+    return (
+        dataclasses.replace(LONG_PROMPTS, per_second=rate * LONG_SHARE),
+        dataclasses.replace(SHORT_PROMPTS, per_second=rate * (1.0 - LONG_SHARE)),
+    )
