--- a/firvane/soak/judge.py
+++ b/firvane/soak/judge.py
@@ -123,7 +123,7 @@
 def _was_read(each: TryRecord, terms: Terms, delay: float) -> bool:
     """Whether the process must have read a request that it did not pass on.
 
-    What comes behind another request is read once that one is answered, and is not at all where that never was.
+    What comes behind another request is read once that one is answered, and never where it was not.
     """
     if each.turn > each.ended:
         return False
--- a/tests/placement/test_repeats_over_lives.py
+++ b/tests/placement/test_repeats_over_lives.py
@@ -14,8 +14,8 @@
 from firvane import interface as api
 from firvane.placement.balancer import PromptBalancer
 from firvane.placement.events import InstancesChanged, PeersChanged, RequestKind, ServiceInfo
+from firvane.soak.retry_rule import RetryRule
 from tests.placement.helpers import SERVICE, instances, request, settings
-from tests.placement.retry_rule import RetryRule
 
 RULE = RetryRule(ratio=0.2, slack=52.0, window=10.0)
 ROUTERS, BACKENDS = 6, 5
