Give a silent stream up only where another backend takes it up

Ruled out: a longer silence (it only makes it rarer). Change: before a silent stream is given up the decisions are asked whether they would continue it now: attempts, budget and a backend with room; else it waits. Dead field events_passed is gone.

--- a/firvane/placement/balancer.py
+++ b/firvane/placement/balancer.py
@@ -185,6 +185,13 @@
     def _set_timer(self, job: Job, span: float) -> None:
         self.actions.append(api.SetTimer(max(0.001, span), job.request.id + 1, job.request.id))
 
+    def may_continue(self, number: int, now: float) -> bool:
+        """Whether a stream that has begun would be taken up elsewhere if its attempt were given up now."""
+        job = self.jobs.get(number)
+        if job is None or not (job.request.repeatable and job.attempts_left) or job.sends >= MOST_SENDS:
+            return False
+        return job.service.budget.has_token(now) and selection.choose(job.service, job, now) is not None
+
     # News of attempts
 
     def _on_started(self, event: api.StreamStarted, now: float) -> None:
--- a/firvane/placement/budget.py
+++ b/firvane/placement/budget.py
@@ -75,12 +75,16 @@
         self._add(self.ratio, now)
 
     def allows(self, now: float) -> bool:
-        """Whether one more repeat is within the budget."""
-        self._add(0.0, now)
-        allowed = self._tokens >= 1.0 - ROUNDING
+        """Whether one more repeat is within the budget; a no is counted."""
+        allowed = self.has_token(now)
         self._denied += not allowed
         return allowed
 
+    def has_token(self, now: float) -> bool:
+        """Whether one more repeat would be allowed."""
+        self._add(0.0, now)
+        return self._tokens >= 1.0 - ROUNDING
+
     def spend(self, now: float) -> None:
         """A repeat goes out."""
         self._repeats += 1
--- a/firvane/router/client.py
+++ b/firvane/router/client.py
@@ -203,6 +203,7 @@
         flow.resumable = route.stream_resume
         self.flow = flow
         front.engine.take(flow, front.prompt_request(request))
+        request.flow_id = flow.id
 
     def _turn_down(self, fault: Fault) -> None:
         self.keep = False
--- a/firvane/router/requests.py
+++ b/firvane/router/requests.py
@@ -16,16 +16,13 @@
 
 @dataclass(slots=True)
 class ProxiedRequest:
-    """A client's message, its route, and how much of the answer the client has been given.
-
-    `left_at` is when its client went away or stopped waiting; the message is sent on only before.
-    """
+    """A client's message, its route, and how much of the answer the client has been given."""
 
     message: Message
     route: Route
     request_id: bytes
     last_event_id: int | None = None  # of the last whole event that the client was given
-    events_passed: int = 0
+    flow_id: int = -1  # of the engine's flow
 
 
 @dataclass(slots=True, frozen=True)
--- a/firvane/router/router.py
+++ b/firvane/router/router.py
@@ -71,6 +71,7 @@
         self.engine = self._make_engine()
         self.front.engine = self.engine
         self.upstreams.on_progress = self._on_progress
+        self.upstreams.may_continue = self._may_continue
         self.backends = Backends(self.upstreams, self.engine)
         self.members_call = MembersCall(loop, self._members_report)
         self.configuration: Configuration | None = None
@@ -175,6 +176,9 @@
     def _on_progress(self, backend: str) -> None:
         self.engine.give(Progress(backend))
 
+    def _may_continue(self, request: ProxiedRequest) -> bool:
+        return self.balancer.may_continue(request.flow_id, self.loop.time())
+
     def _send_row(self, address: Address, payload: bytes) -> None:
         self.agent.send(address, Channel.ROWS, payload)
 
--- a/firvane/router/upstream.py
+++ b/firvane/router/upstream.py
@@ -26,8 +26,16 @@
     """Nobody asks for progress of streams."""
 
 
+def always_continued(request: ProxiedRequest) -> bool:
+    """Whatever is given up goes on elsewhere."""
+    return True
+
+
 class Upstreams:
-    """The pools of all backends; `on_progress` is told of backends whose streams go on."""
+    """The pools of all backends; `on_progress` is told of backends whose streams go on.
+
+    `may_continue` says of a request whose stream has fallen silent whether another backend would take it up.
+    """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, dialer: Dialer, most: int) -> None:
         """`most` is the number of connections that may be open at once."""
@@ -35,6 +43,7 @@
         self.pools: dict[str, Pool] = {}
         self.streams: dict[UpstreamConnection, None] = {}
         self.on_progress: Callable[[str], None] = ignore_progress
+        self.may_continue: Callable[[ProxiedRequest], bool] = always_continued
         self.connections = 0
         self.dials = 0  # ever made
 
--- a/firvane/router/upstream_connection.py
+++ b/firvane/router/upstream_connection.py
@@ -51,6 +51,7 @@
     connections: int
     streams: dict[UpstreamConnection, None]
     on_progress: Callable[[str], None]
+    may_continue: Callable[[ProxiedRequest], bool]
 
     def park(self, connection: UpstreamConnection, answer: Message | None = None) -> None:
         """Keep an idle connection for the next exchange."""
@@ -324,12 +325,15 @@
             (self.transport.pause_reading if held else self.transport.resume_reading)()
 
     def check_silence(self, now: float) -> None:
-        """Give up a resumable stream that has been silent for far longer than its pauses should last."""
+        """Give up a resumable stream that has been silent for far longer than its pauses should last.
+
+        Only where another backend takes it up: silence alone is no reason to end an answer sooner.
+        """
         run = self.run
         if run is None or self.held or not run.request.route.stream_resume:
             return
         longest = max(MIN_SILENCE, SILENCE_FACTOR * run.request.route.gap_aim_ms / 1000)
-        if now > self.moved + longest:
+        if now > self.moved + longest and self.upstreams.may_continue(run.request):
             self._fail(Ending.OVERDUE)
 
 
--- a/firvane/soak/processes.py
+++ b/firvane/soak/processes.py
@@ -48,7 +48,8 @@
         self._send(signal.SIGTERM, SignalKind.TERM)
         if second_after is not None:
             await asyncio.sleep(second_after)
-            self.daemon.send(signal.SIGTERM)
+            if self.daemon.runs:  # perhaps the next life already
+                self._send(signal.SIGTERM, SignalKind.TERM)
         await self._await_end()
         await asyncio.sleep(START_AFTER_END)
         await self.start()
--- a/tests/placement/test_balancer.py
+++ b/tests/placement/test_balancer.py
@@ -136,6 +136,35 @@
     assert only(one.ends(second, api.Result.RESET, attempt=1), api.Fail)
 
 
+def test_a_silent_stream_may_be_continued_within_its_attempts_and_the_budget() -> None:
+    one = Harness()
+    [send] = only(one.ask(), api.Send)
+    one.begins(send)
+    assert one.balancer.may_continue(send.id, one.now)
+    one.balancer.services[SERVICE].budget.sharers.note(10_000, one.now)
+    while one.balancer.services[SERVICE].budget.allows(one.now):
+        one.balancer.services[SERVICE].budget.spend(one.now)
+    assert not one.balancer.may_continue(send.id, one.now)
+    one.fill_budget()
+    assert one.balancer.may_continue(send.id, one.now)
+    one.ends(send, api.Result.TIMEOUT)
+    assert not one.balancer.may_continue(send.id, one.now)  # its second attempt is the last
+    assert not one.balancer.may_continue(send.id + 1, one.now)
+    [other] = only(one.ask(resumable=False), api.Send)
+    one.begins(other)
+    assert not one.balancer.may_continue(other.id, one.now)
+
+
+def test_a_silent_stream_is_not_continued_where_no_server_has_room() -> None:
+    one = Harness(servers=2)
+    [send] = only(one.ask(), api.Send)
+    one.begins(send)
+    assert one.balancer.may_continue(send.id, one.now)
+    for server in one.balancer.services[SERVICE].servers.values():
+        server.full_until = one.now + 1.0
+    assert not one.balancer.may_continue(send.id, one.now)
+
+
 def test_a_stream_that_began_is_never_refused() -> None:
     one = Harness(servers=1, slack=0.0)
     [send] = only(one.ask(), api.Send)
--- a/tests/replication/scenarios.py
+++ b/tests/replication/scenarios.py
@@ -14,6 +14,8 @@
 LONG_CUT = 20.0  # seconds
 SILENT_AFTER = 1.2  # seconds of a cut after which the machine must not claim to be in contact
 HANDS_OUT_AGAIN = 4.0  # seconds after a cut in which all must hand out again, also after a restart of most
+QUOTA_PERIOD, QUOTA_STILL = 0.1, 0.07  # seconds: what a quota leaves of each period
+QUOTA_TIME = 10.0  # seconds
 CUT_OFF = 2.0  # seconds, several election timeouts
 PROMPT = 0.100  # seconds in which a successor must have acknowledged an order; an election takes 0.3 at least
 
@@ -75,6 +77,35 @@
     world.finish()
 
 
+def processor_quota(seed: int) -> None:
+    """All processes stand still for most of each tenth of a second: the leader and its term stay."""
+    world = calm_world(calm_settings(seed), seed)
+    owner = owner_of(world)
+    term = owner.group.replica.term
+    end = world.now + QUOTA_TIME
+
+    def stand_still(machine: Machine) -> None:
+        world.freeze(machine)
+        world.at(world.now + QUOTA_STILL, lambda: go_on(machine))
+
+    def go_on(machine: Machine) -> None:
+        world.thaw(machine)
+        if world.now < end:
+            world.at(world.now + QUOTA_PERIOD - QUOTA_STILL, lambda: stand_still(machine))
+
+    for machine in world.machines.values():
+        world.at(world.now + world.chance.uniform(0.0, QUOTA_PERIOD), lambda each=machine: stand_still(each))
+    acknowledged = len(owner.ledger.commands)
+    world.run(end + 1.0)
+    after = world.owner()
+    kept = after is owner and owner.group.replica.term == term
+    require(kept, Promise.LEADER_UNDISTURBED, f"under a processor quota the leader of term {term} was lost")
+    require(
+        len(owner.ledger.commands) > acknowledged, Promise.LEADER_UNDISTURBED, "no order was taken meanwhile"
+    )
+    world.finish()
+
+
 def _cut_both_ways(world: World, one: Machine, other: Machine) -> None:
     world.cuts[one.address, other.address] = world.cuts[other.address, one.address] = False
 
@@ -310,4 +341,5 @@
     "parting owner": parting_owner,
     "planned end": planned_end,
     "long cut": long_cut,
+    "processor quota": processor_quota,
 }
--- /dev/null
+++ b/tests/router/test_silent_streams.py
@@ -0,0 +1,62 @@
+"""A stream that falls silent is given up only where another backend takes it up."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tests.router.helpers import REQUEST, STREAM_HEAD, Backend, chunk, event, request_id, rig, route
+
+LAST_CHUNK = b"0\r\n\r\n"
+LONG = 60.0  # s of silence
+
+
+@pytest.mark.parametrize("continued", (False, True))
+def test_a_silent_stream_waits_where_nobody_would_take_it_up(continued: bool) -> None:
+    go_on = asyncio.Event()
+
+    async def silent(request: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(STREAM_HEAD % request_id(request) + chunk(event(1)))
+        await go_on.wait()
+        writer.write(chunk(event(2)) + LAST_CHUNK)
+
+    async def takes_up(request: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(STREAM_HEAD % request_id(request) + chunk(event(2)) + LAST_CHUNK)
+
+    async def scene() -> None:
+        backends = [Backend("a", silent), Backend("b", takes_up)]
+        async with rig(backends, (route(stream_resume=True),)) as made:
+            made.upstreams.may_continue = lambda request: continued
+            reader, writer = await made.connect()
+            writer.write(REQUEST % b"one")
+            await reader.readuntil(b"data: 1\n\n")
+            made.upstreams.sweep(made.front.loop.time() + LONG)
+            if not continued:
+                go_on.set()
+            rest = await reader.readuntil(LAST_CHUNK)
+            assert event(2) in rest
+            assert len(backends[1].requests) == int(continued)
+            writer.close()
+
+    asyncio.run(asyncio.wait_for(scene(), 10))
+
+
+def test_the_request_of_a_stream_knows_its_flow() -> None:
+    asked = list[int]()
+
+    async def silent(request: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(STREAM_HEAD % request_id(request) + chunk(event(1)))
+        await asyncio.Event().wait()
+
+    async def scene() -> None:
+        async with rig([Backend("a", silent)], (route(stream_resume=True),)) as made:
+            made.upstreams.may_continue = lambda request: bool(asked.append(request.flow_id))
+            reader, writer = await made.connect()
+            writer.write(REQUEST % b"one")
+            await reader.readuntil(b"data: 1\n\n")
+            made.upstreams.sweep(made.front.loop.time() + LONG)
+            assert asked == list(made.engine.flows) and len(asked) == 1
+            writer.close()
+
+    asyncio.run(asyncio.wait_for(scene(), 10))
