Start threads while signals are held, so that a second SIGTERM cannot end a daemon out of order

Ruled out: a signal during the drain (the handler only sets an event), the next life's start (it had not begun). Change: the router starts before signals are heeded, the controller waits for its start or 1 s; threads inherit the mask. Before and after: the new test fails on the code before (threads block nothing).

--- a/firvane/programs/controller.py
+++ b/firvane/programs/controller.py
@@ -28,6 +28,7 @@
 )
 from firvane.programs.settings_watch import SettingsWatch
 
+SIGNALS_HELD = 1.0  # s at the most that signals wait for the start
 GARBAGE_THRESHOLDS = (20_000, 20, 50)  # little is left behind in cycles
 
 
@@ -66,10 +67,11 @@
         loop.add_signal_handler(number, ended.set)
     watch = SettingsWatch(loop, lambda: reload(controller, log))
     loop.add_signal_handler(signal.SIGHUP, watch.signalled)
-    orders.heed()
     watch.start()
     starting = loop.create_task(controller.start())
     starting.add_done_callback(lambda _: tune_collector())
+    await asyncio.wait({starting}, timeout=SIGNALS_HELD)
+    orders.heed()  # threads that the start has made hold signals for ever, and never end the process by one
     await ended.wait()
     watch.stop()
     starting.cancel()
--- a/firvane/programs/router.py
+++ b/firvane/programs/router.py
@@ -62,8 +62,8 @@
         loop.add_signal_handler(number, ended.set)
     watch = SettingsWatch(loop, lambda: reload(router, log))
     loop.add_signal_handler(signal.SIGHUP, watch.signalled)
-    orders.heed()
     await router.start()
+    orders.heed()  # threads that the start has made hold signals for ever, and never end the process by one
     watch.start()
     gc.collect()
     gc.freeze()
--- /dev/null
+++ b/tests/localfleet/test_signals.py
@@ -0,0 +1,66 @@
+"""Signals of the real daemons: no thread but the first one may take them.
+
+A signal to the process goes to any thread that does not block it. At the end the first thread does, and a
+second SIGTERM that reached another one after the loop has closed would end the process out of order.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from pathlib import Path
+
+from firvane.localfleet.daemons import Daemon
+from firvane.localfleet.layout import find_free_ports, make_layout
+from firvane.localfleet.settings_files import PlatformTerms
+
+TIME_LIMIT = 30.0  # s, only for a run that hangs
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
+
+def blocked_signals(status: str) -> set[signal.Signals]:
+    mask = next(int(line.split()[1], 16) for line in status.splitlines() if line.startswith("SigBlk:"))
+    return {number for number in SIGNALS if mask & 1 << (number - 1)}
+
+
+async def until_listening(daemon: Daemon, port: int) -> None:
+    while True:
+        assert daemon.runs, daemon.log_text()
+        try:
+            _, writer = await asyncio.open_connection(daemon.node.host, port)
+        except OSError:
+            continue
+        writer.close()
+        return
+
+
+async def until_heeded(daemon: Daemon) -> list[set[signal.Signals]]:
+    """What each thread blocks, the first one first, once that one takes signals."""
+    while True:
+        await asyncio.sleep(0)
+        threads = sorted(Path(f"/proc/{daemon.pid}/task").iterdir(), key=lambda folder: int(folder.name))
+        try:
+            blocked = [blocked_signals((thread / "status").read_text()) for thread in threads]
+        except (FileNotFoundError, ProcessLookupError):
+            continue  # a thread has just ended
+        if not blocked[0]:
+            return blocked
+
+
+def test_only_the_first_thread_of_a_daemon_takes_signals(tmp_path: Path) -> None:
+    async def scene() -> None:
+        layout = make_layout(1, 1, find_free_ports(1, 1, 0))
+        ports = (layout.ports.control, layout.ports.front)
+        for node, port in zip(layout.nodes, ports, strict=True):
+            daemon = Daemon(node, layout, PlatformTerms(), tmp_path)
+            await daemon.start()
+            try:
+                await until_listening(daemon, port)
+                first, *others = await until_heeded(daemon)
+                assert not first and others
+                assert all(blocked == set(SIGNALS) for blocked in others), (node.name, others)
+            finally:
+                await daemon.stop(5.0)
+            assert not daemon.own_ends and await daemon.wait_end() == 0
+
+    asyncio.run(asyncio.wait_for(scene(), TIME_LIMIT))
