End the daemons of a soak in order when it is told to end

Cause: a soak that was ended by SIGTERM left its daemons behind. Ruled out: to leave it to whoever started it.

--- a/firvane/soak/command.py
+++ b/firvane/soak/command.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import shutil
+import signal
 import sys
 import tempfile
 from collections import Counter
@@ -25,6 +26,7 @@
 BROKEN = 1
 BAD_USAGE = 2
 NOT_STARTED = 3
+INTERRUPTED = 130
 MOST_STORIES = 5
 MOST_SHRINKING_PLAYS = 40
 
@@ -49,6 +51,10 @@
 
 
 async def _play(plan: Plan, folder: Path, program_root: Path) -> Played:
+    """Play, and end all daemons in order when SIGTERM comes as well."""
+    playing = asyncio.current_task()
+    assert playing
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, playing.cancel)
     return await Player(plan, folder, program_root).play()
 
 
@@ -90,6 +96,8 @@
         except StartError as error:
             print(f"seed {plan.seed}: {error}", file=sys.stderr)
             return NOT_STARTED
+        except (KeyboardInterrupt, asyncio.CancelledError):
+            return INTERRUPTED
         print(summary(plan, outcome), flush=True)
         if outcome.violations:
             status = BROKEN
