--- a/tests/placement/test_balancer.py
+++ b/tests/placement/test_balancer.py
@@ -119,6 +119,17 @@
     assert len(set(tried)) == 4
 
 
+def test_what_is_held_goes_out_the_most_urgent_first() -> None:
+    one = Harness(servers=2)
+    servers = one.balancer.services[SERVICE].servers.values()
+    for server in servers:
+        server.full_until = one.now + 0.04
+    for priority in (5, 0, 3, 0):
+        assert not only(one.ask(priority=priority), api.Send)
+    sent = only(one.window(after=0.05), api.Send)
+    assert [send.id for send in sent] == [2, 4, 3, 1]
+
+
 def test_an_answer_that_comes_whole_has_its_time() -> None:
     one = Harness()
     [send] = only(one.ask(kind=RequestKind.IDEMPOTENT), api.Send)
