Let the soak use localfleet's backends instead of its own

Cause: starting, listing, replacing and ending backends stood twice, in localfleet and in the soak. Ruled out: a subclass that overrides private parts. Change: Backends takes who makes a server, and can let servers crash; the soak hands in its failing ones.

--- a/firvane/localfleet/backends.py
+++ b/firvane/localfleet/backends.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from firvane.localfleet.instance_list import InstanceList, ListedInstance
 from firvane.localfleet.layout import ZONES, Layout
@@ -13,6 +14,10 @@
 from firvane.localfleet.run_ledger import ServerRecords
 from firvane.localfleet.settings_files import PlatformTerms
 
+CRASHED_LISTED_S = 2.0  # s for which the list still shows a server that is gone
+
+ServerFactory = Callable[[ListedInstance, ServerRecords, int], ModelServer]  # the last is a seed
+
 
 class Backends:
     """The stand-ins behind the routers."""
@@ -24,7 +29,10 @@
         profile: ServerProfile,
         terms: PlatformTerms,
         seed: int,
+        make_server: ServerFactory | None = None,
     ) -> None:
+        """`make_server` makes one incarnation; without it, it is a model server that never fails."""
+        self._make_server = make_server or self._make_sound_server
         self.records = ServerRecords()
         self.instances = InstanceList(terms.lag, terms.page_size, terms.rate_per_s)
         self._loop, self._layout, self._profile, self._terms = loop, layout, profile, terms
@@ -52,6 +60,21 @@
         self._endings.add(ending)
         ending.add_done_callback(self._endings.discard)
 
+    async def crash(self, count: int, others_after: float) -> None:
+        """These are gone in the middle of their work; as many others come `others_after` seconds later."""
+        gone, self._servers = self._servers[:count], self._servers[count:]
+        for server in gone:
+            for connection in list(server.connections):
+                connection.break_off()
+            server.close()
+        await asyncio.sleep(others_after)
+        for _ in gone:
+            server = await self._start_one()
+            self.instances.put(server.instance, self._loop.time())
+        await asyncio.sleep(max(0.0, CRASHED_LISTED_S - others_after))
+        for server in gone:
+            self.instances.remove(server.instance.id, self._loop.time())
+
     def close(self) -> None:
         """End everything at once."""
         for ending in self._endings:
@@ -70,11 +93,14 @@
             ZONES[number % len(ZONES)],
             self._profile.slots,
         )
-        server = ModelServer(self._loop, instance, self._profile, self.records, self._seed + number)
+        server = self._make_server(instance, self.records, self._seed + number)
         await server.start()
         self._servers.append(server)
         return server
 
+    def _make_sound_server(self, instance: ListedInstance, records: ServerRecords, seed: int) -> ModelServer:
+        return ModelServer(self._loop, instance, self._profile, records, seed)
+
     async def _end(self, server: ModelServer) -> None:
         """The way out: the list shows it as draining, it serves on for a time, refuses for a time, ends."""
         server.state = ServerState.DRAINING
--- a/firvane/soak/backends.py
+++ b/firvane/soak/backends.py
@@ -5,12 +5,12 @@
 import asyncio
 import random
 
-from firvane.localfleet.instance_list import InstanceList, ListedInstance
-from firvane.localfleet.layout import ZONES, Layout
-from firvane.localfleet.model_connection import ModelConnection, ServerState
+from firvane.localfleet.backends import Backends
+from firvane.localfleet.instance_list import ListedInstance
+from firvane.localfleet.layout import Layout
+from firvane.localfleet.model_connection import ModelConnection
 from firvane.localfleet.model_server import ModelServer, request_fingerprint
-from firvane.localfleet.platform_server import PlatformServer
-from firvane.localfleet.profiles import SERVICE, ServerProfile
+from firvane.localfleet.profiles import ServerProfile
 from firvane.localfleet.run_ledger import Run, ServerRecords
 from firvane.localfleet.settings_files import PlatformTerms
 from firvane.net.http import Message
@@ -18,8 +18,6 @@
 from firvane.soak.records import Arrival, Record, RunEnd
 
 LONGEST_UNTIL_CUT = 0.6  # s after which an answer that is to be cut has been
-CRASHED_LISTED = 2.0  # s for which the list still shows a backend that is gone
-NOT_EXECUTED = b"x-not-executed"
 
 
 class Faults:
@@ -126,75 +124,11 @@
             arrival.end, arrival.ended = end, self._soak.loop.time()
 
 
-class SoakBackends:
-    """All backends and the platform's list of them."""
-
-    def __init__(self, layout: Layout, record: Record, seed: int) -> None:
-        terms = PlatformTerms()
-        self.records = ServerRecords()
-        self.faults = Faults(seed)
-        self._loop = asyncio.get_running_loop()
-        self._instances = InstanceList(terms.lag, terms.page_size, terms.rate_per_s)
-        self._platform = PlatformServer(self._loop, layout.platform, self._instances)
-        self._layout, self._record, self._seed = layout, record, seed
-        self._servers: list[SoakServer] = []
-        self._started = 0
-
-    async def start(self, count: int) -> None:
-        """Start so many backends, which are listed at once, and the list."""
-        for _ in range(count):
-            server = await self._start_one()
-            self._instances.put(server.instance, self._loop.time(), at_once=True)
-        await self._platform.start()
-
-    async def crash(self, count: int, others_after: float) -> None:
-        """These are gone in the middle of their work; as many others come later."""
-        gone, self._servers = self._servers[:count], self._servers[count:]
-        for server in gone:
-            for connection in list(server.connections):
-                connection.break_off()
-            server.close()
-        await asyncio.sleep(others_after)
-        for _ in gone:
-            server = await self._start_one()
-            self._instances.put(server.instance, self._loop.time())
-        await asyncio.sleep(max(0.0, CRASHED_LISTED - others_after))
-        for server in gone:
-            self._instances.remove(server.instance.id, self._loop.time())
-
-    async def replace(self) -> None:
-        """The oldest one drains and goes, and another one comes."""
-        oldest = self._servers.pop(0)
-        newest = await self._start_one()
-        self._instances.put(newest.instance, self._loop.time())
-        self._instances.drain(oldest.instance.id, self._loop.time())
-        oldest.state = ServerState.DRAINING
-        profile, terms = ServerProfile(), PlatformTerms()
-        await asyncio.sleep(terms.lag + profile.drain_s)
-        oldest.state = ServerState.REFUSING
-        await asyncio.sleep(profile.linger_s)
-        self._instances.remove(oldest.instance.id, self._loop.time())
-        oldest.close()
-
-    def close(self) -> None:
-        """End everything at once."""
-        for server in self._servers:
-            server.close()
-        self._platform.close()
-
-    async def _start_one(self) -> SoakServer:
-        number = self._started
-        self._started += 1
-        instance = ListedInstance(
-            f"i-{number + 1}",
-            SERVICE,
-            self._layout.backend(number),
-            ZONES[number % len(ZONES)],
-            ServerProfile().slots,
-        )
-        server = SoakServer(
-            self._loop, instance, self.records, self._record, self.faults, self._seed + number
-        )
-        await server.start()
-        self._servers.append(server)
-        return server
+def make_backends(layout: Layout, record: Record, faults: Faults, seed: int) -> Backends:
+    """All backends and the platform's list of them; each arrival goes into the record."""
+    loop, profile = asyncio.get_running_loop(), ServerProfile()
+
+    def make_server(instance: ListedInstance, records: ServerRecords, server_seed: int) -> ModelServer:
+        return SoakServer(loop, instance, records, record, faults, server_seed)
+
+    return Backends(loop, layout, profile, PlatformTerms(), seed, make_server)
--- a/firvane/soak/player.py
+++ b/firvane/soak/player.py
@@ -18,7 +18,7 @@
 from firvane.localfleet.run_ledger import judge as compare_runs
 from firvane.localfleet.schedule import PlannedRequest, draw_schedule
 from firvane.localfleet.settings_files import GRACE_S, PlatformTerms
-from firvane.soak.backends import SoakBackends
+from firvane.soak.backends import Faults, make_backends
 from firvane.soak.clients import Clients
 from firvane.soak.plan import Plan, Step, StepKind
 from firvane.soak.processes import SoakProcess
@@ -57,7 +57,8 @@
             Daemon(node, self._layout, PlatformTerms(), folder, program_root) for node in self._layout.nodes
         ]
         self._processes = {daemon.node.name: SoakProcess(daemon, self.record, GRACE_S) for daemon in daemons}
-        self._backends = SoakBackends(self._layout, self.record, plan.seed)
+        self._faults = Faults(plan.seed)
+        self._backends = make_backends(self._layout, self.record, self._faults, plan.seed)
         self._ingress = Ingress(self._layout.fronts)
         self._prober = ReadinessProber(self._ingress, self._layout)
         self._kinds = request_kinds(size.rate)
@@ -130,11 +131,11 @@
         if process := self._processes.get(step.target):
             await self._strike(process, step)
         elif step.kind is StepKind.BACKEND_FAULT:
-            self._backends.faults.add(step.mode, self._loop.time() + step.span, step.share)
+            self._faults.add(step.mode, self._loop.time() + step.span, step.share)
         elif step.kind is StepKind.BACKEND_CRASH:
             await self._backends.crash(step.count, step.span)
         elif step.kind is StepKind.BACKEND_DRAIN:
-            await self._backends.replace()
+            await self._backends.replace_oldest()
 
     async def _strike(self, process: SoakProcess, step: Step) -> None:
         if step.kind is StepKind.TERM:
