--- a/firvane/soak/connection.py
+++ b/firvane/soak/connection.py
@@ -135,8 +135,9 @@
         self._head_told = False
         if not self._waiting:
             return
-        exchange = self._waiting.popleft()
+        exchange = self._waiting[0]
         exchange.on_complete()
+        self._waiting.popleft()
         now = self._loop.time()
         exchange.finish(TryEnd.WHOLE, now)
         if self._waiting:
--- /dev/null
+++ b/tests/soak/test_command.py
@@ -0,0 +1,66 @@
+"""The command's options, and what it tells of a broken rule."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from firvane.soak.command import BAD_USAGE, Outcome, soak, summary
+from firvane.soak.judge import Violation
+from firvane.soak.plan import SIZES, draw_plan
+from firvane.soak.player import Played
+from firvane.soak.records import Arrival, ProcessEvent, Record, RunEnd, SignalKind, TryEnd, TryRecord
+from firvane.soak.story import tell
+
+
+def test_bad_usage_is_told(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    no_plan = tmp_path / "plan.json"
+    no_plan.write_text("{}")
+    assert soak(size="vast") == BAD_USAGE
+    assert soak(seeds=0) == BAD_USAGE
+    assert soak(replay=no_plan) == BAD_USAGE
+    assert soak(replay=tmp_path / "none.json") == BAD_USAGE
+    said = capsys.readouterr().err
+    assert "vast" in said and "not a plan" in said and "none.json" in said
+
+
+def played() -> Played:
+    record = Record()
+    attempt = TryRecord("00a1", "short", True, 2, router="router-1", number=1)
+    attempt.connected, attempt.sent, attempt.sent_whole = 103.0, 104.0, 104.5
+    attempt.ended, attempt.end, attempt.status = 107.2, TryEnd.BROKEN, 200
+    record.tries["00a1"] = attempt
+    record.arrivals = [
+        Arrival("00a1", "i-1", 104.6, 107.1, RunEnd.CANCELLED),
+        Arrival("00b2", "i-2", 104.7, 104.8, RunEnd.ANSWERED),
+    ]
+    record.processes = [
+        ProcessEvent(80.0, "router-1", SignalKind.HUP),
+        ProcessEvent(100.0, "router-1", SignalKind.TERM),
+        ProcessEvent(107.3, "router-1", SignalKind.ENDED, 0),
+        ProcessEvent(101.0, "router-2", SignalKind.TERM),
+    ]
+    log = 'event="drain: answer cut." request=00a1 x\nevent="router: ends." open=0\nrequest=00b2 y\nother\n'
+    return Played(record, {"router-1": log}, 100.0)
+
+
+def test_a_story_has_all_that_concerns_it_in_the_order_of_time() -> None:
+    lines = tell(Violation("LOST", 107.2, "why", "00a1", "router-1"), played()).splitlines()
+    assert lines[0] == "LOST at 7.200 s: why"
+    told = [line.split(" s  ") for line in lines[1:] if " s  " in line]
+    assert [float(at) for at, _ in told] == sorted(float(at) for at, _ in told)
+    texts = [text for _, text in told]
+    assert texts[0] == "router-1: SIGTERM" and texts[-1] == "router-1: ended"
+    assert "reaches i-1" in texts and not any("i-2" in text or "SIGHUP" in text for text in texts)
+    log = [line.strip() for line in lines if line.startswith("    ")]
+    assert log == ['event="drain: answer cut." request=00a1 x', 'event="router: ends." open=0']
+
+
+def test_the_summary_counts_rules_and_ends() -> None:
+    made = played()
+    violations = [Violation("LOST", 1.0, ""), Violation("LOST", 2.0, ""), Violation("END", 3.0, "")]
+    line = summary(draw_plan(4, SIZES["small"]), Outcome(made, violations))
+    assert line.startswith("seed 4: broken END:1 LOST:2; 1 requests (whole=0 ")
+    assert "broken=1" in line and "2 arrivals" in line
+    assert "broken none" in summary(draw_plan(4, SIZES["small"]), Outcome(made, []))
