Let the soak see a repeat of what may run once, and tell plans for three faults

Cause: four of eleven deliberate faults were not caught within ten seeds of the small size. Three need more time than its thirteen seconds (buckets that fill, connections that break for long, an answer that lasts beyond the grace), one a request that may run once and may have two attempts. Change: long requests have two attempts; three faults have plans that are told.

--- a/firvane/soak/player.py
+++ b/firvane/soak/player.py
@@ -178,8 +178,11 @@
 
 
 def request_kinds(rate: float) -> tuple[RequestClass, ...]:
-    """Both classes of requests, so many a second together."""
+    """Both classes of requests, so many a second together.
+
+    The long ones may run once, and may be sent to a second backend where they surely have not.
+    """
     return (
-        dataclasses.replace(LONG_PROMPTS, per_second=rate * LONG_SHARE),
+        dataclasses.replace(LONG_PROMPTS, per_second=rate * LONG_SHARE, max_attempts=2),
         dataclasses.replace(SHORT_PROMPTS, per_second=rate * (1.0 - LONG_SHARE)),
     )
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -19,6 +19,8 @@
 
 import defopt
 
+from firvane.soak.plan import SIZES, FaultMode, Plan, Size, Step, StepKind
+
 ROOT = Path(__file__).resolve().parents[2]
 SEEDS = 10
 RUN_LIMIT = 180.0  # s for one seed
@@ -33,7 +35,17 @@
     file: str  # below the root
     old: str  # stands there exactly once
     new: str
+    steps: tuple[Step, ...] = ()  # a plan that is told, where drawn ones of the small size are too short
+    size: Size = SIZES["small"]
+
 
+LONGER = Size(routers=3, controllers=3, backends=4, clients=40, seconds=30.0, rate=70.0)
+FAIL_LATE = (Step(16.0, StepKind.BACKEND_FAULT, span=14.0, share=0.95, mode=FaultMode.ERROR),)
+RESET_ALL = (Step(2.0, StepKind.BACKEND_FAULT, span=11.0, share=0.9, mode=FaultMode.RESET),)
+HANG_AND_END = (
+    Step(1.0, StepKind.BACKEND_FAULT, span=12.0, share=0.9, mode=FaultMode.HANG),
+    *(Step(2.0 + number, StepKind.TERM, f"router-{number}") for number in (1, 2, 3)),
+)
 
 FAULTS = (
     Fault(
@@ -56,6 +68,8 @@
         "firvane/placement/budget.py",
         "RESERVE * self.slack / self.sharers.count(now)",
         "RESERVE * self.slack",
+        FAIL_LATE,
+        LONGER,
     ),
     Fault(
         "a budget that each new configuration resets",
@@ -77,6 +91,7 @@
         "firvane/placement/balancer.py",
         "        if outcome.result.never_ran and outcome",
         "        if (outcome.result.never_ran or outcome.result is api.Result.RESET) and outcome",
+        RESET_ALL,
     ),
     Fault(
         "one backend more than max_attempts",
@@ -112,6 +127,7 @@
         "firvane/router/router.py",
         "END_MARGIN = 0.8 ",
         "END_MARGIN = -1.5 ",
+        HANG_AND_END,
     ),
 )
 
@@ -126,7 +142,10 @@
 
     def line(self) -> str:
         """A row of the table."""
-        return f"| {self.fault.name} | {self.fault.rule} | {self.seed or 'not caught'} | {self.said} |"
+        plan = "told" if self.fault.steps else "drawn"
+        return (
+            f"| {self.fault.name} | {self.fault.rule} | {plan} | {self.seed or 'not caught'} | {self.said} |"
+        )
 
 
 def play(fault: Fault, seeds: int) -> Found:
@@ -138,7 +157,7 @@
         path.write_text(path.read_text().replace(fault.old, fault.new))
         said = ""
         for seed in range(1, seeds + 1):
-            said = _soak(seed, folder)
+            said = _soak(fault, seed, folder)
             if f"{fault.rule}:" in said:
                 return Found(fault, seed, said)
         return Found(fault, 0, said)
@@ -146,11 +165,17 @@
         shutil.rmtree(folder, ignore_errors=True)
 
 
-def _soak(seed: int, program_root: Path) -> str:
+def _soak(fault: Fault, seed: int, program_root: Path) -> str:
     """The rules that one seed breaks with the package in this folder."""
-    command = [sys.executable, "-m", "firvane.soak", "--size", "small", "--seed", str(seed)]
+    command = [sys.executable, "-m", "firvane.soak", "--program-root", str(program_root)]
+    if fault.steps:
+        plan = program_root / "plan.json"
+        plan.write_text(Plan(seed, fault.size, fault.steps).to_json())
+        command += ["--replay", str(plan)]
+    else:
+        command += ["--size", "small", "--seed", str(seed)]
     done = subprocess.run(
-        [*command, "--program-root", str(program_root)],
+        command,
         cwd=ROOT,
         capture_output=True,
         text=True,
@@ -170,7 +195,7 @@
     chosen = [each for each in FAULTS if not names or any(name in each.name for name in names)]
     with ThreadPoolExecutor(jobs) as pool:
         found = list(pool.map(lambda fault: play(fault, seeds), chosen))
-    print("| fault | rule | seed | broken in that run |\n| --- | --- | --- | --- |")
+    print("| fault | rule | plan | seed | broken in that run |\n| --- | --- | --- | --- | --- |")
     for each in found:
         print(each.line())
     return int(not all(each.seed for each in found))
