--- a/firvane/soak/story.py
+++ b/firvane/soak/story.py
@@ -30,6 +30,9 @@
     record = played.record
     if each := record.tries.get(violation.request):
         yield from _of_try(each)
+        for other in record.tries.values():
+            if other is not each and (other.router, other.connected) == (each.router, each.connected):
+                yield from _of_neighbour(other)
     for arrival in record.arrivals:
         if arrival.id == violation.request:
             yield arrival.at, f"reaches {arrival.backend}"
@@ -48,10 +51,22 @@
         yield each.sent, f"request {each.id} ({each.kind}, number {each.number} there): first byte"
     if each.sent_whole < UNKNOWN:
         yield each.sent_whole, "its last byte"
+    if each.sent_whole < each.turn < UNKNOWN:
+        yield each.turn, "the answer before it is whole"
+    if each.blind_until:
+        yield each.blind_until, "its client reads again"
     if each.ended < UNKNOWN and each.end:
         yield each.ended, f"for its client: {each.end.value}, status {each.status}, {each.detail}"
 
 
+def _of_neighbour(other: TryRecord) -> Iterator[tuple[float, str]]:
+    """Another request on the same connection."""
+    if other.sent < UNKNOWN:
+        yield other.sent, f"on the same connection: request {other.id} ({other.kind}, number {other.number})"
+    if other.ended < UNKNOWN and other.end:
+        yield other.ended, f"for number {other.number}: {other.end.value}, status {other.status}"
+
+
 def _log_lines(violation: Violation, played: Played) -> Iterator[str]:
     """The lines of the daemon's log that name the request, and the last ones of its drain."""
     for line in played.logs.get(violation.daemon, "").splitlines():
