--- a/firvane/soak/plan.py
+++ b/firvane/soak/plan.py
@@ -10,6 +10,7 @@
 import random
 from collections.abc import Callable, Iterator
 from dataclasses import asdict, dataclass, replace
+from typing import Any
 
 ROUTER, CONTROLLER = "router", "controller"
 
@@ -101,8 +102,8 @@
         raise ValueError(f"not a plan: {error}") from None
 
 
-def _read_step(fields: dict[str, object]) -> Step:
-    return Step(**{**fields, "kind": StepKind(fields["kind"]), "mode": FaultMode(fields["mode"])})  # type: ignore[arg-type]
+def _read_step(fields: dict[str, Any]) -> Step:
+    return Step(**{**fields, "kind": StepKind(fields["kind"]), "mode": FaultMode(fields["mode"])})
 
 
 # Drawing
