Keep the agent's second watch alive while a test sends by the list of before

The stand-in agent sends the head of its second answer, then nothing until ten requests are through. A free call whose answer stops before its first line is given up after 0.2 s (limits/pauses.py, rule 6); on a busy machine the ten requests took longer, the proxy opened a third watch that the test never reads, and the test hung. Ruled out: the proxy (it does what rule 6 says), the machine alone (a probe that stands still for 0.3 s before the second list hangs every time on an idle machine, for 0.15 s it passes). Change: the stand-in sends the empty line that an agent sends every 2 s beside each request. All assertions stand. The other tests that take a second watch send its list at once, with nothing awaited between.

--- a/tests/crossings/test_lists.py
+++ b/tests/crossings/test_lists.py
@@ -426,6 +426,7 @@
             assert await watch.gone() and again.query == "watch=1&from=0"
             client = await made.client()
             for n in range(10):  # by the list of before
+                await again.beat()  # an answer that stops before its first line is given up after 0.2 s
                 await client.send(request(f"c{n}"))
                 assert await answer(client) == 200
                 await client.exactly(2)
