Block signals in every thread of a process but the first, whenever it is started

Cause: a signal goes to any thread that does not block it. These threads never blocked SIGTERM, and one that came in the moment between the loop's close and the process's end took the default action: an exit by signal in place of status 0. Ruled out: masking at the end in the first thread alone (that is what was there). What stood twice in programs/router.py and programs/controller.py (signal handlers, reading settings again, the collector) is one piece in programs/process.py; its log line reads process: callback failed. Nothing else of what a request meets has changed.

--- a/firvane/__main__.py
+++ b/firvane/__main__.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from firvane import orders
+from firvane import process_signals
 
 if __name__ == "__main__":
-    orders.hold()  # before all that takes time: a signal may come from here on
+    process_signals.block()  # before all that takes time: a signal may come from here on
 
 import asyncio
 import gc
@@ -52,7 +52,7 @@
     loop.add_signal_handler(signal.SIGHUP, proxy.reload, read_again)
     # Whatever came since the first line comes now: a SIGHUP reads the file anew, which may be newer than what
     # was read; an order to end is obeyed in order.
-    orders.heed()
+    process_signals.unblock()
     # An order to end is obeyed also while discovery has yet to give the first list.
     waits = loop.create_task(proxy.start()), loop.create_task(told.wait())
     await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
@@ -66,7 +66,7 @@
     proxy.log.info("ending", open=proxy.engine.owed)
     await proxy.drain()
     # The loop closes next, and its handlers go with it: one more order must not end in another exit code.
-    orders.hold()
+    process_signals.block()
 
 
 def serve(
--- a/firvane/cli/serve.py
+++ b/firvane/cli/serve.py
@@ -22,9 +22,9 @@
     """
     from functools import partial
 
-    from firvane import native, orders
+    from firvane import native, process_signals
 
-    orders.hold()  # until the proxy listens for signals: one that comes in its start is not lost
+    process_signals.block()  # until the proxy listens for signals: one that comes in its start is not lost
     native.activate()  # before anything that is compiled is imported
 
     from firvane.__main__ import serve
--- a/firvane/controller/replication_opening.py
+++ b/firvane/controller/replication_opening.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from firvane import process_signals
 from firvane.logs import Log
 from firvane.replication.core import Recovered
 from firvane.replication.errors import DecodeError, UnknownRecordError
@@ -85,6 +86,7 @@
         self._closed.set()
 
     def _run(self, group: int) -> None:
+        process_signals.block()
         files = SystemFileSystem()
         folder = str(self._directory / f"group-{group}")
         warned = False
--- a/firvane/programs/controller.py
+++ b/firvane/programs/controller.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-from firvane import orders
+from firvane import process_signals
 
 if __name__ == "__main__":
-    orders.hold()  # a signal that comes while modules are imported waits until the loop listens
+    process_signals.block()  # a signal that comes while modules are imported waits until the loop listens
 
 import asyncio
-import gc
-import signal
 import sys
 
 import uvloop
@@ -18,18 +16,15 @@
 from firvane.controller.options import ControllerOptions
 from firvane.logs import Log
 from firvane.programs.logging import bridge_library_logs, make_log
-from firvane.programs.process import describe_fault, new_incarnation
+from firvane.programs.process import handle_process_events, new_incarnation, tune_collector
 from firvane.programs.settings import (
     EXIT_BAD_SETTINGS,
     Settings,
     SettingsError,
-    load_again,
     load_or_exit,
 )
-from firvane.programs.settings_watch import SettingsWatch
 
-SIGNALS_HELD = 1.0  # s at the most that signals wait for the start
-GARBAGE_THRESHOLDS = (20_000, 20, 50)  # little is left behind in cycles
+SIGNALS_BLOCKED = 1.0  # s at the most that signals wait for the start
 
 
 def controller_options(settings: Settings) -> ControllerOptions:
@@ -58,42 +53,25 @@
 async def run(options: ControllerOptions, log: Log) -> None:
     """One controller from its start to its end by SIGTERM."""
     loop = asyncio.get_running_loop()
-    loop.set_exception_handler(
-        lambda _, context: log.error("controller: callback failed.", **describe_fault(context))
-    )
     controller = Controller(loop, options, log)
-    ended = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, ended.set)
-    watch = SettingsWatch(loop, lambda: reload(controller, log))
-    loop.add_signal_handler(signal.SIGHUP, watch.signalled)
-    watch.start()
+    lifetime = handle_process_events(
+        loop,
+        log,
+        lambda settings: controller.reload(settings.seed_internal, settings.cloud_api.address),
+    )
+    lifetime.watch.start()
     starting = loop.create_task(controller.start())
     starting.add_done_callback(lambda _: tune_collector())
-    await asyncio.wait({starting}, timeout=SIGNALS_HELD)
-    orders.heed()  # threads that the start has made hold signals for ever, and never end the process by one
-    await ended.wait()
-    watch.stop()
+    await asyncio.wait({starting}, timeout=SIGNALS_BLOCKED)
+    process_signals.unblock()
+    await lifetime.ended.wait()
+    lifetime.watch.stop()
     starting.cancel()
     try:
         await controller.stop()
     except Exception:
         log.exception("controller: stop failed.")
-    orders.hold()  # the loop closes next, and one more signal must not end the process in another way
-
-
-def tune_collector() -> None:
-    """Leave what has been set up out of all later garbage collections."""
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(*GARBAGE_THRESHOLDS)
-
-
-def reload(controller: Controller, log: Log) -> None:
-    """The seeds and the platform's address may have changed; a bad file changes nothing."""
-    settings = load_again(log)
-    if settings is not None:
-        controller.reload(settings.seed_internal, settings.cloud_api.address)
+    process_signals.block()  # the loop closes next: one more signal must not change the exit status
 
 
 def main() -> int:
--- a/firvane/programs/router.py
+++ b/firvane/programs/router.py
@@ -2,33 +2,28 @@
 
 from __future__ import annotations
 
-from firvane import orders
+from firvane import process_signals
 
 if __name__ == "__main__":
-    orders.hold()  # a signal that comes while modules are imported waits until the loop listens
+    process_signals.block()  # a signal that comes while modules are imported waits until the loop listens
 
 import asyncio
-import gc
-import signal
 import sys
 
 import uvloop
 
 from firvane.logs import Log
 from firvane.programs.logging import bridge_library_logs, make_log
-from firvane.programs.process import describe_fault, new_incarnation
+from firvane.programs.process import handle_process_events, new_incarnation, tune_collector
 from firvane.programs.settings import (
     EXIT_BAD_SETTINGS,
     Settings,
     SettingsError,
-    load_again,
     load_or_exit,
 )
-from firvane.programs.settings_watch import SettingsWatch
 from firvane.router.router import Router, RouterSettings
 
 EXIT_FAILED = 1
-GARBAGE_THRESHOLDS = (20_000, 20, 50)  # requests leave no cycles behind
 
 
 def router_settings(settings: Settings) -> RouterSettings:
@@ -53,32 +48,18 @@
 async def run(options: RouterSettings, log: Log) -> None:
     """One router from its start to its end by SIGTERM."""
     loop = asyncio.get_running_loop()
-    loop.set_exception_handler(
-        lambda _, context: log.error("router: callback failed.", **describe_fault(context))
-    )
     router = Router(loop, options, log)
-    ended = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, ended.set)
-    watch = SettingsWatch(loop, lambda: reload(router, log))
-    loop.add_signal_handler(signal.SIGHUP, watch.signalled)
+    lifetime = handle_process_events(
+        loop, log, lambda settings: router.agent.set_seeds(settings.seed_internal)
+    )
     await router.start()
-    orders.heed()  # threads that the start has made hold signals for ever, and never end the process by one
-    watch.start()
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(*GARBAGE_THRESHOLDS)
-    await ended.wait()
-    watch.stop()
+    process_signals.unblock()
+    lifetime.watch.start()
+    tune_collector()
+    await lifetime.ended.wait()
+    lifetime.watch.stop()
     await router.drain()
-    orders.hold()  # the loop closes next, and one more signal must not end the process in another way
-
-
-def reload(router: Router, log: Log) -> None:
-    """The seeds may have changed; a bad file changes nothing."""
-    settings = load_again(log)
-    if settings is not None:
-        router.agent.set_seeds(settings.seed_internal)
+    process_signals.block()  # the loop closes next: one more signal must not change the exit status
 
 
 def main() -> int:
--- a/firvane/quorum/store.py
+++ b/firvane/quorum/store.py
@@ -22,7 +22,6 @@
 import os
 import stat
 from collections.abc import Callable, Iterable
-from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import IO, Any, NamedTuple, TypeVar
 
@@ -32,6 +31,7 @@
 from firvane.checksum import Damaged, verify, with_header
 from firvane.logs import Log
 from firvane.policy_text import DIGEST, MOST_TEXT, digest_of
+from firvane.process_signals import make_worker
 from firvane.quorum.types import MOST_VOTERS, NO_BALLOT, Kept, Value
 
 VOTES, HISTORY, LOCK, TEXT = "votes", "history", "lock", "text-"
@@ -86,7 +86,7 @@
         self, folder: str | os.PathLike[str], log: Log, back: Back, aside: Aside | None = None
     ) -> None:
         self.folder, self.log, self.back = Path(folder), log, back
-        self.thread = None if aside else ThreadPoolExecutor(1, "policy")
+        self.thread = None if aside else make_worker("policy")
         self.aside: Aside = aside or self._in_thread
         self.lock: IO[bytes] | None = None
         self.failed = self.closed = False
--- a/firvane/snapshots/file.py
+++ b/firvane/snapshots/file.py
@@ -17,13 +17,13 @@
 import stat
 import time
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any
 
 from firvane import interface as api
 from firvane.atomic_write import write_atomically
 from firvane.logs import Log
+from firvane.process_signals import make_worker
 from firvane.snapshots import format
 from firvane.snapshots.types import Snapshot, made, remembered
 
@@ -49,7 +49,7 @@
         self, path: str | os.PathLike[str], proxy: str, log: Log, aside: Aside | None = None
     ) -> None:
         self.path, self.proxy, self.log = Path(path), proxy, log
-        self.thread = None if aside else ThreadPoolExecutor(1, "snapshot")
+        self.thread = None if aside else make_worker("snapshot")
         self.aside: Aside = aside or self._in_thread
         self.writing = self.failed = False
         self.written = 0
--- a/firvane/storage/writer.py
+++ b/firvane/storage/writer.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
+from firvane import process_signals
 from firvane.storage.journal import Journal
 
 RETRY_INTERVAL = 0.1  # seconds between two tries of what a disk has refused
@@ -83,6 +84,7 @@
             self._condition.notify()
 
     def _run(self) -> None:
+        process_signals.block()
         while True:
             with self._condition:
                 while not self._closed and not self.waiting:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -23,8 +23,11 @@
 
 @pytest.fixture(autouse=True)
 def signals_as_they_were() -> Iterator[None]:
-    """`firvane serve` holds signals from its first line on (`firvane.orders`). Played in this process, on a
-    file of no use, it would leave them held for all tests that follow, and for every process they start."""
+    """`firvane serve` blocks signals from its first line on (`firvane.process_signals`).
+
+    Played in this process, on a file of no use, it would leave them blocked for all tests that follow, and
+    for every process they start.
+    """
     before = signal.pthread_sigmask(signal.SIG_BLOCK, ())
     yield
     signal.pthread_sigmask(signal.SIG_SETMASK, before)
--- a/tests/crossings/mutants/ends.py
+++ b/tests/crossings/mutants/ends.py
@@ -17,22 +17,22 @@
     Mutant(
         "an order in the start is not lost",
         MAIN,
-        "    orders.hold()  # before all that takes time",
+        "    process_signals.block()  # before all that takes time",
         "    pass  # before all that takes time",
         f"{ENDS}test_a_new_configuration_while_the_first_is_read_is_taken_in",
     ),
     Mutant(
         "SIGTERM in the start ends it in order",
         MAIN,
-        "    orders.hold()  # before all that takes time",
+        "    process_signals.block()  # before all that takes time",
         "    pass  # before all that takes time",
         f"{ENDS}test_an_order_to_end_in_the_start_is_obeyed_in_order",
     ),
     Mutant(
         "an order after the end changes nothing",
         MAIN,
-        "    orders.hold()\n\n",
-        "    orders.heed()\n\n",
+        "    process_signals.block()\n\n",
+        "    process_signals.unblock()\n\n",
         f"{ENDS}test_orders_that_come_until_the_process_is_gone_change_nothing",
     ),
     Mutant(
--- a/tests/crossings/test_ends.py
+++ b/tests/crossings/test_ends.py
@@ -14,7 +14,7 @@
 
 from firvane.net.door import ACCEPTS
 from firvane.net.hands import HANDS
-from firvane.orders import ORDERS
+from firvane.process_signals import SIGNALS
 from firvane.proxy import LAME
 from tests.crossings.harness import (
     ERROR,
@@ -445,7 +445,7 @@
             watch = await watching
             await watch.tell(1, entry("s1", target))
             await ready
-            assert all(made.hears(number) for number in ORDERS)
+            assert all(made.hears(number) for number in SIGNALS)
             configured(tmp_path, new, lasting(SHORT))
             made.signal(signal.SIGHUP)
             await new.watch()
--- a/tests/localfleet/test_signals.py
+++ b/tests/localfleet/test_signals.py
@@ -13,14 +13,10 @@
 from firvane.localfleet.daemons import Daemon
 from firvane.localfleet.layout import find_free_ports, make_layout
 from firvane.localfleet.settings_files import PlatformTerms
+from firvane.process_signals import SIGNALS
+from tests.signal_masks import blocked_by_thread
 
 TIME_LIMIT = 30.0  # s, only for a run that hangs
-SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-
-
-def blocked_signals(status: str) -> set[signal.Signals]:
-    mask = next(int(line.split()[1], 16) for line in status.splitlines() if line.startswith("SigBlk:"))
-    return {number for number in SIGNALS if mask & 1 << (number - 1)}
 
 
 async def until_listening(daemon: Daemon, port: int) -> None:
@@ -34,13 +30,12 @@
         return
 
 
-async def until_heeded(daemon: Daemon) -> list[set[signal.Signals]]:
+async def until_unblocked(daemon: Daemon) -> list[set[signal.Signals]]:
     """What each thread blocks, the first one first, once that one takes signals."""
     while True:
         await asyncio.sleep(0)
-        threads = sorted(Path(f"/proc/{daemon.pid}/task").iterdir(), key=lambda folder: int(folder.name))
         try:
-            blocked = [blocked_signals((thread / "status").read_text()) for thread in threads]
+            blocked = blocked_by_thread(daemon.pid)
         except (FileNotFoundError, ProcessLookupError):
             continue  # a thread has just ended
         if not blocked[0]:
@@ -56,7 +51,7 @@
             await daemon.start()
             try:
                 await until_listening(daemon, port)
-                first, *others = await until_heeded(daemon)
+                first, *others = await until_unblocked(daemon)
                 assert not first and others
                 assert all(blocked == set(SIGNALS) for blocked in others), (node.name, others)
             finally:
--- a/tests/rehearsal/test_live.py
+++ b/tests/rehearsal/test_live.py
@@ -100,7 +100,7 @@
 @pytest.mark.parametrize("here", ["heeded", "ignored", "held"])
 def test_ctrl_c_leaves_no_process_behind(here: str) -> None:
     """Whatever SIGINT does to the tests: a script's shell has what it starts in the background ignore it, and
-    a test that plays a command of the program in this process may leave it held (`firvane.orders`)."""
+    a test that plays a command of the program in this process may leave it blocked."""
     code = (
         "from msgspec.structs import replace\n"
         "from tests.rehearsal.test_live import SMALL, shown\n"
--- /dev/null
+++ b/tests/test_process_signals.py
@@ -0,0 +1,81 @@
+"""No thread but the first one takes a process's signals, whenever the thread is started."""
+
+from __future__ import annotations
+
+import os
+import signal
+import threading
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+
+from firvane import logs, process_signals
+from firvane.controller.replication_opening import JournalOpener, OpenedJournal
+from firvane.process_signals import SIGNALS
+from firvane.quorum.store import Store
+from firvane.snapshots.file import Keeper
+from firvane.storage.writer import JournalWriter
+from tests.signal_masks import blocked_signals
+
+TIME_LIMIT = 20.0  # s, only for a thread that hangs
+
+
+@pytest.fixture(autouse=True)
+def unblocked() -> None:
+    """As in a process whose loop handles signals already; `tests/conftest.py` restores the mask."""
+    process_signals.unblock()
+
+
+def mask_here() -> set[signal.Signals]:
+    return {signal.Signals(number) for number in signal.pthread_sigmask(signal.SIG_BLOCK, ())}
+
+
+def through_worker(submit: Callable[[Callable[[], None]], None]) -> set[signal.Signals]:
+    """The mask of the thread that runs what is submitted."""
+    found: list[set[signal.Signals]] = []
+    ran = threading.Event()
+
+    def look() -> None:
+        found.append(mask_here())
+        ran.set()
+
+    submit(look)
+    assert ran.wait(TIME_LIMIT)
+    return found[0]
+
+
+def test_the_thread_that_writes_snapshots_blocks_signals(tmp_path: Path) -> None:
+    keeper = Keeper(tmp_path / "snapshot", "edge", logs.QUIET)
+    assert through_worker(keeper.aside) >= set(SIGNALS)
+    assert not mask_here() & set(SIGNALS)
+
+
+def test_the_thread_that_writes_the_policy_blocks_signals(tmp_path: Path) -> None:
+    store = Store(tmp_path, logs.QUIET, lambda follow: follow())
+    assert through_worker(store.aside) >= set(SIGNALS)
+
+
+def test_the_thread_that_writes_journals_blocks_signals() -> None:
+    """It is started late where the controller's start takes longer than signals are held."""
+    writer = JournalWriter(lambda *_: None, lambda *_: None)
+    writer.start()
+    thread = next(one for one in threading.enumerate() if one.name == "journal-writer")
+    status = Path(f"/proc/{os.getpid()}/task/{thread.native_id}/status")
+    while blocked_signals(status.read_text()) < set(SIGNALS):
+        assert thread.is_alive()
+        os.sched_yield()
+    writer.close(TIME_LIMIT)
+
+
+def test_the_thread_that_opens_a_journal_blocks_signals(tmp_path: Path) -> None:
+    found: list[set[signal.Signals]] = []
+    opened = threading.Event()
+
+    def on_open(group: int, journal: OpenedJournal) -> None:
+        found.append(mask_here())
+        opened.set()
+
+    JournalOpener(tmp_path, True, on_open, logs.QUIET).start(0)
+    assert opened.wait(TIME_LIMIT)
+    assert found[0] >= set(SIGNALS)
--- a/tests/test_tests.py
+++ b/tests/test_tests.py
@@ -4,14 +4,14 @@
 
 import signal
 
-from firvane import orders
+from firvane import process_signals
 
 BEFORE = signal.pthread_sigmask(signal.SIG_BLOCK, ())
 
 
 def test_signals_may_be_held() -> None:
-    orders.hold()
-    assert signal.pthread_sigmask(signal.SIG_BLOCK, ()) >= set(orders.ORDERS)
+    process_signals.block()
+    assert signal.pthread_sigmask(signal.SIG_BLOCK, ()) >= set(process_signals.SIGNALS)
 
 
 def test_and_are_not_in_the_next() -> None:
