Answer each request that is here before an answer says that its connection closes

Cause: while a router drains, each answer's head said Connection: close, also where the next request of its client was here already. A controller that ends did the same with an order behind another one. Change: an answer is its connection's last only if nothing stands behind it (ClientConnection._is_kept, HttpServer connections likewise). Late requests behind one another each get their 503, the last one says close.

--- a/firvane/controller/http_server.py
+++ b/firvane/controller/http_server.py
@@ -7,6 +7,7 @@
 2. Bytes that are no request are answered once with their status, and the connection is closed.
 3. All connections together hold at most `Bounds.total_bytes` of bodies; beyond that the newest gets 503.
 4. Every state of a connection but that of handling a request ends after a time.
+5. At the end each request that has been read is answered, also one that stands behind another one.
 """
 
 from __future__ import annotations
@@ -260,7 +261,7 @@
             self._answer(request, response, self.transport)
 
     def _answer(self, request: Message, response: Response, transport: asyncio.Transport) -> None:
-        close = self.server.stopping or not request.keep
+        close = not request.keep or (self.server.stopping and not self._rest)
         self._request = None
         self._enter(State.WRITING)
         transport.write(encode_response(response, close))
@@ -275,6 +276,8 @@
         rest, self._rest = self._rest, b""
         if rest:
             self._read(rest)
+        if self.server.stopping:
+            self.close_if_idle()
         if self.state in (State.IDLE, State.HEAD, State.BODY) and self.transport:
             self.transport.resume_reading()
 
--- a/firvane/router/client.py
+++ b/firvane/router/client.py
@@ -50,7 +50,8 @@
     def __init__(self, front: ClientSide) -> None:
         self.front = front
         self.reader = Reader(httptools.HttpRequestParser, front.max_body, front.max_body)
-        self.pending = b""  # bytes that came and are not read yet
+        self.pending = b""  # bytes that came, of which those from `position` on are not read yet
+        self.position = 0
         self.flow: Flow[ProxiedRequest, Message] | None = None
         self.unrouted: Message | None = None  # a whole request that waits for the first configuration
         self.keep = True  # the connection lives on after this answer
@@ -118,12 +119,11 @@
         if self.busy:
             return
         self.busy = True
-        at, data = 0, self.pending
-        while at < len(data) and not (self.flow or self.unrouted or self.closing or self.choked):
+        while self._has_more() and not (self.flow or self.unrouted or self.closing or self.choked):
             try:
-                at = self.reader.step(data, at)
+                self.position = self.reader.step(self.pending, self.position)
             except Fault as fault:
-                at = len(data)
+                self.position = len(self.pending)
                 self._turn_down(fault)
                 break
             self._note_reading()
@@ -131,12 +131,17 @@
                 message = self.reader.done.pop(0)
                 self.reading = False
                 self._take(message)
-        self.pending = b"" if self.closing else data[at:]
+        self.pending = b"" if self.closing else self.pending[self.position :]
+        self.position = 0
         self.busy = False
         if self.paused and len(self.pending) <= READ_AHEAD and not self.closing:
             self.paused = False
             self.transport.resume_reading()
 
+    def _has_more(self) -> bool:
+        """Whether bytes have come that are not read yet, such as the next request."""
+        return self.position < len(self.pending)
+
     def _note_reading(self) -> None:
         message = self.reader.message
         if message is None:
@@ -231,7 +236,7 @@
             length is None and self.flow is not None and self.flow.request.message.version == b"1.1"
         )
         self.bare = length is None and not self.chunked
-        self.keep = self.keep and not self.bare and not self.front.drain.has_begun
+        self.keep = self._is_kept() and not self.bare
         if self.bare:
             resets(self.transport)
         self.transport.writelines(answer_head(message, self.chunked, not self.keep))
@@ -290,10 +295,17 @@
         self._write_whole(status, [body], len(body), headers or [])
 
     def _write_whole(self, status: int, body: list[Piece], size: int, headers: list[bytes]) -> None:
-        self.keep = self.keep and not self.front.drain.has_begun
+        self.keep = self._is_kept()
         self.transport.writelines(answer(status, body, size, not self.keep, headers))
         self._over()
 
+    def _is_kept(self) -> bool:
+        """Whether the connection lives on after the answer whose head is about to be written.
+
+        While the router drains only for requests that are here already: their client could not know of it.
+        """
+        return self.keep and (not self.front.drain.has_begun or self._has_more())
+
     def _over(self) -> None:
         """The answer is written: the connection is closed, or the next request is taken up."""
         self.flow = self.source = None
--- a/tests/controller/test_http_server.py
+++ b/tests/controller/test_http_server.py
@@ -308,6 +308,20 @@
     assert busy_pipe.closed
 
 
+@pytest.mark.parametrize("behind", [GET, with_length(b"order"), b"\r\n"])
+def test_the_end_answers_each_request_that_has_been_read(behind: bytes) -> None:
+    rig = Rig()
+    connection, pipe = rig.connect()
+    connection.data_received(GET + behind)
+    rig.server.stop_accepting()
+    rig.clock.run_tasks()
+    rig.clock.run_tasks()  # the one behind it, if there is one
+    expected = 1 if behind.isspace() else 2
+    assert pipe.sent.count(b"HTTP/1.1 200 ") == expected
+    assert pipe.sent.count(b"Connection: close") == expected - 1
+    assert pipe.closed
+
+
 @pytest.mark.parametrize("loop_factory", [asyncio.new_event_loop, uvloop.new_event_loop])
 def test_over_a_real_socket(loop_factory: LoopFactory) -> None:
     async def scene() -> bytes:
--- a/tests/router/test_drain.py
+++ b/tests/router/test_drain.py
@@ -105,6 +105,41 @@
     play(scene)
 
 
+@pytest.mark.parametrize("parts", (1, 2))
+def test_each_request_that_is_here_before_an_answer_says_close_is_answered(parts: int) -> None:
+    """Also where only a part of it is here when the head of the answer before it goes out."""
+
+    async def scene(made: Rig, backend: Backend) -> None:
+        backend.handler = whole_stream
+        drain(made, since=1.0)
+        reader, writer = await made.connect()
+        second = REQUEST % b"second"
+        cut = len(second) if parts == 1 else 20
+        writer.write(REQUEST % b"first" + second[:cut])
+        answers = await reader.readuntil(LAST_CHUNK)
+        assert b"Connection: close" not in answers
+        if parts == 2:
+            writer.write(second[cut:])
+        last = await reader.read()
+        assert last.startswith(b"HTTP/1.1 200 ") and last.endswith(LAST_CHUNK)
+        assert b"Connection: close" in last
+        assert [request_id(each) for each in backend.requests] == [b"first", b"second"]
+        writer.close()
+
+    play(scene)
+
+
+def test_requests_that_come_late_one_behind_the_other_are_all_refused() -> None:
+    async def scene(made: Rig, backend: Backend) -> None:
+        drain(made, since=SENT_LATEST + 1.0)
+        answers = await made.ask(REQUEST % b"first" + REQUEST % b"second" + REQUEST % b"third")
+        assert answers.count(b"HTTP/1.1 503 ") == 3 and answers.count(b"Connection: close") == 1
+        assert answers.rpartition(b"HTTP/1.1 503 ")[2].count(b"Connection: close") == 1
+        assert not backend.requests
+
+    play(scene)
+
+
 def test_a_request_whose_last_byte_comes_late_has_a_whole_answer_and_is_not_passed_on() -> None:
     async def scene(made: Rig, backend: Backend) -> None:
         reader, writer = await made.connect()
--- a/tests/router/test_drain_figures.py
+++ b/tests/router/test_drain_figures.py
@@ -34,9 +34,9 @@
             kept_writer.write(REQUEST % b"before")
             await begun.wait()
             (connection,) = made.front.connections
-            connection.made_at -= 1.0
+            connection.made_at -= 2.0
             now = made.front.loop.time()
-            made.front.drain.begin(now, now + 60.0)
+            made.front.drain.begin(now - 0.5, now + 60.0)  # what comes within 0.5 ms would count as 0.0
             new, new_writer = await made.connect()
             new_writer.write(REQUEST % b"after")
             await new.readuntil(b"data: 1\n\n")
@@ -45,10 +45,10 @@
             await kept.read()
             figures = made.front.drain.figures
             assert (figures.accepted, figures.taken, figures.taken_on_new, figures.cut) == (1, 1, 1, 2)
-            assert figures.last_on_new > 0.0 and figures.last_on_kept == 0.0
+            assert figures.last_on_new >= 0.5 and figures.last_on_kept == 0.0
             told = {fields["request"]: fields for text, fields in log.events if text == "drain: answer cut."}
             assert told.keys() == {"before", "after"}
-            assert told["before"]["connected"] <= -1.0 < 0.0 <= told["after"]["connected"]
+            assert told["before"]["connected"] <= -1.0 < 0.5 <= told["after"]["connected"]
             for writer in (kept_writer, new_writer):
                 writer.close()
 
