Share one run on its way to a server between the proxy's and the router's connections

Cause: Run and Pool.close_idle stood twice, alike but for their types, in net/forward.py and router/upstream_connection.py: a mend of one would have missed the other. Ruled out: an alias of the generic class (making one through it is slower than through a subclass). Change: net/upstream_run.py holds UpstreamRun and close_idle; both sides name their types. OrderHistory.__len__, which nobody called, is gone. No behaviour changes.

--- a/firvane/configuration/order_history.py
+++ b/firvane/configuration/order_history.py
@@ -35,9 +35,6 @@
         self._complete_from = 0
         self._without_base: frozenset[bytes] = frozenset()  # of a snapshot in the older format
 
-    def __len__(self) -> int:
-        return len(self._digests) + len(self._without_base)
-
     def add(self, order: Order) -> None:
         """An order was taken on the version in force."""
         self._digests[order.base] = order.digest()
--- a/firvane/net/forward.py
+++ b/firvane/net/forward.py
@@ -27,7 +27,7 @@
 from firvane.limits.account import SMALL, Held
 from firvane.limits.costs import IDLE_TARGET, WINDOW
 from firvane.limits.descriptors import Use
-from firvane.net.dial import Dialer, Dialing
+from firvane.net.dial import Dialer
 from firvane.net.guard import Guard
 from firvane.net.http import (
     LAST_CHUNK,
@@ -40,6 +40,7 @@
     framed,
     request_head,
 )
+from firvane.net.upstream_run import UpstreamRun, close_idle
 from firvane.net.words import Quiet
 
 IDLE_PART = 0.5  # of the idle time in the settings: a target may close sooner than that, never later
@@ -67,34 +68,14 @@
         return None
 
     def close_idle(self, before: float = float("inf")) -> None:
-        while self.idle and self.idle[0].idle_since < before:
-            self.idle.pop(0).close()
-
-
-class Run:
-    """An exchange on its way to a target, over an idle connection or a new one."""
-
-    __slots__ = ("connection", "dial", "exchange", "over", "pool", "request")
-
-    def __init__(self, request: Message, pool: Pool, exchange: Exchange[Message]) -> None:
-        self.request, self.pool, self.exchange = request, pool, exchange
-        self.connection: Connection | None = None
-        self.dial: Dialing | None = None
-        self.over = False
-
-    def cancel(self) -> None:
-        """Give it up. The connection goes with it: that is how the target learns of it."""
-        self.over = True
-        if self.connection:
-            self.connection.run = None
-            self.connection.close()
-        elif self.dial:
-            self.dial.close()
-
-    def end(self, ending: Ending, answer: Message | None = None) -> None:
-        if not self.over:
-            self.over = True
-            self.exchange.ended(ending, answer)
+        """Close the connections that have been idle since before a loop time."""
+        close_idle(self.idle, before)
+
+
+class Run(UpstreamRun[Message, "Connection", Pool]):
+    """An exchange on its way to a target."""
+
+    __slots__ = ()
 
 
 class Connection(Buffered):
--- a/firvane/router/upstream_connection.py
+++ b/firvane/router/upstream_connection.py
@@ -24,9 +24,8 @@
 
 from firvane.address import Address
 from firvane.endings import Ending
-from firvane.engine import Exchange
-from firvane.net.dial import Dialing
 from firvane.net.http import Buffered, Fault, Message, Piece, Reader, Stream, forward_head
+from firvane.net.upstream_run import UpstreamRun, close_idle
 from firvane.net.words import Quiet
 from firvane.router.events import EventFramer
 from firvane.router.requests import DEADLINE, REQUEST_ID, ProxiedRequest
@@ -80,34 +79,14 @@
         return None
 
     def close_idle(self, before: float = float("inf")) -> None:
-        while self.idle and self.idle[0].idle_since < before:
-            self.idle.pop(0).close()
-
-
-class Run:
-    """An exchange on its way to a backend, over an idle connection or a new one."""
-
-    __slots__ = ("connection", "dial", "exchange", "over", "pool", "request")
-
-    def __init__(self, request: ProxiedRequest, pool: Pool, exchange: Exchange[Message]) -> None:
-        self.request, self.pool, self.exchange = request, pool, exchange
-        self.connection: UpstreamConnection | None = None
-        self.dial: Dialing | None = None
-        self.over = False
-
-    def cancel(self) -> None:
-        """Give it up; the connection goes with it."""
-        self.over = True
-        if self.connection:
-            self.connection.run = None
-            self.connection.close()
-        elif self.dial:
-            self.dial.close()
-
-    def end(self, ending: Ending, answer: Message | None = None) -> None:
-        if not self.over:
-            self.over = True
-            self.exchange.ended(ending, answer)
+        """Close the connections that have been idle since before a loop time."""
+        close_idle(self.idle, before)
+
+
+class Run(UpstreamRun[ProxiedRequest, "UpstreamConnection", Pool]):
+    """An exchange on its way to a backend."""
+
+    __slots__ = ()
 
 
 class UpstreamConnection(Buffered):
