Compile the shared run on its way to a server with the modules that use it

Cause: forward.py is compiled by mypyc where a compiler is at hand, and its Run now has a base class in net/upstream_run.py, which was not on the list of compiled modules. Change: the module is on the list. Figures: tests of forward, limits, engine and router pass on the compiled form.

--- a/firvane/native.py
+++ b/firvane/native.py
@@ -41,6 +41,7 @@
     "firvane.choice",
     "firvane.engine",
     "firvane.net.http",
+    "firvane.net.upstream_run",
     "firvane.net.forward",
     "firvane.net.client_connection",
     "firvane.net.client_side",
