Make the shared run itself instead of a subclass on each side

Cause: the class on the router's side is interpreted and cannot inherit from one that is compiled, wherever the compiled modules are switched on. Change: both sides make UpstreamRun and name their types by aliases.

--- a/firvane/net/forward.py
+++ b/firvane/net/forward.py
@@ -17,7 +17,7 @@
 
 import asyncio
 from functools import partial
-from typing import cast
+from typing import TypeAlias, cast
 
 import httptools
 
@@ -72,10 +72,8 @@
         close_idle(self.idle, before)
 
 
-class Run(UpstreamRun[Message, "Connection", Pool]):
-    """An exchange on its way to a target."""
-
-    __slots__ = ()
+# An exchange on its way to a target: a name for the type, `UpstreamRun` itself is made.
+Run: TypeAlias = UpstreamRun[Message, "Connection", Pool]
 
 
 class Connection(Buffered):
@@ -335,7 +333,7 @@
 
     def forward(self, request: Message, target: str, exchange: Exchange[Message]) -> Run:
         pool = self.pools.get(target) or Pool(target)
-        run = Run(request, pool, exchange)
+        run: Run = UpstreamRun(request, pool, exchange)
         now = self.loop.time()
         if barred := self._barred(run, now):
             run.end(barred)
--- a/firvane/router/upstream.py
+++ b/firvane/router/upstream.py
@@ -15,6 +15,7 @@
 from firvane.engine import Exchange
 from firvane.net.dial import Dialer
 from firvane.net.http import Message
+from firvane.net.upstream_run import UpstreamRun
 from firvane.router.requests import ProxiedRequest
 from firvane.router.upstream_connection import Pool, Run, UpstreamConnection
 
@@ -67,7 +68,7 @@
 
     def forward(self, request: ProxiedRequest, target: str, exchange: Exchange[Message]) -> Run:
         pool = self.pools.get(target) or Pool(target, ("0.0.0.0", 0))
-        run = Run(request, pool, exchange)
+        run: Run = UpstreamRun(request, pool, exchange)
         now = self.loop.time()
         if target not in self.pools:
             run.end(Ending.TOO_LATE)
--- a/firvane/router/upstream_connection.py
+++ b/firvane/router/upstream_connection.py
@@ -18,7 +18,7 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Protocol, cast
+from typing import Protocol, TypeAlias, cast
 
 import httptools
 
@@ -83,10 +83,8 @@
         close_idle(self.idle, before)
 
 
-class Run(UpstreamRun[ProxiedRequest, "UpstreamConnection", Pool]):
-    """An exchange on its way to a backend."""
-
-    __slots__ = ()
+# An exchange on its way to a backend: a name for the type, `UpstreamRun` itself is made.
+Run: TypeAlias = UpstreamRun[ProxiedRequest, "UpstreamConnection", Pool]
 
 
 class UpstreamConnection(Buffered):
