Let the soak send rival orders, change routes in use, and ask for answers to what stood behind a close

Change: each third change of a soak is two different orders under one number, at once; the judge wants exactly one taken. Changes touch routes in use. A request that was here loss_slack_ms before the head of the answer before it must be answered. Threads, and requests open after the last client, are levels. Orders carry the document that they lead to; Configurations no longer works it out a second time.

--- a/firvane/localfleet/config_operator.py
+++ b/firvane/localfleet/config_operator.py
@@ -24,6 +24,9 @@
     orders: int = 0
     acknowledged: int = 0
     refused: list[int] = field(default_factory=list)  # final statuses other than 200
+    rivals: int = 0  # pairs of different orders under one number, sent at once
+    rivals_both_taken: int = 0  # of these, pairs of which both were acknowledged
+    rivals_both_refused: int = 0  # and of which none was
     slowest_s: float = 0.0  # of the acknowledged ones but the first, from its first try
     first_s: float = 0.0  # the same of the first one
     read_back: bool = False  # the newest acknowledged configuration was read at the end
@@ -55,11 +58,19 @@
         """Begin no further change."""
         self._stopping.set()
 
-    async def change_every(self, interval: float) -> None:
-        """Send a change every `interval` seconds until `stop`; one that is under way is finished."""
+    async def change_every(self, interval: float, rivals_every: int = 0) -> None:
+        """Send a change every `interval` seconds until `stop`; one that is under way is finished.
+
+        Every `rivals_every`-th change, if it is not 0, is two different orders under one number.
+        """
+        count = 0
         while not await self._stops_within(interval):
+            count += 1
             began = self._loop.time()
-            await self._order(self._configurations.change())
+            if rivals_every and count % rivals_every == 0:
+                await self._order_rivals(self._configurations.change(), self._configurations.rival())
+            else:
+                await self._order(self._configurations.change())
             self.record.slowest_s = max(self.record.slowest_s, self._loop.time() - began)
 
     async def _stops_within(self, seconds: float) -> bool:
@@ -86,16 +97,33 @@
         return matches
 
     async def _order(self, order: ConfigurationOrder) -> None:
-        self.record.orders += 1
-        headers = {"X-Base-Version": str(order.base), "Content-Type": "application/json"}
-        ended, _ = await self._call("POST", order.path, headers, order.body)
+        ended = await self._send(order)
         if ended.taken:
-            self.record.acknowledged += 1
-            self.owner = ended.address
-            self._configurations.acknowledged(order)
+            self._note_taken(order, ended)
         else:
             self.record.refused.append(ended.status)
 
+    async def _order_rivals(self, *orders: ConfigurationOrder) -> None:
+        """Send orders under one number at once; one is to be taken, whichever it is."""
+        ends = await asyncio.gather(*(self._send(order) for order in orders))
+        taken = [(order, ended) for order, ended in zip(orders, ends, strict=True) if ended.taken]
+        self.record.rivals += 1
+        self.record.rivals_both_taken += len(taken) > 1
+        self.record.rivals_both_refused += not taken
+        for order, ended in taken[:1]:
+            self._note_taken(order, ended)
+
+    async def _send(self, order: ConfigurationOrder) -> CallEnded:
+        self.record.orders += 1
+        headers = {"X-Base-Version": str(order.base), "Content-Type": "application/json"}
+        ended, _ = await self._call("POST", order.path, headers, order.body)
+        return ended
+
+    def _note_taken(self, order: ConfigurationOrder, ended: CallEnded) -> None:
+        self.record.acknowledged += 1
+        self.owner = ended.address
+        self._configurations.acknowledged(order)
+
     async def _call(
         self, method: str, path: str, headers: dict[str, str], body: bytes
     ) -> tuple[CallEnded, bytes]:
--- a/firvane/localfleet/configurations.py
+++ b/firvane/localfleet/configurations.py
@@ -8,25 +8,36 @@
 
 from firvane.localfleet.profiles import HEALTH_PATH, MODEL, SERVICE, RequestClass, ServerProfile
 
+Document = dict[str, object]
+
 FIRST_VERSION = 1
 MAX_HEADER_BYTES = 16_384
 MAX_BODY_BYTES = 4_194_304
 CACHE_TOKEN_BYTES = 163_840
 LINK_MBPS = 550_000.0
-EXTRA_TIMEOUTS_MS = (8_000, 6_000)  # of the extra route, in turn
+EXTRA_ROUTES: tuple[Document, ...] = (  # what differs in the extra route, in turn; then it is removed
+    {"timeout_ms": 8_000},
+    {"timeout_ms": 6_000, "max_attempts": 1},
+    {"weighted_split": [{"service": SERVICE, "weight": 90}, {"service": SERVICE, "weight": 10}]},
+)
+EXTRA_NAME = "route-extra"
+RIVAL_TIMEOUT_MS = 7_000  # of the extra route in the order that competes with a change
+LIVE_TIMEOUT_FACTORS = (1.0, 0.9)  # of the routes in use, in turn
 VERSION_STEPS = (2, 1, 3)  # versions rise in uneven steps
 
-Document = dict[str, object]
-
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationOrder:
-    """An order: the call's path, the version that it builds on, and its body."""
+    """An order: the call's path, the version that it builds on, and its body.
+
+    `document` is the whole configuration that it leads to.
+    """
 
     path: str
     base: int
     version: int
     body: bytes
+    document: Document
 
 
 def _route(kind: RequestClass) -> Document:
@@ -65,52 +76,86 @@
 
 
 class Configurations:
-    """Makes one order after the other, and knows the document that the last acknowledged one led to."""
+    """Makes one order after the other, and knows the document that the last acknowledged one led to.
+
+    `changes_live_routes` lets changes also touch time-outs and attempts of the routes that are in use.
+    """
 
-    def __init__(self, kinds: Sequence[RequestClass], profile: ServerProfile) -> None:
+    def __init__(
+        self, kinds: Sequence[RequestClass], profile: ServerProfile, *, changes_live_routes: bool = False
+    ) -> None:
         self._kinds, self._profile = list(kinds), profile
-        self._extra: Document | None = None  # a route that comes, changes and goes
+        self._changes_live_routes = changes_live_routes
         self._changes = 0
         self.version = 0
         self.document: Document = {}
 
     def first(self) -> ConfigurationOrder:
         """Replace the empty configuration by one with a route for each class."""
-        document = self._whole(FIRST_VERSION, None)
+        document = self._whole(FIRST_VERSION, [_route(kind) for kind in self._kinds])
         body = json.dumps(document).encode()
-        return ConfigurationOrder("/v1/config/replace", 0, FIRST_VERSION, body)
+        return ConfigurationOrder("/v1/config/replace", 0, FIRST_VERSION, body, document)
 
     def change(self) -> ConfigurationOrder:
         """Add, change or remove an extra route, in turn."""
-        version = self.version + VERSION_STEPS[self._changes % len(VERSION_STEPS)]
-        extra = self._next_extra()
-        body: Document = {"config_version": version}
-        if extra:
-            body["upsert"] = {"routes": [extra]}
-        else:
-            body["remove"] = {"routes": ["route-extra"]}
-        return ConfigurationOrder("/v1/config/modify", self.version, version, json.dumps(body).encode())
+        return self._modify(self._next_extra())
+
+    def rival(self) -> ConfigurationOrder:
+        """Another order with the number and the base of `change`."""
+        return self._modify({**self._extra_route(), "timeout_ms": RIVAL_TIMEOUT_MS})
 
     def acknowledged(self, order: ConfigurationOrder) -> None:
         """The order was taken: the next one builds on it."""
-        if self.version:
-            self._extra = self._next_extra()
-            self._changes += 1
+        self._changes += bool(self.version)
         self.version = order.version
-        self.document = self._whole(order.version, self._extra)
+        self.document = order.document
+
+    def _modify(self, extra: Document | None) -> ConfigurationOrder:
+        version = self.version + VERSION_STEPS[self._changes % len(VERSION_STEPS)]
+        live = self._next_live_routes()
+        upserted = [*live, extra] if extra else live
+        body: Document = {"config_version": version}
+        if upserted:
+            body["upsert"] = {"routes": upserted}
+        if extra is None:
+            body["remove"] = {"routes": [EXTRA_NAME]}
+        routes = live or [_route(kind) for kind in self._kinds]
+        document = self._whole(version, [*routes, extra] if extra else routes)
+        return ConfigurationOrder(
+            "/v1/config/modify", self.version, version, json.dumps(body).encode(), document
+        )
+
+    def _next_live_routes(self) -> list[Document]:
+        """The routes in use as the next change leaves them, if it touches them."""
+        if not self._changes_live_routes:
+            return []
+        factor = LIVE_TIMEOUT_FACTORS[self._changes % len(LIVE_TIMEOUT_FACTORS)]
+        fewer = factor < 1.0
+        return [
+            {
+                **_route(kind),
+                "timeout_ms": round(kind.deadline * 1000 * factor),
+                "max_attempts": max(1, kind.max_attempts - fewer),
+            }
+            for kind in self._kinds
+        ]
 
     def _next_extra(self) -> Document | None:
-        turn = self._changes % (len(EXTRA_TIMEOUTS_MS) + 1)
-        if turn == len(EXTRA_TIMEOUTS_MS):
+        turn = self._changes % (len(EXTRA_ROUTES) + 1)
+        if turn == len(EXTRA_ROUTES):
             return None
-        route = {**_route(self._kinds[0]), "name": "route-extra", "path_prefix": "/extra/"}
-        return {**route, "timeout_ms": EXTRA_TIMEOUTS_MS[turn]}
+        route = {**self._extra_route(), **EXTRA_ROUTES[turn]}
+        if "weighted_split" in route:
+            del route["service"]
+        return route
+
+    def _extra_route(self) -> Document:
+        return {**_route(self._kinds[0]), "name": EXTRA_NAME, "path_prefix": "/extra/"}
 
-    def _whole(self, version: int, extra: Document | None) -> Document:
-        routes = [_route(kind) for kind in self._kinds]
+    def _whole(self, version: int, routes: list[Document]) -> Document:
         return {
             "config_version": version,
-            "routes": [*routes, extra] if extra else routes,
+            "routes": routes,
             "services": [_service(self._profile)],
             "limits": {
                 "max_header_bytes": MAX_HEADER_BYTES,
--- a/firvane/soak/connection.py
+++ b/firvane/soak/connection.py
@@ -126,6 +126,8 @@
         exchange = self._waiting[0]
         if not self._head_told:
             self._head_told = True
+            if len(self._waiting) > 1:
+                self._waiting[1].record.head_before = self._loop.time()
             self.told_to_close = self.told_to_close or not message.keep
             exchange.on_head(message)
         if pieces := message.taken():
--- a/firvane/soak/judge.py
+++ b/firvane/soak/judge.py
@@ -9,10 +9,10 @@
 | REFUSED | what was answered with a promise that it has not run has run, or runs later |
 | UNASKED | a backend is sent what no client has sent, or something else |
 | MIXED | a client gets an answer that is not its own or not whole, or bytes that it did not ask for |
-| CONFIG | an order is refused, or what was acknowledged is not read back |
+| CONFIG | an order is refused, two under one number are both taken, what was acknowledged is not read back |
 | END | a process ends by itself, with a status that is not 0, or later than its grace |
 | LOG | a line on standard error is an error, or no line of the log |
-| LEVEL | a process holds more memory or descriptors than so few clients can need |
+| LEVEL | a process holds more memory, descriptors, threads or requests than so few clients can need |
 """
 
 from __future__ import annotations
@@ -48,6 +48,7 @@
     retry: RetryRule = field(default_factory=lambda: RetryRule(ratio=0.2, slack=52.0, window=10.0))
     memory_mb: float = 120.0
     descriptors: int = 900
+    threads: int = 24
     deadline_margin: float = 0.05
 
 
@@ -123,10 +124,13 @@
 def _was_read(each: TryRecord, terms: Terms, delay: float) -> bool:
     """Whether the process must have read a request that it did not pass on.
 
-    What comes behind another request is read once that one is answered, and never where it was not.
+    What comes behind another request is read once that one is answered, and never where it was not. Where it
+    was here before the head of that answer, the head cannot have told its client to send nothing more.
     """
     if each.turn > each.ended:
         return False
+    if each.sent_whole + terms.loss_slack + delay < each.head_before <= each.ended:
+        return True
     readable = max(each.sent_whole, each.turn, each.blind_until)
     return each.ended - readable > terms.loss_slack + delay
 
@@ -191,6 +195,12 @@
 def _config(record: Record) -> Iterator[Violation]:
     for status in record.orders_refused:
         yield Violation("CONFIG", 0.0, f"an order on top of the newest version was refused with {status}")
+    if record.rivals_both_taken:
+        text = f"{record.rivals_both_taken} pairs of different orders under one number were both acknowledged"
+        yield Violation("CONFIG", 0.0, text)
+    if record.rivals_both_refused:
+        text = f"{record.rivals_both_refused} pairs of orders under one number were both refused"
+        yield Violation("CONFIG", 0.0, text)
     if not record.read_back:
         yield Violation("CONFIG", 0.0, "the newest acknowledged configuration was not read back")
 
@@ -235,9 +245,16 @@
 
 def _levels(record: Record, terms: Terms) -> Iterator[Violation]:
     for usage in record.usage:
-        if usage.memory_mb > terms.memory_mb or usage.descriptors > terms.descriptors:
-            text = f"holds {usage.memory_mb:.0f} MB and {usage.descriptors} descriptors"
+        bounds = (terms.memory_mb, terms.descriptors, terms.threads)
+        held = (usage.memory_mb, usage.descriptors, usage.threads)
+        if any(value > bound for value, bound in zip(held, bounds, strict=True)):
+            text = f"holds {held[0]:.0f} MB, {held[1]} descriptors and {held[2]} threads"
             yield Violation("LEVEL", 0.0, text, daemon=usage.daemon)
+    for daemon, count in record.open_at_end.items():
+        if count:
+            yield Violation(
+                "LEVEL", 0.0, f"holds {count} requests after all clients have ended", daemon=daemon
+            )
 
 
 def arrivals_by_request(arrivals: Iterable[Arrival]) -> dict[str, list[Arrival]]:
--- a/firvane/soak/player.py
+++ b/firvane/soak/player.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import re
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -29,6 +30,8 @@
 LONG_SHARE = 0.12  # of the requests
 SPARE_BACKENDS = 20  # addresses for backends that come later
 SLOW_CHANGES = 4.0  # s between changes of the configuration where the plan asks for none
+RIVALS_EVERY = 3  # each third change is two different orders under one number
+ENDS_LINE = re.compile(r'event="router: ends\." open=(\d+)')
 
 
 class StartError(Exception):
@@ -62,7 +65,7 @@
         self._ingress = Ingress(self._layout.fronts)
         self._prober = ReadinessProber(self._ingress, self._layout)
         self._kinds = request_kinds(size.rate)
-        configurations = Configurations(self._kinds, ServerProfile())
+        configurations = Configurations(self._kinds, ServerProfile(), changes_live_routes=True)
         self._operator = ConfigOperator(self._loop, self._layout.controls, configurations, plan.seed)
         self._clients = Clients(self._layout, self._ingress, self.record, plan.seed)
         self._delay = LoopDelay(self._loop)
@@ -97,7 +100,8 @@
     async def _play_all(self) -> None:
         self._began = self._loop.time()
         async with asyncio.TaskGroup() as tasks:
-            changes = tasks.create_task(self._operator.change_every(self._change_interval()))
+            interval = self._change_interval()
+            changes = tasks.create_task(self._operator.change_every(interval, RIVALS_EVERY))
             steps = [tasks.create_task(self._play_step(step)) for step in self._plan.steps]
             await self._clients.run(self._schedule())
             self._operator.stop()
@@ -170,11 +174,17 @@
         record.altered = [each.decode("latin-1") for each in verdict.altered]
         record.orders_refused = self._operator.record.refused
         record.orders_acknowledged = self._operator.record.acknowledged
+        record.rivals = self._operator.record.rivals
+        record.rivals_both_taken = self._operator.record.rivals_both_taken
+        record.rivals_both_refused = self._operator.record.rivals_both_refused
         record.read_back = self._operator.record.read_back
         record.clock_delay = self._delay.longest
         for name, process in self._processes.items():
-            if problems := problems_in_log(process.daemon.log_text()):
+            log = process.daemon.log_text()
+            if problems := problems_in_log(log):
                 record.log_problems[name] = problems
+            if ends := ENDS_LINE.findall(log):
+                record.open_at_end[name] = int(ends[-1])
 
 
 def request_kinds(rate: float) -> tuple[RequestClass, ...]:
--- a/firvane/soak/processes.py
+++ b/firvane/soak/processes.py
@@ -109,8 +109,9 @@
             descriptors = len(list((folder / "fd").iterdir()))
         except OSError:
             return None
-        resident = next((line for line in status.splitlines() if line.startswith("VmRSS:")), "VmRSS: 0")
-        return Usage(self.name, int(resident.split()[1]) / 1024, descriptors)
+        fields = dict(line.split(":", 1) for line in status.splitlines())
+        resident_kb = int(fields.get("VmRSS", "0").split()[0])
+        return Usage(self.name, resident_kb / 1024, descriptors, int(fields.get("Threads", "1")))
 
     async def _await_end(self) -> None:
         """The end; one that does not end is killed, and the time tells."""
--- a/firvane/soak/records.py
+++ b/firvane/soak/records.py
@@ -32,6 +32,7 @@
     sent: float = UNKNOWN  # its first byte
     sent_whole: float = UNKNOWN  # its last byte
     turn: float = UNKNOWN  # when the answer before it on the connection was whole, if there is one
+    head_before: float = UNKNOWN  # when the head of that answer came, if it came after this was begun
     blind_until: float = 0.0  # the client read nothing until then, and did not see the connection's end
     deadline: float = UNKNOWN
     status: int = 0
@@ -90,6 +91,7 @@
     daemon: str
     memory_mb: float
     descriptors: int
+    threads: int = 1
 
 
 @dataclass(slots=True)
@@ -103,6 +105,10 @@
     log_problems: dict[str, list[str]] = field(default_factory=dict)  # lines that are errors or no log lines
     orders_refused: list[int] = field(default_factory=list)  # statuses
     orders_acknowledged: int = 0
+    rivals: int = 0  # pairs of different orders under one number, sent at once
+    rivals_both_taken: int = 0  # of these, pairs of which both were acknowledged
+    rivals_both_refused: int = 0  # and of which none was
+    open_at_end: dict[str, int] = field(default_factory=dict)  # requests that a router still held at its end
     read_back: bool = False
     doubled: list[str] = field(default_factory=list)  # ids that ran more than once and may not
     ran_after_refusal: list[str] = field(default_factory=list)
--- a/firvane/soak/story.py
+++ b/firvane/soak/story.py
@@ -51,6 +51,8 @@
         yield each.sent, f"request {each.id} ({each.kind}, number {each.number} there): first byte"
     if each.sent_whole < UNKNOWN:
         yield each.sent_whole, "its last byte"
+    if each.head_before < UNKNOWN:
+        yield each.head_before, "the head of the answer before it"
     if each.sent_whole < each.turn < UNKNOWN:
         yield each.turn, "the answer before it is whole"
     if each.blind_until:
--- a/tests/localfleet/test_operator_calls.py
+++ b/tests/localfleet/test_operator_calls.py
@@ -53,11 +53,13 @@
     assert call.answered(404, None) == CallEnded(A, 404)
 
 
-def test_every_order_is_valid_and_leads_to_the_known_document() -> None:
+@pytest.mark.parametrize("changes_live_routes", (False, True))
+def test_every_order_is_valid_and_leads_to_the_known_document(changes_live_routes: bool) -> None:
     """Against the real checks and the real merging."""
     state = ConfigurationState()
-    configurations = Configurations((LONG_PROMPTS, SHORT_PROMPTS), ServerProfile())
-    for index in range(8):
+    kinds = (LONG_PROMPTS, SHORT_PROMPTS)
+    configurations = Configurations(kinds, ServerProfile(), changes_live_routes=changes_live_routes)
+    for index in range(12):
         order = configurations.change() if index else configurations.first()
         kind = OrderKind.MODIFY if index else OrderKind.REPLACE
         result = Result.unpack(state.apply(index + 1, Order(kind, order.base, order.body).pack()))
@@ -67,6 +69,29 @@
         assert json.loads(state.document) == configurations.document
 
 
+@pytest.mark.parametrize("rival_first", (False, True))
+def test_one_of_two_rivals_is_taken_and_leads_to_the_known_document(rival_first: bool) -> None:
+    state = ConfigurationState()
+    configurations = Configurations((LONG_PROMPTS,), ServerProfile(), changes_live_routes=True)
+    first = configurations.first()
+    state.apply(1, Order(OrderKind.REPLACE, first.base, first.body).pack())
+    configurations.acknowledged(first)
+    for index in range(2, 20, 2):
+        orders = [configurations.change(), configurations.rival()]
+        assert orders[0].version == orders[1].version and orders[0].body != orders[1].body
+        if rival_first:
+            orders.reverse()
+        codes = [
+            Result.unpack(
+                state.apply(index + at, Order(OrderKind.MODIFY, order.base, order.body).pack())
+            ).code
+            for at, order in enumerate(orders)
+        ]
+        assert codes[0] is ResultCode.ACCEPTED is not codes[1]
+        configurations.acknowledged(orders[0])
+        assert json.loads(state.document) == configurations.document
+
+
 def test_the_example_is_the_first_configuration() -> None:
     example = Path(__file__).parents[2] / "deploy" / "fleet.example" / "configuration.json"
     order = Configurations((LONG_PROMPTS, SHORT_PROMPTS), ServerProfile()).first()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -42,6 +42,11 @@
 LONGER = Size(routers=3, controllers=3, backends=4, clients=40, seconds=30.0, rate=70.0)
 FAIL_LATE = (Step(16.0, StepKind.BACKEND_FAULT, span=14.0, share=0.95, mode=FaultMode.ERROR),)
 RESET_ALL = (Step(2.0, StepKind.BACKEND_FAULT, span=11.0, share=0.9, mode=FaultMode.RESET),)
+RESTARTS_IN_SERIES = tuple(
+    Step(begin + number, StepKind.TERM, f"router-{number}")
+    for begin in (1.0, 11.0, 20.0)
+    for number in (1, 2, 3)
+)
 HANG_AND_END = (
     Step(1.0, StepKind.BACKEND_FAULT, span=12.0, share=0.9, mode=FaultMode.HANG),
     *(Step(2.0 + number, StepKind.TERM, f"router-{number}") for number in (1, 2, 3)),
@@ -62,6 +67,22 @@
         "            if connection.is_idle():\n                connection.close()\n",
         "            connection.close()\n",
     ),
+    Fault(
+        "says that the connection closes although a request stands behind",
+        "LOST",
+        "firvane/router/client.py",
+        "return self.keep and (not self.front.drain.has_begun or self._has_more())",
+        "return self.keep and not self.front.drain.has_begun",
+        RESTARTS_IN_SERIES,
+        LONGER,
+    ),
+    Fault(
+        "acknowledges the other one of two orders under one number",
+        "CONFIG",
+        "firvane/configuration/state.py",
+        "    Fate.NOT_TAKEN: ResultCode.CONFLICT,\n",
+        "    Fate.NOT_TAKEN: ResultCode.ACCEPTED,\n",
+    ),
     Fault(
         "a budget of each process, not of the fleet",
         "BUDGET",
--- a/tests/soak/test_connection.py
+++ b/tests/soak/test_connection.py
@@ -78,6 +78,8 @@
             connection.data_received(data[place : place + 1])
         assert first.record.end is second.record.end is TryEnd.WHOLE
         assert second.record.turn == first.record.ended < second.record.ended
+        assert 10.0 < second.record.head_before < second.record.turn
+        assert first.record.head_before == float("inf")
         assert not connection.closed and not connection.unasked
 
     scene(play)
--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -110,6 +110,16 @@
     assert rules(record(attempt(number=2, turn=float("inf")), arrivals=(arrival(),))) == ["LOST"]
 
 
+def test_what_was_here_before_the_head_of_the_answer_before_it_has_to_be_answered() -> None:
+    """Its client could not know yet that the connection will be closed."""
+    here = TERM_AT + 4.01 + TERMS.loss_slack
+    closed_at_once = {"number": 2, "turn": TERM_AT + 7.2}
+    assert rules(record(attempt(**closed_at_once, head_before=here))) == ["LOST"]
+    assert rules(record(attempt(**closed_at_once, head_before=here - 0.02))) == []
+    assert rules(record(attempt(**closed_at_once, head_before=here), clock_delay=0.02)) == []
+    assert rules(record(attempt(number=2, turn=float("inf"), head_before=here))) == []  # it was cut
+
+
 @pytest.mark.parametrize(
     "fields",
     (
@@ -191,10 +201,14 @@
         ("altered", ["a"], "UNASKED"),
         ("unasked_bytes", 1, "MIXED"),
         ("orders_refused", [412], "CONFIG"),
+        ("rivals_both_taken", 1, "CONFIG"),
+        ("rivals_both_refused", 1, "CONFIG"),
         ("read_back", False, "CONFIG"),
         ("log_problems", {ROUTER: ["Traceback"]}, "LOG"),
         ("usage", [Usage(ROUTER, TERMS.memory_mb + 1, 10)], "LEVEL"),
         ("usage", [Usage(ROUTER, 10, TERMS.descriptors + 1)], "LEVEL"),
+        ("usage", [Usage(ROUTER, 10, 10, TERMS.threads + 1)], "LEVEL"),
+        ("open_at_end", {ROUTER: 1}, "LEVEL"),
     ),
 )
 def test_single_facts_break_a_rule(field: str, value: object, rule: str) -> None:
@@ -202,7 +216,8 @@
 
 
 def test_levels_at_their_bounds_are_in_order() -> None:
-    assert rules(record(usage=[Usage(ROUTER, TERMS.memory_mb, TERMS.descriptors)])) == []
+    level = Usage(ROUTER, TERMS.memory_mb, TERMS.descriptors, TERMS.threads)
+    assert rules(record(usage=[level], open_at_end={ROUTER: 0})) == []
 
 
 def test_a_wrong_answer_is_mixed() -> None:
