Give runs of real daemons one base for the soak and the local fleet

Cause: soak/player.py and localfleet/fleet.py each held the same start, order of ends and stand-ins. Ruled out: one run that plays both (their loads and records differ throughout). Change: localfleet/fleet_run.py holds what a run starts with, its time limit and its end; both inherit from it. The soak's message when a fleet does not get ready now says which stage is lacking.

--- a/firvane/localfleet/command.py
+++ b/firvane/localfleet/command.py
@@ -13,7 +13,8 @@
 import uvloop
 
 from firvane.localfleet.figures import RunFigures
-from firvane.localfleet.fleet import FleetOptions, LocalFleet, StartError
+from firvane.localfleet.fleet import FleetOptions, LocalFleet
+from firvane.localfleet.fleet_run import StartError
 from firvane.localfleet.layout import (
     MAX_BACKENDS,
     MAX_CONTROLLERS,
--- a/firvane/localfleet/fleet.py
+++ b/firvane/localfleet/fleet.py
@@ -7,7 +7,6 @@
 from pathlib import Path
 
 from firvane.localfleet.backends import Backends
-from firvane.localfleet.config_operator import ConfigOperator
 from firvane.localfleet.configurations import Configurations
 from firvane.localfleet.daemons import RESTART_AFTER, Daemon
 from firvane.localfleet.figures import (
@@ -18,12 +17,10 @@
     server_fields,
     verdict_fields,
 )
-from firvane.localfleet.ingress import Ingress
+from firvane.localfleet.fleet_run import FleetRun
 from firvane.localfleet.layout import DaemonRole, Layout
 from firvane.localfleet.load import Load
-from firvane.localfleet.loop_delay import LoopDelay
 from firvane.localfleet.profiles import RequestClass, ServerProfile
-from firvane.localfleet.readiness import ReadinessProber
 from firvane.localfleet.run_ledger import judge
 from firvane.localfleet.schedule import draw_schedule
 from firvane.localfleet.settings_files import GRACE_S, PlatformTerms
@@ -34,10 +31,6 @@
 END_MARGIN = 2.0  # s beyond the grace until a daemon is killed
 
 
-class StartError(Exception):
-    """The fleet did not become ready; the text says what is lacking."""
-
-
 @dataclass(frozen=True, slots=True)
 class FleetOptions:
     """What is played; times are seconds."""
@@ -54,55 +47,31 @@
     seed: int = 1
 
 
-class LocalFleet:
+class LocalFleet(FleetRun):
     """A fleet on this machine; `folder` is its own."""
 
     def __init__(self, layout: Layout, options: FleetOptions, folder: Path) -> None:
-        self._loop = asyncio.get_running_loop()
-        self._layout, self._options = layout, options
         terms, profile = PlatformTerms(), ServerProfile()
+        backends = Backends(asyncio.get_running_loop(), layout, profile, terms, options.seed)
+        super().__init__(layout, backends, Configurations(options.kinds, profile), options.seed)
+        self._options = options
         self._daemons = [Daemon(node, layout, terms, folder) for node in layout.nodes]
-        self._backends = Backends(self._loop, layout, profile, terms, options.seed)
-        self._ingress = Ingress(layout.fronts)
-        self._prober = ReadinessProber(self._ingress, layout)
-        configurations = Configurations(options.kinds, profile)
-        self._operator = ConfigOperator(self._loop, layout.controls, configurations, options.seed)
         self._load = Load(self._loop, self._ingress, options.seed)
-        self._delay = LoopDelay(self._loop)
         self._router_kills: list[RouterKill] = []
+        self._began = self._loop.time()
         self._ready_after = 0.0
 
     async def play(self) -> RunFigures:
         """Start everything, play the load, end everything; `StartError` where it does not get ready."""
-        try:
-            await self._start()
-            prober = asyncio.create_task(self._prober.run())
-            try:
-                await self._play_all()
-            finally:
-                prober.cancel()
-        finally:
-            await self._end()
+        await self._run(self._options.backends, START_TIMEOUT)
         return self._figures()
 
-    # The start
-
-    async def _start(self) -> None:
-        await self._backends.start(self._options.backends)
-        began = self._loop.time()
+    async def _start_daemons(self) -> None:
+        self._began = self._loop.time()
         await asyncio.gather(*(daemon.start() for daemon in self._daemons))
-        try:
-            async with asyncio.timeout(START_TIMEOUT):
-                await self._operator.send_first()
-                await self._prober.await_all()
-        except TimeoutError:
-            raise StartError(self._what_is_lacking()) from None
-        self._ready_after = self._loop.time() - began
-        self._delay.start()
-
-    def _what_is_lacking(self) -> str:
-        stage = "routers are not ready" if self._operator.record.acknowledged else "no configuration is taken"
-        lines = [f"{stage} after {START_TIMEOUT:g} s"]
+
+    def _describe_failed_start(self, timeout: float) -> str:
+        lines = [super()._describe_failed_start(timeout)]
         for daemon in self._daemons:
             state = "runs" if daemon.runs else f"ended with {daemon.own_ends}"
             lines += [f"{daemon.node.name}: {state}", *daemon.problems()[-3:]]
@@ -110,19 +79,23 @@
 
     # The run
 
-    async def _play_all(self) -> None:
+    async def _play_load(self) -> None:
         """Load, changes of the configuration and troubles beside each other, then the last reading."""
+        self._ready_after = self._loop.time() - self._began
         options = self._options
         schedule = draw_schedule(options.kinds, options.seconds, options.clients, options.seed)
-        async with asyncio.TaskGroup() as tasks:
-            for kill in options.kills:
-                tasks.create_task(self._kill(kill))
-            for at in options.replacements:
-                tasks.create_task(self._replace_backend(at))
-            tasks.create_task(self._operator.change_every(options.change_every))
-            await self._load.run(schedule)
-            self._operator.stop()
-        await self._operator.read_back(READ_BACK_TIMEOUT)
+        try:
+            async with asyncio.TaskGroup() as tasks:
+                for kill in options.kills:
+                    tasks.create_task(self._kill(kill))
+                for at in options.replacements:
+                    tasks.create_task(self._replace_backend(at))
+                tasks.create_task(self._operator.change_every(options.change_every))
+                await self._load.run(schedule)
+                self._operator.stop()
+            await self._operator.read_back(READ_BACK_TIMEOUT)
+        finally:
+            self._load.close()
 
     async def _kill(self, kill: Kill) -> None:
         await asyncio.sleep(kill.at)
@@ -143,13 +116,9 @@
 
     # The end
 
-    async def _end(self) -> None:
-        self._delay.stop()
-        self._load.close()
-        for role in (DaemonRole.ROUTER, DaemonRole.CONTROLLER):
-            ending = [daemon for daemon in self._daemons if daemon.node.role is role]
-            await asyncio.gather(*(daemon.stop(GRACE_S + END_MARGIN) for daemon in ending))
-        self._backends.close()
+    async def _end_daemons(self, role: DaemonRole) -> None:
+        ending = [daemon for daemon in self._daemons if daemon.node.role is role]
+        await asyncio.gather(*(daemon.stop(GRACE_S + END_MARGIN) for daemon in ending))
 
     def _figures(self) -> RunFigures:
         records, instances = self._load.records, self._backends.instances
--- a/firvane/soak/command.py
+++ b/firvane/soak/command.py
@@ -15,9 +15,10 @@
 import uvloop
 
 from firvane.localfleet.daemons import PACKAGE_PARENT
+from firvane.localfleet.fleet_run import StartError
 from firvane.soak.judge import Terms, Violation, judge
 from firvane.soak.plan import SIZES, Plan, draw_plan, plan_from_json
-from firvane.soak.player import Played, Player, StartError
+from firvane.soak.player import Played, Player
 from firvane.soak.records import TryEnd
 from firvane.soak.shrink import shrink
 from firvane.soak.story import tell
--- a/firvane/soak/player.py
+++ b/firvane/soak/player.py
@@ -8,14 +8,11 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from firvane.localfleet.config_operator import ConfigOperator
 from firvane.localfleet.configurations import Configurations
 from firvane.localfleet.daemons import PACKAGE_PARENT, Daemon, problems_in_log
-from firvane.localfleet.ingress import Ingress
-from firvane.localfleet.layout import DaemonRole, Layout, find_free_ports, make_layout
-from firvane.localfleet.loop_delay import LoopDelay
+from firvane.localfleet.fleet_run import FleetRun
+from firvane.localfleet.layout import DaemonRole, find_free_ports, make_layout
 from firvane.localfleet.profiles import LONG_PROMPTS, SHORT_PROMPTS, RequestClass, ServerProfile
-from firvane.localfleet.readiness import ReadinessProber
 from firvane.localfleet.run_ledger import judge as compare_runs
 from firvane.localfleet.schedule import PlannedRequest, draw_schedule
 from firvane.localfleet.settings_files import GRACE_S, PlatformTerms
@@ -34,10 +31,6 @@
 ENDS_LINE = re.compile(r'event="router: ends\." open=(\d+)')
 
 
-class StartError(Exception):
-    """The fleet did not become ready."""
-
-
 @dataclass(frozen=True, slots=True)
 class Played:
     """What a run leaves for the judge and for stories."""
@@ -47,57 +40,35 @@
     began: float  # of the load, on the clock of the record
 
 
-class Player:
+class Player(FleetRun):
     """One run; `folder` is its own, `program_root` holds the daemons' package."""
 
     def __init__(self, plan: Plan, folder: Path, program_root: Path = PACKAGE_PARENT) -> None:
         size = plan.size
-        self._plan, self._loop = plan, asyncio.get_running_loop()
         ports = find_free_ports(size.controllers, size.routers, size.backends + SPARE_BACKENDS)
-        self._layout: Layout = make_layout(size.controllers, size.routers, ports)
-        self.record = Record()
-        daemons = [
-            Daemon(node, self._layout, PlatformTerms(), folder, program_root) for node in self._layout.nodes
-        ]
-        self._processes = {daemon.node.name: SoakProcess(daemon, self.record, GRACE_S) for daemon in daemons}
+        layout = make_layout(size.controllers, size.routers, ports)
+        self._plan, self.record = plan, Record()
         self._faults = Faults(plan.seed)
-        self._backends = make_backends(self._layout, self.record, self._faults, plan.seed)
-        self._ingress = Ingress(self._layout.fronts)
-        self._prober = ReadinessProber(self._ingress, self._layout)
         self._kinds = request_kinds(size.rate)
+        backends = make_backends(layout, self.record, self._faults, plan.seed)
         configurations = Configurations(self._kinds, ServerProfile(), changes_live_routes=True)
-        self._operator = ConfigOperator(self._loop, self._layout.controls, configurations, plan.seed)
-        self._clients = Clients(self._layout, self._ingress, self.record, plan.seed)
-        self._delay = LoopDelay(self._loop)
+        super().__init__(layout, backends, configurations, plan.seed)
+        daemons = [Daemon(node, layout, PlatformTerms(), folder, program_root) for node in layout.nodes]
+        self._processes = {daemon.node.name: SoakProcess(daemon, self.record, GRACE_S) for daemon in daemons}
+        self._clients = Clients(layout, self._ingress, self.record, plan.seed)
         self._began = 0.0
 
     async def play(self) -> Played:
         """Start everything, play the plan, end everything; `StartError` where it does not get ready."""
-        try:
-            await self._start()
-            prober = asyncio.create_task(self._prober.run())
-            try:
-                await self._play_all()
-            finally:
-                prober.cancel()
-        finally:
-            await self._end()
+        await self._run(self._plan.size.backends, START_TIMEOUT)
         self._gather()
         logs = {name: process.daemon.log_text() for name, process in self._processes.items()}
         return Played(self.record, logs, self._began)
 
-    async def _start(self) -> None:
-        await self._backends.start(self._plan.size.backends)
+    async def _start_daemons(self) -> None:
         await asyncio.gather(*(process.start() for process in self._processes.values()))
-        try:
-            async with asyncio.timeout(START_TIMEOUT):
-                await self._operator.send_first()
-                await self._prober.await_all()
-        except TimeoutError:
-            raise StartError(f"not ready after {START_TIMEOUT:g} s") from None
-        self._delay.start()
-
-    async def _play_all(self) -> None:
+
+    async def _play_load(self) -> None:
         self._began = self._loop.time()
         async with asyncio.TaskGroup() as tasks:
             interval = self._change_interval()
@@ -159,12 +130,9 @@
 
     # The end
 
-    async def _end(self) -> None:
-        self._delay.stop()
-        for role in (DaemonRole.ROUTER, DaemonRole.CONTROLLER):
-            ending = [each for each in self._processes.values() if each.daemon.node.role is role]
-            await asyncio.gather(*(process.close() for process in ending))
-        self._backends.close()
+    async def _end_daemons(self, role: DaemonRole) -> None:
+        ending = [each for each in self._processes.values() if each.daemon.node.role is role]
+        await asyncio.gather(*(process.close() for process in ending))
 
     def _gather(self) -> None:
         record, verdict = self.record, compare_runs(self._backends.records.runs, self._clients.sent)
