Start the loop's own threads while signals are blocked, and import nothing slow before that

The proxy in service with peers also has four threads of its event loop, which its first address lookup starts after signals are unblocked; minded only threads made in Python. And process_signals imported concurrent.futures, so that more was imported before signals are blocked, in which time SIGTERM meets the default action. Ruled out: binding the datagram socket outside the loop (the rehearsal's loop has no sockets). Change: worker_threads.py holds what makes threads; a proxy with peers starts the loop's threads by one lookup of a number before it unblocks signals; process_signals imports signal alone. Tests: no thread but the first of a proxy with peers takes signals (fails before: four of five threads took them); the module imports nothing slow. tests/crossings/test_ends.py whole: passes.

--- a/firvane/__main__.py
+++ b/firvane/__main__.py
@@ -29,6 +29,7 @@
 from firvane.logs import Bridge, Log
 from firvane.optional_parts import Agreement, Keeper
 from firvane.proxy import Proxy
+from firvane.worker_threads import start_loop_threads
 
 MakeKeeper = Callable[[Log], Keeper]
 MakeAgreement = Callable[[Proxy], Agreement]
@@ -50,6 +51,8 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, told.set)
     loop.add_signal_handler(signal.SIGHUP, proxy.reload, read_again)
+    if config.peer_listen:
+        await start_loop_threads(loop)
     # Whatever came since the first line comes now: a SIGHUP reads the file anew, which may be newer than what
     # was read; an order to end is obeyed in order.
     process_signals.unblock()
--- a/firvane/process_signals.py
+++ b/firvane/process_signals.py
@@ -5,7 +5,9 @@
 an end with another exit status. Blocked signals stay pending in the kernel and are delivered at `unblock`.
 
 A signal to a process may be delivered to any thread that does not block it. So every other thread blocks them
-for as long as it lives: it is started while they are blocked, or calls `block` first.
+for as long as it lives: it is started while they are blocked, or calls `block` first (`worker_threads`).
+
+Nothing that takes time may be imported here: this module is imported before signals are blocked.
 
 `run` of the deployment ignores SIGHUP until then, and the settings file is read after that line. A blocked
 signal stays pending whether it is ignored or not, and the loop's handler takes the place of that action.
@@ -14,7 +16,6 @@
 from __future__ import annotations
 
 import signal
-from concurrent.futures import ThreadPoolExecutor
 
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
@@ -27,8 +28,3 @@
 def unblock() -> None:
     """Deliver pending signals to the calling thread, and later ones as they come."""
     signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
-
-
-def make_worker(name: str) -> ThreadPoolExecutor:
-    """An executor with one thread, which blocks signals whenever it is started."""
-    return ThreadPoolExecutor(1, name, initializer=block)
--- a/firvane/quorum/store.py
+++ b/firvane/quorum/store.py
@@ -31,8 +31,8 @@
 from firvane.checksum import Damaged, verify, with_header
 from firvane.logs import Log
 from firvane.policy_text import DIGEST, MOST_TEXT, digest_of
-from firvane.process_signals import make_worker
 from firvane.quorum.types import MOST_VOTERS, NO_BALLOT, Kept, Value
+from firvane.worker_threads import make_worker
 
 VOTES, HISTORY, LOCK, TEXT = "votes", "history", "lock", "text-"
 MAGIC_VOTES, MAGIC_HISTORY, FORMAT = b"FVPV", b"FVPH", 1
--- a/tests/crossings/test_ends.py
+++ b/tests/crossings/test_ends.py
@@ -36,6 +36,7 @@
     request,
     rig,
 )
+from tests.signal_masks import blocked_by_thread
 
 SHORT = 500  # ms: a deadline with which an end takes little time
 
@@ -190,6 +191,23 @@
     play(work())
 
 
+def test_no_thread_but_the_first_takes_signals(tmp_path: Path) -> None:
+    """Those of the loop are started by a proxy's datagrams; a signal that one takes ends the process."""
+
+    async def work() -> None:
+        agent, target = Agent(), Target()
+        peers = {"peers": ["127.0.0.1:9"], "peer_listen": "127.0.0.1:0"}
+        async with program(configured(tmp_path, agent, params(limits={"peers": True}), **peers)) as made:
+            watch = await agent.watch()
+            await watch.tell(1, entry("s1", target))
+            await made.ready()
+            first, *others = blocked_by_thread(made.process.pid)
+            assert not first and others
+            assert all(blocked == set(SIGNALS) for blocked in others)
+
+    play(work())
+
+
 def test_a_target_that_hangs_costs_the_request_and_not_its_answer(tmp_path: Path) -> None:
     async def work() -> None:
         agent, target = Agent(), Target()
--- a/tests/test_process_signals.py
+++ b/tests/test_process_signals.py
@@ -4,6 +4,8 @@
 
 import os
 import signal
+import subprocess
+import sys
 import threading
 from collections.abc import Callable
 from pathlib import Path
@@ -19,6 +21,7 @@
 from tests.signal_masks import blocked_signals
 
 TIME_LIMIT = 20.0  # s, only for a thread that hangs
+SLOW_MODULES = {"asyncio", "concurrent.futures", "logging", "socket", "threading", "typing", "uvloop"}
 
 
 @pytest.fixture(autouse=True)
@@ -68,6 +71,13 @@
     writer.close(TIME_LIMIT)
 
 
+def test_the_module_that_blocks_signals_imports_nothing_that_takes_time() -> None:
+    """Until it is imported a signal meets the default action."""
+    code = "import sys, firvane.process_signals; print(*sys.modules)"
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    assert not SLOW_MODULES & set(done.stdout.split())
+
+
 def test_the_thread_that_opens_a_journal_blocks_signals(tmp_path: Path) -> None:
     found: list[set[signal.Signals]] = []
     opened = threading.Event()
