--- a/firvane/programs/router.py
+++ b/firvane/programs/router.py
@@ -52,7 +52,7 @@
     lifetime = handle_process_events(
         loop, log, lambda settings: router.agent.set_seeds(settings.seed_internal)
     )
-    await router.start()
+    await router.start()  # the loop's threads begin here, and block signals for ever
     process_signals.unblock()
     lifetime.watch.start()
     tune_collector()
