--- a/firvane/storage/journal.py
+++ b/firvane/storage/journal.py
@@ -4,7 +4,7 @@
 its snapshot, if it has one. Compaction writes the snapshot aside, syncs it and gives it its name, writes a
 new segment that begins with what follows the snapshot, syncs that, syncs the folder, and only then removes
 what is older. So whatever is cut off on the way, the newest segment that is whole has a whole snapshot, or
-the one before has.
+the one before has. A snapshot that has its name was synced: if it cannot be read, that is damage.
 
 Not safe for use by several threads at once.
 """
@@ -210,10 +210,12 @@
         raise UnknownFormatError(f"a segment of version {version}")
     try:
         snapshot = _read_snapshot(files, folder, identity, snapshot_generation)
-    except (OSError, DamagedJournalError) as error:
+    except FileNotFoundError as error:
         if is_last or len(frames.records) > 1:
-            raise DamagedJournalError(f"the snapshot of segment {generation} cannot be read") from error
-        return None
+            raise DamagedJournalError(f"the snapshot of segment {generation} is missing") from error
+        return None  # it never had its name on the disk: the segment before holds everything
+    except (OSError, DamagedJournalError) as error:
+        raise DamagedJournalError(f"the snapshot of segment {generation} cannot be read") from error
     for more in frames.records[1:]:
         records += more
     at = _Position(generation, snapshot_generation, len(frames.records), frames.end, not frames.torn)
--- a/tests/replication/test_world.py
+++ b/tests/replication/test_world.py
@@ -12,10 +12,11 @@
 
 HISTORIES = 30
 LATE_ELECTION = 9001294  # a leader elected 2 s before the end has yet to wait for a voter that is no more
+DAMAGED_SNAPSHOT = 104685  # damaged, with an older segment that a loss of power has brought back
 LONG_LOG = 5001067  # one replica that never compacts and takes 730 entries
 
 
-@pytest.mark.parametrize("seed", [*range(HISTORIES), LONG_LOG, LATE_ELECTION])
+@pytest.mark.parametrize("seed", [*range(HISTORIES), LONG_LOG, LATE_ELECTION, DAMAGED_SNAPSHOT])
 def test_no_promise_is_broken_in_a_drawn_history(seed: int) -> None:
     play(seed)
 
