Ask for keys, name the tenant to backends, refuse removed keys in time, and count tenants' quotas

Keys: `tenants` of a configuration are read and checked (two that share a key are refused, 2022); a key is known by its digest, an unknown one is answered 401, the key is never passed on, X-Tenant is the holder's name whatever the client sent, and the tenant's priority goes before the route's. `anonymous` routes ask for none.

Revocation: a router proves that what it knows is recent. It asks a controller which version is the newest of a majority, five times in the time that a proof lasts; the proof counts from the moment of the question less the age that the answer tells, so that no other clock takes part. Other routers pass proofs on with their age. Without one, what needs a key is held for a fifth of its aim and then refused with 503, and the router is not ready.

Quotas: the owner of the tenant's part (by hash of the name, under its lease) keeps a bucket and grants by request, or in advance where a router asks often. A new owner begins with an empty bucket. 429 with the time after which there is enough.

Ruled out: shares for each router (at 85 routers a share of the slack is 1,600 tokens, a digest costs 9,000); a proof by the time at which a message arrives (a cut may hold it up). A test found that of three controllers one was never asked.

--- a/firvane/cluster/agent.py
+++ b/firvane/cluster/agent.py
@@ -29,6 +29,7 @@
 
     REPLICATION = 1
     ROWS = 2
+    TENANCY = 3
 
 
 _CHANNELS = {channel.value: channel for channel in Channel}
--- a/firvane/configuration/checker.py
+++ b/firvane/configuration/checker.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from firvane.configuration.codes import ResultCode
-from firvane.configuration.document import LIMITS, ROUTES, SERVICES, Document, alike, name_of
+from firvane.configuration.document import LIMITS, ROUTES, SERVICES, TENANTS, Document, alike, name_of
 from firvane.configuration.item import ItemError, read_entry
 from firvane.configuration.orders import MAX_PROBLEMS, Order, Problem, Result, invalid
 from firvane.configuration.schema import ItemSchemas
@@ -92,7 +92,7 @@
 def _changed_items(document: Document, accepted: Document) -> Iterator[Item]:
     for key, value in document.items():
         before = accepted.get(key)
-        if key in (ROUTES, SERVICES):
+        if key in (ROUTES, SERVICES, TENANTS) and isinstance(value, list):
             yield from _changed_of_list(key, value, before)
         elif (key == LIMITS or isinstance(value, (dict, list))) and not alike(value, before):
             yield key, key, value
--- a/firvane/configuration/codes.py
+++ b/firvane/configuration/codes.py
@@ -52,6 +52,7 @@
     WRONG_METHOD = 2019, 405, "The call exists under another method."
     BAD_ARGUMENT = 2020, 400, "An argument of the call is missing or malformed; its problem is listed."
     UNKNOWN_MEMBER = 2021, 404, "No other voter of the part has the address that is named."
+    SHARED_KEY = 2022, 400, "Two tenants share a key."
 
     CONFLICT = 3000, 412, "Another version is current than the one that the order builds on."
     OTHER_TERM = 3001, 412, "The part has another term than the one that the order builds on."
--- a/firvane/configuration/routes.py
+++ b/firvane/configuration/routes.py
@@ -9,11 +9,15 @@
 
 import msgspec
 
+from firvane.digest import digest
+
 DEFAULT_MAX_HEADER_BYTES = 16 * 1024
 DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024
 DEFAULT_HEADER_TIMEOUT_MS = 3_000.0
 DEFAULT_IDLE_TIMEOUT_MS = 15_000.0
 DEFAULT_HEALTH_PATH = "/health"
+TOKEN_UNIT = "token_count"  # of a tenant whose rate and burst count tokens
+KEY_DIGEST_BYTES = 16
 
 
 class RouteKind(enum.Enum):
@@ -50,6 +54,24 @@
     session_affinity: bool
     stream_resume: bool
     gap_aim_ms: float
+    anonymous: bool = False  # no key is asked for, where the configuration has tenants
+
+
+@dataclass(frozen=True, slots=True)
+class Tenant:
+    """One tenant: digests of its keys, its rank, and what it may use over all routers together.
+
+    `rate` (a second) and `burst` count tokens where `counts_tokens`, else requests; a `rate` of 0
+    is no limit.
+    """
+
+    name: str
+    key_digests: tuple[bytes, ...] = ()
+    priority: int | None = None  # goes before that of the route
+    counts_tokens: bool = False
+    uncached_tokens: int = 0  # counted for a request that tells no number of tokens
+    rate: float = 0.0
+    burst: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,12 +110,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Configuration:
-    """One version of the whole configuration; `services` are by name."""
+    """One version of the whole configuration; `services` are by name.
+
+    `tenants` is None where the document has no such member: then no request needs a key.
+    """
 
     version: int
     routes: tuple[Route, ...] = ()
     services: Mapping[str, Service] = field(default_factory=dict)
     limits: Limits = field(default_factory=Limits)
+    tenants: tuple[Tenant, ...] | None = None
 
 
 class RouteTable:
@@ -136,6 +162,11 @@
         return None
 
 
+def key_digest(key: bytes) -> bytes:
+    """What is kept of a tenant's key, and compared with what a client sends."""
+    return digest(key, KEY_DIGEST_BYTES)
+
+
 def _bare_host(host: bytes) -> bytes:
     host = host.strip().lower()
     if host.startswith(b"["):
@@ -165,6 +196,7 @@
     stream_resume: bool | None = None
     service: str | None = None
     weighted_split: list[_TargetEntry] | None = None
+    anonymous: bool | None = None
 
     def route(self) -> Route:
         return Route(
@@ -180,6 +212,7 @@
             bool(self.session_affinity),
             bool(self.stream_resume),
             self.gap_aim_ms or 0.0,
+            bool(self.anonymous),
         )
 
     def targets(self) -> tuple[Target, ...]:
@@ -245,12 +278,34 @@
         )
 
 
+class _TenantEntry(msgspec.Struct):
+    name: str
+    api_keys: list[str] | None = None
+    priority: int | None = None
+    unit: str | None = None
+    uncached_tokens: int | None = None
+    rate_per_s: float | None = None
+    burst_size: float | None = None
+
+    def tenant(self) -> Tenant:
+        return Tenant(
+            self.name,
+            tuple(key_digest(key.encode()) for key in self.api_keys or ()),
+            self.priority,
+            self.unit == TOKEN_UNIT,
+            self.uncached_tokens or 0,
+            self.rate_per_s or 0.0,
+            self.burst_size or 0.0,
+        )
+
+
 class ConfigurationEntry(msgspec.Struct):
     """A document as it is read from JSON; `configuration` turns it into the types above."""
 
     routes: list[_RouteEntry] = msgspec.field(default_factory=list)
     services: list[_ServiceEntry] = msgspec.field(default_factory=list)
     limits: _LimitsEntry | None = None
+    tenants: list[_TenantEntry] | None = None
 
     def configuration(self, version: int) -> Configuration:
         """The typed configuration under this version."""
@@ -259,6 +314,7 @@
             tuple(entry.route() for entry in self.routes),
             {entry.name: entry.service() for entry in self.services},
             self.limits.limits() if self.limits else Limits(),
+            None if self.tenants is None else tuple(entry.tenant() for entry in self.tenants),
         )
 
 
--- a/firvane/configuration/schema.py
+++ b/firvane/configuration/schema.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from firvane.configuration.codes import ResultCode
-from firvane.configuration.document import LIMITS, ROUTES, SERVICES
+from firvane.configuration.document import LIMITS, ROUTES, SERVICES, TENANTS
 from firvane.configuration.orders import Problem
 
 MAX_NUMBER = 2**53  # the largest whole number that every JSON reader keeps
@@ -40,6 +40,7 @@
     "max_attempts": _COUNT,
     "session_affinity": _FLAG,
     "stream_resume": _FLAG,
+    "anonymous": _FLAG,
     "service": _OPTIONAL_TEXT,
     "weighted_split": {"type": "list", "nullable": True, "schema": {"type": "dict", "schema": _TARGET}},
 }
@@ -66,7 +67,16 @@
     "header_timeout_ms": _AMOUNT,
     "idle_timeout_ms": _AMOUNT,
 }
-_SCHEMAS = {ROUTES: _ROUTE, SERVICES: _SERVICE, LIMITS: _LIMITS}
+_TENANT = {
+    "name": _TEXT,
+    "api_keys": {"type": "list", "nullable": True, "schema": _TEXT},
+    "priority": {"type": "integer", "min": -MAX_NUMBER, "max": MAX_NUMBER, "nullable": True},
+    "unit": _OPTIONAL_TEXT,
+    "uncached_tokens": _COUNT,
+    "rate_per_s": _AMOUNT,
+    "burst_size": _AMOUNT,
+}
+_SCHEMAS = {ROUTES: _ROUTE, SERVICES: _SERVICE, LIMITS: _LIMITS, TENANTS: _TENANT}
 
 _RANGE_RULES = ("min", "max", "maxlength", "empty")
 
--- a/firvane/configuration/structure.py
+++ b/firvane/configuration/structure.py
@@ -10,7 +10,7 @@
 from typing import Any, TypeGuard
 
 from firvane.configuration.codes import ResultCode
-from firvane.configuration.document import LIMITS, ROUTES, SERVICES, VERSION, Document
+from firvane.configuration.document import LIMITS, ROUTES, SERVICES, TENANTS, VERSION, Document
 from firvane.configuration.orders import MAX_VERSION, Problem
 
 NO_TEXT = "must be a text that is not empty"
@@ -33,6 +33,7 @@
             problems.append(Problem(ResultCode.WRONG_TYPE, key, "must be a list"))
     if not isinstance(document.get(LIMITS, {}), dict):
         problems.append(Problem(ResultCode.WRONG_TYPE, LIMITS, "must be an object"))
+    problems.extend(_tenant_problems(document.get(TENANTS)))
     services, routes = document.get(SERVICES), document.get(ROUTES)
     if not isinstance(services, list) or not isinstance(routes, list):
         return problems
@@ -91,6 +92,25 @@
             seen.add(item["name"])
 
 
+def _tenant_problems(tenants: Any) -> Iterator[Problem]:
+    """Faults of the tenants as a whole; null counts as absent."""
+    if tenants is None:
+        return
+    if not isinstance(tenants, list):
+        yield Problem(ResultCode.WRONG_TYPE, TENANTS, "must be a list")
+        return
+    yield from _name_problems(TENANTS, tenants)
+    holders: dict[str, int] = {}
+    for position, tenant in enumerate(tenants):
+        keys = tenant.get("api_keys") if isinstance(tenant, dict) else None
+        for key in keys if isinstance(keys, list) else ():
+            first = holders.setdefault(key, position) if isinstance(key, str) else position
+            if first != position:
+                other = item_place(TENANTS, first, tenants[first])
+                place = item_place(TENANTS, position, tenant)
+                yield Problem(ResultCode.SHARED_KEY, place, f"a key is that of {other} too")
+
+
 def _place_problems(routes: list[Any]) -> Iterator[Problem]:
     seen: dict[tuple[str, str], int] = {}
     for position, route in enumerate(routes):
--- a/firvane/controller/configuration_service.py
+++ b/firvane/controller/configuration_service.py
@@ -21,9 +21,9 @@
 from firvane.configuration.orders import Order, Problem, RecordError, Result
 from firvane.configuration.schema import ItemSchemas
 from firvane.configuration.state import ConfigurationState
-from firvane.controller.parts import CONFIGURATION_PART
 from firvane.controller.replication import Proposal, ProposalStatus
 from firvane.logs import Log
+from firvane.parts import CONFIGURATION_PART
 
 PROPOSE_TIMEOUT = 0.9  # s; an operator waits a second for an answer, more for a large body
 PROPOSE_TIMEOUT_PER_MEGABYTE = 1.0  # s
--- a/firvane/controller/controller.py
+++ b/firvane/controller/controller.py
@@ -7,6 +7,7 @@
 
 from firvane.address import Address
 from firvane.cluster.agent import Channel, ClusterAgent, Item, Member, Role
+from firvane.configuration.item import ItemError, read_document, unpack_document
 from firvane.configuration.recovered import recovered_version
 from firvane.configuration.state import ConfigurationState
 from firvane.controller.configuration_publisher import CONFIGURATION_KEY, ConfigurationPublisher
@@ -18,13 +19,14 @@
 from firvane.controller.instance_records import InstanceRecords, service_of
 from firvane.controller.operator_api import OperatorApi
 from firvane.controller.options import ControllerOptions
-from firvane.controller.parts import ALL_PARTS, CONFIGURATION_PART, POLL_DUTY, part_of
 from firvane.controller.platform_client import PlatformClient
 from firvane.controller.record_keeper import RecordKeeper
 from firvane.controller.replicated_configuration import ReplicatedConfiguration
 from firvane.controller.replication import ReplicationHost, StateMachine
 from firvane.controller.service_part import ServicePart, ServiceRecord
+from firvane.controller.tenant_service import TenantService
 from firvane.logs import Log
+from firvane.parts import ALL_PARTS, CONFIGURATION_PART, POLL_DUTY, part_of
 
 RETRY_START = 0.5  # s between attempts to listen or to open the disk
 HAND_OVER_SHARE = 0.2  # of the grace
@@ -55,6 +57,15 @@
             log,
         )
         self.keeper = RecordKeeper(loop, self.host, self.agent, self.parts, self._on_restored, log)
+        self.tenants = TenantService(
+            options.quota,
+            self.host,
+            lambda: self.state.version,
+            options.internal,
+            lambda to, payload: self.agent.send(to, Channel.TENANCY, payload),
+            log,
+        )
+        self.tenants_version = 0  # of the configuration whose tenants are known
         self.platform = PlatformClient(loop, options.platform) if options.platform else None
         self.poller = self._make_poller()
         self.service = ConfigurationService(self.state, self.host, options.internal, log)
@@ -191,12 +202,33 @@
     def _on_configuration(self) -> None:
         self.agent.set_applied_version(self.state.version)
         self.publisher.changed()
+        self._learn_tenants(self.state.version, self.state.document)
+
+    def _learn_tenants(self, version: int, document: bytes) -> None:
+        """Take the tenants of a configuration, whichever way it has come here first."""
+        if version <= self.tenants_version:
+            return
+        try:
+            configuration = read_document(document, version)
+        except ItemError as error:
+            self.log.error("tenancy: configuration unreadable.", version=version, reason=str(error))
+            return
+        self.tenants_version = version
+        self.tenants.configure(configuration.tenants or ())
 
     def _on_item(self, item: Item) -> None:
+        if item.key == CONFIGURATION_KEY and item.version > self.tenants_version:
+            self._learn_tenants_of_item(item)
         if self.poller:
             self.poller.learn(item)
         self.keeper.published(item)
 
+    def _learn_tenants_of_item(self, item: Item) -> None:
+        try:
+            self._learn_tenants(*unpack_document(item.payload))
+        except ItemError as error:
+            self.log.error("tenancy: item unreadable.", version=item.version, reason=str(error))
+
     def _on_record(self, record: ServiceRecord) -> None:
         self.keeper.taken(record)
 
@@ -207,9 +239,12 @@
     def _on_message(self, sender: Address, channel: Channel, payload: bytes) -> None:
         if channel is Channel.REPLICATION:
             self.host.receive(sender, payload)
+        elif channel is Channel.TENANCY:
+            self.tenants.receive(sender, payload)
 
     def _on_owner(self, group: int, own: bool, term: int) -> None:
         self.log.info("replication: ownership changed.", part=group, own=own, term=term)
+        self.tenants.owner_changed(group, own)
         if group == CONFIGURATION_PART and own:
             self.publisher.publish()
         elif own:
--- a/firvane/controller/fleet_service.py
+++ b/firvane/controller/fleet_service.py
@@ -31,9 +31,9 @@
 from firvane.controller.configuration_service import Outcome
 from firvane.controller.hand_over_order import BadOrderError, HandOver, read_order
 from firvane.controller.part_reports import part_report
-from firvane.controller.parts import ALL_PARTS, CONFIGURATION_PART
 from firvane.controller.replication import GroupStatus, Transfer, TransferStart
 from firvane.logs import Log
+from firvane.parts import ALL_PARTS, CONFIGURATION_PART
 
 HAND_OVER_TIMEOUT = 0.9  # s; an operator waits a second for an answer
 
--- a/firvane/controller/hand_over_order.py
+++ b/firvane/controller/hand_over_order.py
@@ -10,7 +10,7 @@
 from firvane.cluster.reports import HandOverOrder
 from firvane.configuration.codes import ResultCode
 from firvane.configuration.orders import MAX_VERSION, Problem
-from firvane.controller.parts import ALL_PARTS
+from firvane.parts import ALL_PARTS
 
 MAX_ORDER_BYTES = 1024
 
--- a/firvane/controller/options.py
+++ b/firvane/controller/options.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 
 from firvane.address import Address
+from firvane.tenancy.quota import QuotaRules
 
 SMALLEST_GROUP = 3
 
@@ -27,6 +28,7 @@
     loses_regions: bool  # whether whole regions may be lost at the same time
     platform: Address | None
     grace: float  # s from SIGTERM to SIGKILL
+    quota: QuotaRules = field(default_factory=QuotaRules)
 
     @property
     def group_size(self) -> int:
--- a/firvane/controller/replication.py
+++ b/firvane/controller/replication.py
@@ -160,6 +160,11 @@
         known = self._groups.get(group)
         return known is not None and known.is_current(time.monotonic(), CONTACT_PATIENCE)
 
+    def state_age(self, group: int) -> float | None:
+        """Seconds since the state here was surely the newest of a majority; None where that is not known."""
+        known = self._groups.get(group)
+        return known.state_age(time.monotonic()) if known is not None else None
+
     def owner(self, group: int) -> Address | None:
         """The owner as far as it is known here."""
         known = self._groups.get(group)
--- a/firvane/net/http.py
+++ b/firvane/net/http.py
@@ -332,6 +332,7 @@
 REASONS = {
     200: b"OK",
     400: b"Bad Request",
+    401: b"Unauthorized",
     404: b"Not Found",
     405: b"Method Not Allowed",
     408: b"Request Timeout",
--- a/firvane/programs/controller.py
+++ b/firvane/programs/controller.py
@@ -23,6 +23,7 @@
     SettingsError,
     load_or_exit,
 )
+from firvane.tenancy.quota import QuotaRules
 
 SIGNALS_BLOCKED = 1.0  # s at the most that signals wait for the start
 
@@ -47,6 +48,9 @@
         loses_regions=tolerance.regions > 0,
         platform=settings.cloud_api.address,
         grace=settings.bounds.grace_s,
+        quota=QuotaRules(
+            settings.bounds.quota_window_s, settings.bounds.quota_overage, settings.bounds.quota_slack
+        ),
     )
 
 
--- a/firvane/programs/router.py
+++ b/firvane/programs/router.py
@@ -42,6 +42,7 @@
         grace=settings.bounds.grace_s,
         retry_ratio=settings.bounds.retry_budget_ratio,
         retry_slack=settings.bounds.retry_slack,
+        revoke=settings.bounds.revoke_ms / 1000 if settings.bounds.revocation_closed else 0.0,
     )
 
 
--- a/firvane/programs/settings.py
+++ b/firvane/programs/settings.py
@@ -72,6 +72,11 @@
     recovery_s: float = 12.0
     pass_ms: float = 120.0
     again_s: float = 0.0
+    revocation_closed: bool = False
+    revoke_ms: float = 5000.0
+    quota_window_s: float = 8.0
+    quota_overage: float = 0.0
+    quota_slack: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -197,11 +202,14 @@
 
 
 def _figures(kind: type[T], document: Mapping[str, Any], name: str) -> T:
-    """A dataclass whose fields are all numbers with defaults, from the mapping of that name."""
+    """A dataclass whose fields are numbers or flags with defaults, from the mapping of that name."""
     given = _mapping(document, name)
     defaults = dataclasses.asdict(kind())  # type: ignore[call-overload]  # a dataclass
     values: dict[str, float] = {}
     for known, default in defaults.items():
+        if isinstance(default, bool):
+            values[known] = _flag(given, known)
+            continue
         value = _number(given, known, default)
         values[known] = int(value) if isinstance(default, int) else value
     return kind(**values)
--- a/firvane/replication/group.py
+++ b/firvane/replication/group.py
@@ -91,6 +91,13 @@
         """Whether what is applied here was the newest that a majority had, at most `patience` seconds ago."""
         return self.contact.is_fed(now) and self.is_in_contact(now, patience)
 
+    def state_age(self, now: float) -> float | None:
+        """Seconds since what is applied here was surely the newest of a majority; None if nobody can tell."""
+        if not self.contact.is_fed(now):
+            return None
+        age = now - self.contact.current_at(self.applied_index, now)
+        return age if age < float("inf") else None
+
     @property
     def owner(self) -> Address | None:
         """The owner as far as it is known here."""
--- a/firvane/router/client.py
+++ b/firvane/router/client.py
@@ -11,11 +11,12 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import cast
 
 import httptools
 
-from firvane.configuration.routes import RouteTable
+from firvane.configuration.routes import Route, RouteTable
 from firvane.engine import Flow
 from firvane.net.dial import resets
 from firvane.net.http import (
@@ -30,6 +31,7 @@
     answer_head,
     framed,
 )
+from firvane.router.admission import OPEN, Admitted
 from firvane.router.client_side import ClientSide
 from firvane.router.drain import LATE_PAUSE
 from firvane.router.requests import (
@@ -54,6 +56,8 @@
         self.position = 0
         self.flow: Flow[ProxiedRequest, Message] | None = None
         self.unrouted: Message | None = None  # a whole request that waits for the first configuration
+        self.applicant: _Applicant | None = None  # one that waits to be admitted
+        self.admission = OPEN  # of the request that is under way
         self.keep = True  # the connection lives on after this answer
         self.head_sent = False
         self.chunked = False
@@ -82,13 +86,17 @@
         self.closing = True
         self.pending = b""
         self.reader.drop()
-        self.source = self.unrouted = None
+        self.source = self.unrouted = self.applicant = None
         flow, self.flow = self.flow, None
         if flow:
             self.front.engine.leave(flow)
 
     def is_idle(self) -> bool:
-        return not (self.flow or self.unrouted or self.pending or self.reading or self.closing)
+        return not (self._is_asking() or self.pending or self.reading or self.closing)
+
+    def _is_asking(self) -> bool:
+        """Whether a whole request is here that has no answer yet."""
+        return bool(self.flow or self.unrouted or self.applicant)
 
     def close(self) -> None:
         self.closing = True
@@ -96,7 +104,7 @@
 
     def expire(self, now: float) -> None:
         """Close a connection that has stood idle, or has kept a request half sent, for too long."""
-        if self.closing or self.flow or self.unrouted:
+        if self.closing or self._is_asking():
             return
         if self.reading and now > self.since + self.front.header_timeout:
             self.keep = False
@@ -119,7 +127,7 @@
         if self.busy:
             return
         self.busy = True
-        while self._has_more() and not (self.flow or self.unrouted or self.closing or self.choked):
+        while self._has_more() and not (self._is_asking() or self.closing or self.choked):
             try:
                 self.position = self.reader.step(self.pending, self.position)
             except Fault as fault:
@@ -178,7 +186,7 @@
             self.unrouted = message
             front.loop.call_later(NO_CONFIGURATION_HOLD, self._refuse_unrouted, message)
             return
-        self._route(message, request_id, front.routes)
+        self._route(message, front.routes)
 
     def _refuse_unrouted(self, message: Message) -> None:
         if self.unrouted is message:
@@ -189,20 +197,35 @@
         """The first configuration has come: go on with the request that waits for it."""
         message, self.unrouted = self.unrouted, None
         if message and self.front.routes and not self.closing:
-            self._route(message, message.fields[REQUEST_ID], self.front.routes)
+            self._route(message, self.front.routes)
 
-    def _route(self, message: Message, request_id: bytes, routes: RouteTable) -> None:
-        """Hand a request over to the engine by its route."""
+    def _route(self, message: Message, routes: RouteTable) -> None:
+        """Find the route of a request, and whether its client may ask."""
         front = self.front
         route = routes.find(message.fields.get(b"host", b""), message.url)
         if route is None:
             front.engine.endings["no route"] += 1
             self._finish(404)
             return
+        if front.admission is None:
+            self.take_up(message, route, OPEN)
+            return
+        self.applicant = _Applicant(self, message, route)
+        front.admission.admit(self.applicant, message, route)
+
+    def take_up(self, message: Message, route: Route, admission: Admitted) -> None:
+        """Hand an admitted request over to the engine."""
+        front, tenant, request_id = self.front, admission.tenant, message.fields[REQUEST_ID]
+        self.applicant, self.admission = None, admission
         waits_ms = client_deadline_ms(message)
         limit_ms = route.timeout_ms if waits_ms is None else min(waits_ms, route.timeout_ms)
         deadline = min(self.taken_at + limit_ms / 1000, front.drain.end_by)
-        request = ProxiedRequest(message, route, request_id)
+        request = ProxiedRequest(message, route, request_id, priority=route.priority)
+        request.is_private = admission.is_private
+        if tenant is not None:
+            request.tenant = tenant.name.encode()
+            request.priority = route.priority if tenant.priority is None else tenant.priority
+            request.on_repeat = partial(front.runs_again, admission)
         flow = Flow[ProxiedRequest, Message](request, self, deadline, request_id)
         flow.bounded = True
         flow.resumable = route.stream_resume
@@ -277,8 +300,18 @@
         )
 
     def refused(self, retry_after: float) -> None:
+        if self.flow and self.front.admission:
+            self.front.admission.give_back(self.admission)
+        self._refuse(503, retry_after)
+
+    def turned_away(self, status: int, retry_after: float) -> None:
+        """The request is not admitted."""
+        self.applicant = None
+        self._refuse(status, retry_after)
+
+    def _refuse(self, status: int, retry_after: float) -> None:
         extra = [b"Retry-After: %.3f\r\n" % retry_after] if retry_after > 0 else []
-        self._finish(503, extra)
+        self._finish(status, extra)
 
     def failed(self) -> None:
         self._finish(502)
@@ -329,5 +362,23 @@
         self.choked = False
         if self.source:
             self.source.choke(False)
-        elif self.pending and not self.flow and not self.unrouted:
+        elif self.pending and not self._is_asking():
             self._advance()
+
+
+class _Applicant:
+    """A request on its way through admission; its connection may be gone by the end."""
+
+    def __init__(self, connection: ClientConnection, message: Message, route: Route) -> None:
+        self._connection, self._message, self._route = connection, message, route
+
+    def admitted(self, admission: Admitted) -> None:
+        connection = self._connection
+        if connection.applicant is self:
+            connection.take_up(self._message, self._route, admission)
+        elif connection.front.admission:
+            connection.front.admission.give_back(admission)
+
+    def turned_away(self, status: int, retry_after: float) -> None:
+        if self._connection.applicant is self:
+            self._connection.turned_away(status, retry_after)
--- a/firvane/router/client_side.py
+++ b/firvane/router/client_side.py
@@ -10,6 +10,7 @@
 from firvane.logs import QUIET, Log
 from firvane.net.http import Message
 from firvane.placement.events import PromptRequest, RequestKind
+from firvane.router.admission import Admission, Admitted
 from firvane.router.drain import Drain
 from firvane.router.requests import ProxiedRequest, prompt_shape
 
@@ -48,6 +49,7 @@
         self.header_timeout = DEFAULT_HEADER_TIMEOUT * HEADER_TIMEOUT_FACTOR
         self.idle_timeout = DEFAULT_IDLE_TIMEOUT
         self.drain = Drain()
+        self.admission: Admission | None = None  # none where nobody asks for keys
 
     def configure(self, routes: RouteTable, limits: Limits) -> None:
         """Requests are handled by these routes and bounds from now on."""
@@ -56,6 +58,11 @@
         self.header_timeout = HEADER_TIMEOUT_FACTOR * limits.header_timeout_ms / 1000
         self.idle_timeout = limits.idle_timeout_ms / 1000
 
+    def runs_again(self, admission: Admitted) -> None:
+        """An admitted request is sent to a backend once more, after it may have run."""
+        if self.admission is not None:
+            self.admission.runs_again(admission)
+
     def prompt_request(self, request: ProxiedRequest) -> PromptRequest:
         """The request as the decisions see it; the engine adds its id and the time that is left."""
         route = request.route
@@ -68,7 +75,7 @@
             chain=shape.chain,
             tokens_in=shape.tokens_in,
             tokens_out=shape.tokens_out,
-            priority=route.priority,
+            priority=request.priority,
             aim=route.target_latency_ms / 1000,
             max_attempts=route.max_attempts,
             kind=KINDS[route.kind],
--- a/firvane/router/requests.py
+++ b/firvane/router/requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from firvane.configuration.routes import Route
@@ -23,6 +24,21 @@
     request_id: bytes
     last_event_id: int | None = None  # of the last whole event that the client was given
     flow_id: int = -1  # of the engine's flow
+    tenant: bytes | None = None  # the name of the tenant that asks
+    is_private: bool = False  # its key, and what it says of its tenant, are not passed on
+    priority: int = 0  # rank, 0 is highest
+    runs: int = 0  # times that it was sent to a backend and not turned away
+    on_repeat: Callable[[], None] | None = None  # told of each run after the first
+
+    def note_sent(self) -> None:
+        """It goes out to a backend."""
+        self.runs += 1
+        if self.runs > 1 and self.on_repeat:
+            self.on_repeat()
+
+    def note_turned_away(self) -> None:
+        """The backend has not run it."""
+        self.runs -= 1
 
 
 @dataclass(slots=True, frozen=True)
@@ -57,6 +73,15 @@
     return PromptShape(_chain(message.fields.get(b"x-prompt-prefix", b"")), tokens_in, tokens_out)
 
 
+def prompt_tokens(message: Message) -> int | None:
+    """Tokens in and out together; None where the request tells no number that can be read."""
+    text = message.fields.get(b"x-token-count")
+    if text is None:
+        return None
+    tokens = sum(_counts(text))
+    return tokens or None
+
+
 def _counts(text: bytes) -> tuple[int, int]:
     first, _, second = text.partition(b",")
     try:
--- a/firvane/router/router.py
+++ b/firvane/router/router.py
@@ -21,6 +21,7 @@
 from firvane.net.http import Message
 from firvane.placement.balancer import PromptBalancer
 from firvane.placement.events import Progress, ServiceInfo
+from firvane.router.admission import Admission
 from firvane.router.backends import Backends
 from firvane.router.front import Front
 from firvane.router.members_call import MembersCall
@@ -66,6 +67,17 @@
             on_members=self._on_members,
             on_message=self._on_message,
         )
+        self.admission = Admission(
+            loop,
+            settings.internal,
+            settings.zone,
+            settings.revoke,
+            random.Random(settings.seed),
+            self.agent.members,
+            lambda to, payload: self.agent.send(to, Channel.TENANCY, payload),
+            log,
+        )
+        self.front.admission = self.admission
         self.peers = Peers(settings.internal, settings.zones, self._send_row)
         self.balancer = self._make_balancer()
         self.engine = self._make_engine()
@@ -132,7 +144,9 @@
 
     def is_ready(self) -> bool:
         """Whether the platform should send new connections here."""
-        return not self.front.drain.has_begun and self.configuration is not None and self.backends.any_ready()
+        if self.front.drain.has_begun or self.configuration is None:
+            return False
+        return self.backends.any_ready() and self.admission.is_able()
 
     # The cluster's side
 
@@ -151,6 +165,7 @@
             return
         self.configuration = configuration
         self.agent.set_applied_version(configuration.version)
+        self.admission.configure(configuration)
         self.front.configure(RouteTable(configuration), configuration.limits)
         for service in configuration.services.values():
             engine = service.engine
@@ -172,6 +187,8 @@
     def _on_message(self, sender: Address, channel: Channel, payload: bytes) -> None:
         if channel is Channel.ROWS:
             self.engine.give(api.PeerMessage(peer_number(sender), payload))
+        elif channel is Channel.TENANCY:
+            self.admission.receive(sender, payload)
 
     def _on_progress(self, backend: str) -> None:
         self.engine.give(Progress(backend))
@@ -187,6 +204,7 @@
     def _sweep(self) -> None:
         now = self.loop.time()
         self.sweeps += 1
+        self.admission.tick()
         if self.sweeps % SLOW_SWEEPS == 0 or self.upstreams.streams:
             self.upstreams.sweep(now)
         if self.sweeps % SLOW_SWEEPS == 0:
@@ -205,9 +223,16 @@
             **counted,
         )
         endings.clear()
+        self._report_admission()
         self._report_budgets()
         self.loop.call_later(FIGURES_INTERVAL, self._report)
 
+    def _report_admission(self) -> None:
+        self.admission.forget_idle()
+        counts = self.admission.take_counts()
+        if any(counts.values()):
+            self.log.info("tenancy: turned away.", **counts)
+
     def _report_budgets(self) -> None:
         for name, figures in self.balancer.take_budget_figures(self.loop.time()).items():
             if not figures.repeats and not figures.denied:
@@ -259,11 +284,13 @@
         grace: float,
         retry_ratio: float,
         retry_slack: float,
+        revoke: float = 0.0,
     ) -> None:
+        """`revoke`: seconds within which a removed key must be refused; 0 where nothing has to prove it."""
         self.internal, self.front, self.readiness, self.seeds = internal, front, readiness, seeds
         self.zone, self.zones, self.incarnation = zone, zones, incarnation
         self.file_descriptors, self.grace = file_descriptors, grace
-        self.retry_ratio, self.retry_slack = retry_ratio, retry_slack
+        self.retry_ratio, self.retry_slack, self.revoke = retry_ratio, retry_slack, revoke
         self.seed = random.Random(incarnation).getrandbits(32)
 
 
--- a/firvane/router/upstream_connection.py
+++ b/firvane/router/upstream_connection.py
@@ -29,6 +29,7 @@
 from firvane.net.words import Quiet
 from firvane.router.events import EventFramer
 from firvane.router.requests import DEADLINE, REQUEST_ID, ProxiedRequest
+from firvane.tenancy.keys import PRIVATE_FIELDS
 
 HELD_ANSWER = 64 * 1024  # bytes of an answer that is no stream and is held until it is whole
 MAX_ANSWER = 64 * 1024 * 1024  # bytes of one answer
@@ -40,7 +41,7 @@
 PROGRESS_INTERVAL = 0.05  # s between reports of a backend's progress at the least
 STREAM_TYPE = b"text/event-stream"
 REPLACED_FIELDS = frozenset((DEADLINE, b"x-target-instance", b"priority", b"expect-version"))
-REPLACED_AND_RESUMED = REPLACED_FIELDS | {b"last-event-id"}
+RESUMED_FIELDS = frozenset((b"last-event-id",))
 
 
 class Connections(Protocol):
@@ -146,14 +147,19 @@
         fields = [
             b"X-Deadline-Ms: %d\r\n" % left_ms,
             b"X-Target-Instance: %s\r\n" % self.pool.backend.encode(),
-            b"Priority: %d\r\n" % min(9, max(0, request.route.priority)),
+            b"Priority: %d\r\n" % min(9, max(0, request.priority)),
         ]
         without = REPLACED_FIELDS
+        if request.is_private:
+            without |= PRIVATE_FIELDS
+        if request.tenant is not None:
+            fields.append(b"X-Tenant: %s\r\n" % request.tenant)
         if request.last_event_id is not None:
-            without = REPLACED_AND_RESUMED
+            without |= RESUMED_FIELDS
             fields.append(b"Last-Event-Id: %d\r\n" % request.last_event_id)
         host = b"%s:%d" % (self.pool.address[0].encode(), self.pool.address[1])
         self.run, run.connection = run, self
+        request.note_sent()
         self.written, self.skipped, self.moved = False, 0, now
         head = forward_head(request.message, host, without, fields)
         self.transport.writelines([*head, *request.message.body])
@@ -273,6 +279,7 @@
         ending = answer_ending(message)
         if run and ending is Ending.TURNED_AWAY:
             self.refused.add(run.request.request_id)
+            run.request.note_turned_away()
         is_clean = message.framed and self.written and not (followed or self.skipped)
         reusable = message.keep and is_clean and len(self.refused) <= MAX_REFUSED
         if reusable and not self.lost and not self.transport.is_closing():
--- /dev/null
+++ b/tests/configuration/test_tenants.py
@@ -0,0 +1,117 @@
+"""Tenants in a configuration: what is refused, what is kept, and what routers read."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+
+from firvane.configuration.checker import Checker
+from firvane.configuration.codes import ResultCode
+from firvane.configuration.item import read_document, read_item
+from firvane.configuration.orders import Order, Result
+from firvane.configuration.routes import Tenant, key_digest
+from firvane.configuration.state import ConfigurationState
+from tests.configuration.documents import change, modification, replacement, route, whole
+
+
+def tenant(name: str = "huka270", **changes: Any) -> dict[str, Any]:
+    fields = {
+        "name": name,
+        "api_keys": [f"{name}-1", f"{name}-2"],
+        "priority": 1,
+        "unit": "token_count",
+        "uncached_tokens": 200,
+        "rate_per_s": 279322,
+        "burst_size": 279322,
+    }
+    return {**fields, **changes}
+
+
+def checked(state: ConfigurationState, order: Order) -> Result:
+    """The result of an order after the full check; it is taken if it was found good."""
+    result = Checker(state, order).finish()
+    if result.code is ResultCode.ACCEPTED:
+        assert Result.unpack(state.apply(1, order.pack())) == result
+    return result
+
+
+def test_tenants_are_read_with_the_digests_of_their_keys() -> None:
+    read = read_document(json.dumps(whole(tenants=[tenant(), {"name": "bare"}])).encode(), 1)
+    assert read.tenants == (
+        Tenant(
+            "huka270",
+            (key_digest(b"huka270-1"), key_digest(b"huka270-2")),
+            1,
+            True,
+            200,
+            279322.0,
+            279322.0,
+        ),
+        Tenant("bare"),
+    )
+    assert "huka270-1" not in repr(read)
+
+
+@pytest.mark.parametrize(("given", "read"), [(..., None), (None, None), ([], ())])
+def test_no_tenants_are_not_an_empty_list_of_tenants(given: Any, read: tuple[Tenant, ...] | None) -> None:
+    assert read_document(json.dumps(whole(tenants=given)).encode(), 1).tenants == read
+
+
+def test_a_route_may_be_anonymous() -> None:
+    read = read_document(json.dumps(whole(routes=[route("a", anonymous=True), route("b")])).encode(), 1)
+    assert [each.anonymous for each in read.routes] == [True, False]
+
+
+def test_two_tenants_that_share_a_key_make_a_configuration_invalid() -> None:
+    shared = [tenant("a"), tenant("b", api_keys=["b-1", "a-2"])]
+    state = ConfigurationState()
+    order = replacement(0, whole(tenants=shared))
+    for result in (Checker(state, order).finish(), state.check(order)):
+        assert result.code is ResultCode.INVALID
+        assert [(each.code, each.place) for each in result.problems] == [
+            (ResultCode.SHARED_KEY, "tenants[b]")
+        ]
+        assert "a-2" not in str(result.problems)
+
+
+def test_a_change_that_brings_a_key_of_another_tenant_is_refused() -> None:
+    state = ConfigurationState()
+    assert checked(
+        state, replacement(0, whole(1, tenants=[tenant("a"), tenant("b")]))
+    ).code.is_acknowledgement
+    stolen = modification(1, change(2, upsert={"tenants": [tenant("c", api_keys=["a-1"])]}))
+    assert checked(state, stolen).code is ResultCode.INVALID
+    moved = modification(
+        1, change(2, upsert={"tenants": [tenant("a", api_keys=[]), tenant("c", api_keys=["a-1"])]})
+    )
+    assert checked(state, moved).code is ResultCode.ACCEPTED
+    assert (read_item(state.item_payload()).tenants or ())[0].key_digests == ()
+
+
+def test_one_tenant_may_name_a_key_twice() -> None:
+    order = replacement(0, whole(tenants=[tenant("a", api_keys=["k", "k"])]))
+    assert checked(ConfigurationState(), order).code is ResultCode.ACCEPTED
+
+
+@pytest.mark.parametrize(
+    ("tenants", "code"),
+    [
+        ({"name": "a"}, ResultCode.WRONG_TYPE),
+        ([7], ResultCode.WRONG_TYPE),
+        ([{"api_keys": []}], ResultCode.MISSING_FIELD),
+        ([tenant("a"), tenant("a", api_keys=[])], ResultCode.DUPLICATE_NAME),
+        ([tenant(api_keys="k")], ResultCode.WRONG_TYPE),
+        ([tenant(api_keys=[7])], ResultCode.WRONG_TYPE),
+        ([tenant(api_keys=[""])], ResultCode.OUT_OF_RANGE),
+        ([tenant(rate_per_s=-1)], ResultCode.OUT_OF_RANGE),
+        ([tenant(burst_size="much")], ResultCode.WRONG_TYPE),
+        ([tenant(priority=1.5)], ResultCode.WRONG_TYPE),
+        ([tenant(uncached_tokens=True)], ResultCode.WRONG_TYPE),
+    ],
+)
+def test_faults_of_tenants_are_told(tenants: Any, code: ResultCode) -> None:
+    result = checked(ConfigurationState(), replacement(0, whole(tenants=tenants)))
+    assert result.code is ResultCode.INVALID
+    assert code in {each.code for each in result.problems}
--- a/tests/controller/changes.py
+++ b/tests/controller/changes.py
@@ -16,7 +16,7 @@
 
 import uvloop
 
-from firvane.controller.parts import CONFIGURATION_PART
+from firvane.parts import CONFIGURATION_PART
 from tests.controller.test_controller import Core, document, until_true
 
 SIZE_SEEN_EVERY = 10  # changes between two looks at the disks
--- a/tests/controller/fleet_rig.py
+++ b/tests/controller/fleet_rig.py
@@ -6,10 +6,10 @@
 from firvane.cluster.agent import Item, KnownMember, Member, Role
 from firvane.controller.configuration_publisher import CONFIGURATION_KEY
 from firvane.controller.fleet_service import FleetService
-from firvane.controller.parts import ALL_PARTS
 from firvane.controller.replication import GroupStatus, Transfer, TransferStart
 from firvane.logs import QUIET
 from firvane.membership.members import MemberState, Status
+from firvane.parts import ALL_PARTS
 from firvane.replication.replica import Role as ReplicaRole
 from firvane.replication.status import ReplicaStatus
 from firvane.replication.types import Member as Replica
--- a/tests/controller/test_controller.py
+++ b/tests/controller/test_controller.py
@@ -19,8 +19,8 @@
 from firvane.controller.controller import Controller
 from firvane.controller.instance_records import item_key
 from firvane.controller.options import ControllerOptions
-from firvane.controller.parts import ALL_PARTS, part_of
 from firvane.discovery.codec import decode_instances
+from firvane.parts import ALL_PARTS, part_of
 from tests.controller.test_operator_api import document
 
 PATIENCE = 15.0  # s until something that must happen is missed
--- a/tests/controller/test_fleet_calls.py
+++ b/tests/controller/test_fleet_calls.py
@@ -9,7 +9,7 @@
 
 from firvane.cluster.reports import MemberReport, MembersAnswer, PartReport, PartsAnswer
 from firvane.configuration.codes import ResultCode
-from firvane.controller.parts import ALL_PARTS
+from firvane.parts import ALL_PARTS
 from tests.controller.test_controller import Core, play, until, until_true
 
 HAND_OVER = "/v1/fleet/hand-over"
--- a/tests/controller/test_hand_out.py
+++ b/tests/controller/test_hand_out.py
@@ -10,9 +10,9 @@
 from firvane.cluster.agent import Channel, ClusterAgent, Item, Member, Role
 from firvane.controller.configuration_publisher import CONFIGURATION_KEY
 from firvane.controller.instance_records import item_key
-from firvane.controller.parts import ALL_PARTS, CONFIGURATION_PART
 from firvane.controller.replication import CONTACT_PATIENCE
 from firvane.logs import QUIET
+from firvane.parts import ALL_PARTS, CONFIGURATION_PART
 from tests.controller.test_controller import Core, document, play, until, until_true
 
 ROUTER_NUMBER = 77
--- a/tests/controller/test_record_keeper.py
+++ b/tests/controller/test_record_keeper.py
@@ -8,11 +8,11 @@
 
 from firvane.cluster.agent import Item
 from firvane.controller.instance_records import item_key
-from firvane.controller.parts import part_of
 from firvane.controller.record_keeper import RecordKeeper
 from firvane.controller.replication import Proposal, ProposalStatus
 from firvane.controller.service_part import ServicePart, ServiceRecord
 from firvane.logs import QUIET
+from firvane.parts import part_of
 
 SERVICE = "a"
 PART = part_of(SERVICE)
--- /dev/null
+++ b/tests/tenancy/test_messages.py
@@ -0,0 +1,70 @@
+"""Records about tenants come back as they were sent; what is no record raises `TenancyError`."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from firvane.tenancy.messages import (
+    MAX_TOKENS,
+    Ask,
+    Grant,
+    Proof,
+    Question,
+    Record,
+    Status,
+    TenancyError,
+    decode,
+    encode,
+    tenant_id,
+)
+
+RECORDS: list[Record] = [
+    Question(7),
+    Proof(8, 3, None, ("10.0.0.4", 7300)),
+    Proof(8, 3, None, None),
+    Ask(9, tenant_id("huka270"), 2, 9190, 0, 17),
+    Grant(9, Status.GRANTED, 9190, 0.0, None),
+    Grant(9, Status.DENIED, 0, 1.25, None),
+    Grant(9, Status.ELSEWHERE, 0, 0.0, ("10.2.0.41", 65535)),
+]
+
+
+@pytest.mark.parametrize("record", RECORDS)
+def test_a_record_comes_back(record: Record) -> None:
+    assert decode(encode(record)) == record
+
+
+def test_an_age_never_comes_back_smaller() -> None:
+    drawn = random.Random(1)
+    for _ in range(500):
+        age = drawn.uniform(0.0, 5.0)
+        came = decode(encode(Proof(1, 1, age, None)))
+        assert isinstance(came, Proof) and came.age is not None
+        assert age < came.age <= age + 0.0011
+
+
+def test_amounts_beyond_the_field_are_cut() -> None:
+    came = decode(encode(Ask(1, tenant_id("t"), 1, 10**12, -4, 3)))
+    assert came == Ask(1, tenant_id("t"), 1, MAX_TOKENS, 0, 3)
+
+
+def test_whatever_is_no_record_is_refused() -> None:
+    drawn = random.Random(2)
+    whole = [encode(record) for record in RECORDS]
+    for _ in range(2_000):
+        data = bytearray(drawn.choice(whole))
+        match drawn.randrange(3):
+            case 0:
+                del data[drawn.randrange(len(data)) :]
+            case 1:
+                data += drawn.randbytes(drawn.randrange(1, 5))
+            case 2:
+                data[0] = drawn.choice((0, 5, 9, 255))
+        with pytest.raises(TenancyError):
+            decode(bytes(data))
+    with pytest.raises(TenancyError):
+        decode(b"")
+    with pytest.raises(TenancyError):
+        decode(encode(Grant(1, Status.DENIED, 0, 0.0, None)).replace(b"\x02", b"\x09", 1))
