Keep floors of tenants' quota buckets in the part's log, and grant large requests like small ones

Change: an owner never lets a bucket fall below a floor that the part's log has committed, and moves the floors a few times a second at the most, 0.75 s of the tenant's rate below the bucket; a new owner begins at the floor, strictly within the limit. A tenant without a floor has a full bucket. While anything is in a bucket, a request is granted whole.

--- a/firvane/controller/controller.py
+++ b/firvane/controller/controller.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Sequence
+from functools import partial
 
 from firvane.address import Address
 from firvane.cluster.agent import Channel, ClusterAgent, Item, Member, Role
@@ -27,6 +28,7 @@
 from firvane.controller.tenant_service import TenantService
 from firvane.logs import Log
 from firvane.parts import ALL_PARTS, CONFIGURATION_PART, POLL_DUTY, part_of
+from firvane.tenancy.floors import FloorsRecord
 
 RETRY_START = 0.5  # s between attempts to listen or to open the disk
 HAND_OVER_SHARE = 0.2  # of the grace
@@ -42,7 +44,11 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, options: ControllerOptions, log: Log) -> None:
         self.loop, self.options, self.log = loop, options, log
         self.state = ConfigurationState()
-        self.parts = {part: ServicePart(self._on_record) for part in ALL_PARTS if part != CONFIGURATION_PART}
+        self.parts = {
+            part: ServicePart(self._on_record, partial(self._on_floors, part))
+            for part in ALL_PARTS
+            if part != CONFIGURATION_PART
+        }
         self.agent = self._make_agent()
         self.domains = FailureDomains(
             lambda: self.agent.members(Role.CONTROLLER), options.region_of_zone, options.loses_regions
@@ -59,7 +65,9 @@
         self.keeper = RecordKeeper(loop, self.host, self.agent, self.parts, self._on_restored, log)
         self.tenants = TenantService(
             options.quota,
+            loop,
             self.host,
+            {part: each.floors for part, each in self.parts.items()},
             lambda: self.state.version,
             options.internal,
             lambda to, payload: self.agent.send(to, Channel.TENANCY, payload),
@@ -133,6 +141,7 @@
 
     async def start(self) -> None:
         """Join the cluster, listen, read the disk; each is tried again until it works."""
+        self.tenants.start()
         await self._until_done("cluster", self.agent.start)
         await self._until_done("operator", lambda: self.server.start(self.options.control))
         await self._until_done("replication", self.host.start)
@@ -176,6 +185,7 @@
 
     def close(self) -> None:
         """End everything at once."""
+        self.tenants.close()
         self.keeper.close()
         if self.poller:
             self.poller.release()
@@ -232,6 +242,9 @@
     def _on_record(self, record: ServiceRecord) -> None:
         self.keeper.taken(record)
 
+    def _on_floors(self, part: int, record: FloorsRecord) -> None:
+        self.tenants.floors_committed(part, record)
+
     def _on_restored(self, item: Item) -> None:
         if self.poller:
             self.poller.learn(item)
--- a/firvane/controller/tenant_service.py
+++ b/firvane/controller/tenant_service.py
@@ -1,23 +1,33 @@
 """Answers routers about tenants: how recent the configuration here is, and what a tenant may still use.
 
 Both answers are given only while they are surely true: a proof of freshness by a controller that a majority
-has confirmed lately, a grant by the owner of the tenant's part under its lease.
+has confirmed lately, a grant by the owner of the tenant's part under its lease, and never below a floor that
+the part's log has committed.
 """
 
 from __future__ import annotations
 
+import asyncio
+import random
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
 from typing import Protocol
 
 from firvane.address import Address
 from firvane.configuration.routes import Tenant
 from firvane.logs import Log
 from firvane.parts import CONFIGURATION_PART
+from firvane.replication.proposals import Proposal
+from firvane.tenancy.floors import Floors, FloorsRecord
 from firvane.tenancy.messages import Ask, Grant, Proof, Question, Status, TenancyError, decode, encode
 from firvane.tenancy.quota import QuotaLedger, QuotaRules
 
 PROOF_PATIENCE = 1.0  # s without a word of a majority after which this controller proves nothing
+FLOORS_INTERVAL = 0.2  # s between looks for floors that are to be moved
+PROPOSE_TIMEOUT = 1.0  # s
+ASK_LASTS = 0.25  # s that an ask may wait for a lower floor
+MOST_WAITING = 4096  # asks that wait at once
 
 
 class Replication(Protocol):
@@ -29,6 +39,15 @@
 
     def state_age(self, group: int) -> float | None: ...
 
+    async def propose(self, group: int, payload: bytes, timeout: float) -> Proposal: ...
+
+
+@dataclass(frozen=True, slots=True)
+class _WaitingAsk:
+    router: Address
+    ask: Ask
+    until: float
+
 
 class TenantService:
     """The controller's side of keys and quotas. Its calls come from the loop's thread."""
@@ -36,28 +55,62 @@
     def __init__(
         self,
         rules: QuotaRules,
+        loop: asyncio.AbstractEventLoop,
         replication: Replication,
+        floors: Mapping[int, Floors],
         version: Callable[[], int],
         own: Address,
         send: Callable[[Address, bytes], None],
         log: Log,
     ) -> None:
-        """`version` is that of the configuration which is applied here."""
-        self._replication, self._version, self._own = replication, version, own
+        """`floors` are those of each part as they are applied here, `version` that of the configuration."""
+        self._loop, self._replication, self._floors = loop, replication, floors
+        self._version, self._own = version, own
         self._send, self._log = send, log
         self._ledger = QuotaLedger(rules)
+        self._owned: set[int] = set()
+        self._waiting: list[_WaitingAsk] = []
+        self._proposals: dict[int, asyncio.Task[Proposal]] = {}  # by part, one at a time
+        self._number = random.getrandbits(62)
+        self._timer: asyncio.TimerHandle | None = None
+
+    def start(self) -> None:
+        """Look for floors that are to be moved, from now on."""
+        self._timer = self._loop.call_later(FLOORS_INTERVAL, self._on_timer)
+
+    def close(self) -> None:
+        """Stop at once."""
+        if self._timer:
+            self._timer.cancel()
+        for proposal in self._proposals.values():
+            proposal.cancel()
 
     def configure(self, tenants: Iterable[Tenant]) -> None:
         """These tenants and limits are in force."""
-        self._ledger.configure(tenants, time.monotonic())
+        self._ledger.configure(tenants)
 
     def owner_changed(self, part: int, own: bool) -> None:
         """This controller has become the owner of a part, or is it no more."""
+        if part not in self._floors:
+            return
         if own:
-            self._ledger.own(part, time.monotonic())
+            self._owned.add(part)
+            self._ledger.own(part, self._floors[part], time.monotonic())
         else:
+            self._owned.discard(part)
             self._ledger.disown(part)
 
+    def floors_committed(self, part: int, record: FloorsRecord) -> None:
+        """A record of floors was applied to a part here."""
+        self._ledger.committed(part, record)
+        waiting, self._waiting = self._waiting, []
+        now = time.monotonic()
+        for each in waiting:
+            if each.ask.part != part:
+                self._waiting.append(each)
+            elif now < each.until:
+                self._answer(each, now)
+
     def receive(self, sender: Address, payload: bytes) -> None:
         """A record of a router; what cannot be read is dropped."""
         try:
@@ -69,7 +122,8 @@
             case Question(nonce):
                 self._send(sender, encode(self._proof(nonce)))
             case Ask():
-                self._send(sender, encode(self._grant(record)))
+                now = time.monotonic()
+                self._answer(_WaitingAsk(sender, record, now + ASK_LASTS), now)
 
     def _proof(self, nonce: int) -> Proof:
         age = self._replication.state_age(CONFIGURATION_PART)
@@ -77,11 +131,43 @@
             return Proof(nonce, 0, None, self._other_owner(CONFIGURATION_PART))
         return Proof(nonce, self._version(), age, None)
 
-    def _grant(self, ask: Ask) -> Grant:
+    def _answer(self, waiting: _WaitingAsk, now: float) -> None:
+        grant = self._grant(waiting.ask, now)
+        if grant is not None:
+            self._send(waiting.router, encode(grant))
+        elif len(self._waiting) < MOST_WAITING:
+            self._waiting.append(waiting)
+            self._move_floors(waiting.ask.part, now)
+
+    def _grant(self, ask: Ask, now: float) -> Grant | None:
         if not self._replication.is_owner(ask.part):
             return Grant(ask.nonce, Status.ELSEWHERE, 0, 0.0, self._other_owner(ask.part))
-        return self._ledger.grant(ask, time.monotonic())
+        return self._ledger.grant(ask, now)
 
     def _other_owner(self, part: int) -> Address | None:
         owner = self._replication.owner(part)
         return None if owner == self._own else owner
+
+    # Floors
+
+    def _on_timer(self) -> None:
+        now = time.monotonic()
+        self._waiting = [each for each in self._waiting if now < each.until]
+        for part in self._owned:
+            self._move_floors(part, now)
+        self._timer = self._loop.call_later(FLOORS_INTERVAL, self._on_timer)
+
+    def _move_floors(self, part: int, now: float) -> None:
+        if part in self._proposals or not self._replication.is_owner(part):
+            return
+        floors = self._ledger.due_floors(part, now)
+        if not floors:
+            return
+        self._number += 1
+        record = FloorsRecord(self._number, floors)
+        self._ledger.proposed(part, record)
+        proposal = self._loop.create_task(
+            self._replication.propose(part, record.pack(), PROPOSE_TIMEOUT), name="floors"
+        )
+        self._proposals[part] = proposal
+        proposal.add_done_callback(lambda _: self._proposals.pop(part, None))
--- a/firvane/tenancy/quota.py
+++ b/firvane/tenancy/quota.py
@@ -3,27 +3,38 @@
 A bucket for each tenant fills at the tenant's rate, up to its burst and a part of what the deployment allows
 beyond. Rules that keep the sum over all routers within the limit, whatever is lost or cut off:
 
-1. A bucket begins empty with each new ownership, and fills from that moment on: what the owner before has
-   granted is not known here. Ownership is under a lease, so that two owners never grant at the same time.
+1. Ownership is under a lease, so that two owners never grant at the same time. A new owner begins each bucket
+   at its floor (`floors`), from which it fills from then on.
 2. Tokens are taken from the bucket before the grant is sent. A grant that is lost is lost.
-3. What is granted in advance and may not be used yet is bounded; what routers used without a grant is taken
-   off afterwards, below nothing if need be.
+3. While there is anything in a bucket a request is granted whole, which may leave a debt: else large requests
+   would be denied far more often than small ones where a tenant asks for more than its limit.
+4. What is granted in advance and may not be used yet is bounded; what routers used without a grant is taken
+   off afterwards.
+
+The parts below are those of what a deployment allows beyond rate x window + burst; what they leave is for
+requests on their way and for those that run twice.
 """
 
 from __future__ import annotations
 
+import math
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from firvane.configuration.routes import Tenant
+from firvane.parts import part_of
+from firvane.tenancy.floors import REMOVED, Floors, FloorsRecord
 from firvane.tenancy.messages import Ask, Grant, Status, tenant_id
 
-SPARE_PART = 0.5  # of what may be used beyond the limit, for the bucket's size
-AHEAD_PART = 0.25  # of the same, for what is granted in advance; the rest is for what is in flight
+SIZE_PART = 0.5  # of a bucket, beyond the burst
+DEBT_PART = 0.25  # the most that one request may leave a bucket below nothing
+AHEAD_PART = 0.1  # granted in advance and not used yet
 AHEAD_LASTS = 1.0  # s that tokens granted in advance may be used
 FULL_ENOUGH = 0.5  # of a bucket, above which tokens are granted in advance
 LEAST_PAUSE, LONGEST_PAUSE = 0.05, 5.0  # s after which a denied request may come again
+FLOOR_MARGIN = 0.75  # s of a tenant's rate that its floor lies below its bucket
+REST_TIME = 30.0  # s after which a full bucket that nobody uses is forgotten
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,15 +50,30 @@
         return self.overage * (tenant.rate * self.window + tenant.burst) + self.slack
 
 
+class _Bounds:
+    """What follows from a tenant's limit and the rules."""
+
+    __slots__ = ("ahead", "capacity", "debt", "margin", "rate")
+
+    def __init__(self, tenant: Tenant, rules: QuotaRules) -> None:
+        beyond = rules.beyond(tenant)
+        self.rate = tenant.rate
+        self.capacity = tenant.burst + SIZE_PART * beyond
+        self.debt = DEBT_PART * beyond
+        self.ahead = AHEAD_PART * beyond
+        self.margin = FLOOR_MARGIN * tenant.rate
+
+
 @dataclass(slots=True)
 class _Bucket:
     tokens: float
     filled_at: float
+    used_at: float
     ahead: deque[tuple[float, float]] = field(default_factory=deque)  # granted in advance: when, how much
 
-    def fill(self, rate: float, capacity: float, now: float) -> None:
+    def fill(self, bounds: _Bounds, now: float) -> None:
         elapsed = max(0.0, now - self.filled_at)
-        self.tokens = min(capacity, self.tokens + rate * elapsed)
+        self.tokens = min(bounds.capacity, self.tokens + bounds.rate * elapsed)
         self.filled_at = max(self.filled_at, now)
 
     def unused_ahead(self, now: float) -> float:
@@ -56,67 +82,148 @@
         return sum(amount for _, amount in self.ahead)
 
 
+class _OwnedPart:
+    """The buckets of one part, its committed floors, and those that were proposed since the last commit."""
+
+    def __init__(self, floors: Floors, now: float) -> None:
+        self.floors, self.began = floors, now
+        self.buckets: dict[bytes, _Bucket] = {}
+        self.proposed: list[FloorsRecord] = []
+
+    def bucket(self, tenant: bytes, bounds: _Bounds, now: float) -> _Bucket:
+        found = self.buckets.get(tenant)
+        if found is None:
+            floor = self.floors.get(tenant)
+            start = bounds.capacity if floor is None else floor
+            found = self.buckets[tenant] = _Bucket(start, self.began, now)
+        return found
+
+    def floor(self, tenant: bytes) -> float:
+        """Below which a bucket must not fall now; infinite where none is committed."""
+        committed: float = self.floors.get(tenant, float("inf"))
+        for record in self.proposed:
+            proposed = record.floors.get(tenant)
+            if proposed is not None:
+                committed = float("inf") if proposed == REMOVED else max(committed, proposed)
+        return committed
+
+
 class QuotaLedger:
     """The buckets of all tenants whose parts this controller owns."""
 
     def __init__(self, rules: QuotaRules) -> None:
         self._rules = rules
         self._tenants: dict[bytes, Tenant] = {}
-        self._known_at: dict[bytes, float] = {}  # when a tenant was first told of, in the present life
-        self._owned_at: dict[int, float] = {}
-        self._buckets: dict[tuple[int, bytes], _Bucket] = {}
+        self._part_of: dict[bytes, int] = {}
+        self._bounds: dict[bytes, _Bounds] = {}
+        self._parts: dict[int, _OwnedPart] = {}
 
-    def configure(self, tenants: Iterable[Tenant], now: float) -> None:
+    def configure(self, tenants: Iterable[Tenant]) -> None:
         """These tenants and limits are in force."""
         self._tenants = {tenant_id(tenant.name): tenant for tenant in tenants}
-        self._known_at = {key: self._known_at.get(key, now) for key in self._tenants}
+        self._part_of = {name: part_of(tenant.name) for name, tenant in self._tenants.items()}
+        self._bounds.clear()
 
-    def own(self, part: int, now: float) -> None:
-        """This controller has become the owner of a part."""
-        self.disown(part)
-        self._owned_at[part] = now
+    def own(self, part: int, floors: Floors, now: float) -> None:
+        """This controller has become the owner of a part, whose floors are committed and applied."""
+        self._parts[part] = _OwnedPart(floors, now)
 
     def disown(self, part: int) -> None:
         """It is the owner no more."""
-        self._owned_at.pop(part, None)
-        for key in [each for each in self._buckets if each[0] == part]:
-            del self._buckets[key]
-
-    def grant(self, ask: Ask, now: float) -> Grant:
-        """Answer a router's ask; the caller is the owner of the part at this moment."""
-        owned_at = self._owned_at.get(ask.part)
-        if owned_at is None:
-            return Grant(ask.nonce, Status.ELSEWHERE, 0, 0.0, None)
-        tenant = self._tenants.get(ask.tenant)
-        if tenant is None:  # the configuration that names it has not come here yet
+        self._parts.pop(part, None)
+
+    def grant(self, ask: Ask, now: float) -> Grant | None:
+        """Answer a router's ask; None while that waits for a lower floor. The caller owns the part now."""
+        owned, tenant = self._parts.get(ask.part), self._tenants.get(ask.tenant)
+        if owned is None or tenant is None or self._part_of[ask.tenant] != ask.part:
+            # not known here yet, or asked for at a part that is not its own
             return Grant(ask.nonce, Status.ELSEWHERE, 0, 0.0, None)
         if tenant.rate <= 0:
             return Grant(ask.nonce, Status.UNLIMITED, 0, 0.0, None)
-        capacity = tenant.burst + SPARE_PART * self._rules.beyond(tenant)
-        bucket = self._bucket(ask, owned_at)
-        bucket.fill(tenant.rate, capacity, now)
-        bucket.tokens = max(-capacity, bucket.tokens - ask.spent)
-        if bucket.tokens < ask.cost:
-            pause = (min(ask.cost, capacity) - bucket.tokens) / tenant.rate
-            pause = min(LONGEST_PAUSE, max(LEAST_PAUSE, pause))
-            return Grant(ask.nonce, Status.DENIED, 0, pause, None)
+        bounds = self._bounds_of(ask.tenant, tenant)
+        bucket = owned.bucket(ask.tenant, bounds, now)
+        bucket.fill(bounds, now)
+        bucket.used_at = now
+        missing = max(-bucket.tokens, ask.cost - bounds.debt - bucket.tokens)
+        if missing > 0 or bucket.tokens <= 0:
+            pause = min(missing, bounds.capacity) / bounds.rate
+            self._take_spent(bucket, ask, bounds)
+            return Grant(ask.nonce, Status.DENIED, 0, min(LONGEST_PAUSE, max(LEAST_PAUSE, pause)), None)
+        if bucket.tokens - ask.cost < owned.floor(ask.tenant):
+            return None
         bucket.tokens -= ask.cost
-        ahead = self._ahead(bucket, ask, tenant, capacity, now)
+        self._take_spent(bucket, ask, bounds)
+        ahead = self._ahead(bucket, ask, bounds, owned.floor(ask.tenant), now)
         return Grant(ask.nonce, Status.GRANTED, ask.cost + ahead, 0.0, None)
 
-    def _bucket(self, ask: Ask, owned_at: float) -> _Bucket:
-        found = self._buckets.get((ask.part, ask.tenant))
+    def _bounds_of(self, name: bytes, tenant: Tenant) -> _Bounds:
+        found = self._bounds.get(name)
         if found is None:
-            since = max(owned_at, self._known_at[ask.tenant])
-            found = self._buckets[ask.part, ask.tenant] = _Bucket(0.0, since)
+            found = self._bounds[name] = _Bounds(tenant, self._rules)
         return found
 
-    def _ahead(self, bucket: _Bucket, ask: Ask, tenant: Tenant, capacity: float, now: float) -> int:
-        """What is granted beyond the cost: only while the bucket is well filled, and within the bound."""
-        bound = AHEAD_PART * self._rules.beyond(tenant) - bucket.unused_ahead(now)
-        amount = int(min(ask.ahead, bound, bucket.tokens - FULL_ENOUGH * capacity))
+    @staticmethod
+    def _take_spent(bucket: _Bucket, ask: Ask, bounds: _Bounds) -> None:
+        bucket.tokens = max(-bounds.capacity, bucket.tokens - ask.spent)
+
+    @staticmethod
+    def _ahead(bucket: _Bucket, ask: Ask, bounds: _Bounds, floor: float, now: float) -> int:
+        """What is granted beyond the cost: only while the bucket is well filled, and within the bounds."""
+        spare = bucket.tokens - max(floor, FULL_ENOUGH * bounds.capacity)
+        amount = int(min(ask.ahead, bounds.ahead - bucket.unused_ahead(now), spare))
         if amount <= 0:
             return 0
         bucket.tokens -= amount
         bucket.ahead.append((now, amount))
         return amount
+
+    # Floors
+
+    def due_floors(self, part: int, now: float) -> Mapping[bytes, int]:
+        """New floors that are to be proposed for a part now."""
+        owned = self._parts.get(part)
+        due = dict[bytes, int]()
+        if owned is None:
+            return due
+        for name, bucket in list(owned.buckets.items()):
+            tenant = self._tenants.get(name)
+            if tenant is None or tenant.rate <= 0:
+                continue
+            bounds = self._bounds_of(name, tenant)
+            bucket.fill(bounds, now)
+            floor = self._due_floor(owned, name, bucket, bounds, now)
+            if floor is not None:
+                due[name] = floor
+        return due
+
+    @staticmethod
+    def _due_floor(
+        owned: _OwnedPart, name: bytes, bucket: _Bucket, bounds: _Bounds, now: float
+    ) -> int | None:
+        wanted = math.floor(max(-bounds.debt, bucket.tokens - bounds.margin))
+        floor = owned.floor(name)
+        if bucket.tokens >= bounds.capacity and now - bucket.used_at > REST_TIME:
+            if name in owned.floors:
+                return REMOVED
+            del owned.buckets[name]
+            return None
+        if bucket.tokens - floor < bounds.margin / 2 and floor > wanted:
+            return wanted
+        return wanted if bucket.tokens - floor > 2 * bounds.margin else None
+
+    def proposed(self, part: int, record: FloorsRecord) -> None:
+        """These floors are proposed: what is higher among them binds from now on."""
+        if part in self._parts:
+            self._parts[part].proposed.append(record)
+
+    def committed(self, part: int, record: FloorsRecord) -> None:
+        """A record of floors was applied; so is, or never will be, what was proposed before it."""
+        owned = self._parts.get(part)
+        if owned is None:
+            return
+        numbers = [each.number for each in owned.proposed]
+        if record.number in numbers:
+            del owned.proposed[: numbers.index(record.number) + 1]
+        for name, floor in record.floors.items():
+            if floor == REMOVED:
+                owned.buckets.pop(name, None)
--- /dev/null
+++ b/tests/tenancy/test_floors.py
@@ -0,0 +1,72 @@
+"""Records of floors, and what a part keeps of them."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from firvane.controller.service_part import (
+    KEPT,
+    SUPERSEDED,
+    PartError,
+    ServicePart,
+    ServiceRecord,
+)
+from firvane.tenancy.floors import REMOVED, FloorsError, FloorsRecord, unpack_floors
+from firvane.tenancy.messages import tenant_id
+
+ONE, TWO = tenant_id("one"), tenant_id("two")
+
+
+def test_a_record_comes_back() -> None:
+    record = FloorsRecord(2**63, {ONE: -5, TWO: REMOVED})
+    assert unpack_floors(record.pack()) == record
+
+
+def test_whatever_is_no_record_is_refused() -> None:
+    whole, drawn = FloorsRecord(7, {ONE: 5, TWO: 6}).pack(), random.Random(1)
+    for _ in range(300):
+        data = bytearray(whole)
+        if drawn.random() < 0.5:
+            del data[drawn.randrange(len(data)) :]
+        else:
+            data += drawn.randbytes(drawn.randrange(1, 40))
+        with pytest.raises(FloorsError):
+            unpack_floors(bytes(data))
+    with pytest.raises(FloorsError):
+        unpack_floors(b"\x01" + whole[1:])
+
+
+def test_a_part_keeps_floors_beside_instances_and_over_a_snapshot() -> None:
+    told: list[FloorsRecord] = []
+    part = ServicePart(on_floors=told.append)
+    part.apply(1, ServiceRecord("s", 3, b"x").pack())
+    record = FloorsRecord(1, {ONE: 5, TWO: 6})
+    assert part.apply(2, record.pack()) == KEPT
+    assert part.apply(3, FloorsRecord(2, {TWO: REMOVED, ONE: 4}).pack()) == KEPT
+    assert part.floors == {ONE: 4} and len(told) == 2
+    again = ServicePart()
+    kept = again.floors
+    again.floors[TWO] = 9
+    again.load(part.save())
+    assert again.floors == {ONE: 4} and again.floors is kept
+    assert again.version_of("s") == 3
+
+
+def test_a_snapshot_of_the_version_before_has_no_floors() -> None:
+    part = ServicePart()
+    part.apply(1, ServiceRecord("s", 3, b"x").pack())
+    whole = part.save()
+    without = b"\x01" + whole[1 : len(whole) - len(FloorsRecord(0, {}).pack())]
+    again = ServicePart()
+    again.load(without)
+    assert again.version_of("s") == 3 and not again.floors
+    with pytest.raises(PartError):
+        again.load(without + b"\0")
+
+
+def test_a_record_that_is_cut_changes_nothing() -> None:
+    part = ServicePart()
+    assert part.apply(1, FloorsRecord(1, {ONE: 5}).pack()[:-1]) == SUPERSEDED
+    assert not part.floors
