Let tenants burst for some seconds within the rule's window, and grant a request once half of its cost is there

Change: a bucket may hold a fifth of rate x window more than its usual size, and fills the slower by the excess of its highest level within the last window, so that no window sees more than before; half of a request's cost must be there. A limit that is lowered binds at once also while no time passes, which a test found.

--- a/firvane/tenancy/quota.py
+++ b/firvane/tenancy/quota.py
@@ -6,9 +6,13 @@
 1. Ownership is under a lease, so that two owners never grant at the same time. A new owner begins each bucket
    at its floor (`floors`), from which it fills from then on.
 2. Tokens are taken from the bucket before the grant is sent. A grant that is lost is lost.
-3. While there is anything in a bucket a request is granted whole, which may leave a debt: else large requests
-   would be denied far more often than small ones where a tenant asks for more than its limit.
-4. What is granted in advance and may not be used yet is bounded; what routers used without a grant is taken
+3. A request is granted once half of its cost is in the bucket, which may leave a debt. Were all of it asked
+   for, small requests would take nearly everything where a tenant asks for more than its limit; were none,
+   large ones would. Both were worth less (docs/decision-quality.md).
+4. A bucket may hold more than its usual size, for bursts of a tenant that uses little. It fills the slower
+   for it: by the excess of its highest level within the last window, spread over a window. So no window sees
+   more than rate x window + the usual size.
+5. What is granted in advance and may not be used yet is bounded; what routers used without a grant is taken
    off afterwards.
 
 The parts below are those of what a deployment allows beyond rate x window + burst; what they leave is for
@@ -29,10 +33,13 @@
 
 SIZE_PART = 0.5  # of a bucket, beyond the burst
 DEBT_PART = 0.25  # the most that one request may leave a bucket below nothing
+PRESENT_PART = 0.5  # of a request's cost, that must be in the bucket
 AHEAD_PART = 0.1  # granted in advance and not used yet
 AHEAD_LASTS = 1.0  # s that tokens granted in advance may be used
 FULL_ENOUGH = 0.5  # of a bucket, above which tokens are granted in advance
 LEAST_PAUSE, LONGEST_PAUSE = 0.05, 5.0  # s after which a denied request may come again
+BURST_PART = 0.2  # of rate x window, that a bucket may hold beyond its usual size
+PEAK_SLOTS = 4  # of a window, by which highest levels are kept
 FLOOR_MARGIN = 0.75  # s of a tenant's rate that its floor lies below its bucket
 REST_TIME = 30.0  # s after which a full bucket that nobody uses is forgotten
 
@@ -53,12 +60,13 @@
 class _Bounds:
     """What follows from a tenant's limit and the rules."""
 
-    __slots__ = ("ahead", "capacity", "debt", "margin", "rate")
+    __slots__ = ("ahead", "capacity", "debt", "margin", "rate", "usual", "window")
 
     def __init__(self, tenant: Tenant, rules: QuotaRules) -> None:
         beyond = rules.beyond(tenant)
-        self.rate = tenant.rate
-        self.capacity = tenant.burst + SIZE_PART * beyond
+        self.rate, self.window = tenant.rate, rules.window
+        self.usual = tenant.burst + SIZE_PART * beyond
+        self.capacity = self.usual + BURST_PART * tenant.rate * rules.window
         self.debt = DEBT_PART * beyond
         self.ahead = AHEAD_PART * beyond
         self.margin = FLOOR_MARGIN * tenant.rate
@@ -71,10 +79,33 @@
     used_at: float
     ahead: deque[tuple[float, float]] = field(default_factory=deque)  # granted in advance: when, how much
 
+    peaks: deque[float] = field(default_factory=deque)  # highest levels, by slot, of a window and a slot more
+    slot_ends: float = 0.0
+
     def fill(self, bounds: _Bounds, now: float) -> None:
-        elapsed = max(0.0, now - self.filled_at)
-        self.tokens = min(bounds.capacity, self.tokens + bounds.rate * elapsed)
-        self.filled_at = max(self.filled_at, now)
+        """Let it fill up to now, slot by slot."""
+        slot = bounds.window / PEAK_SLOTS
+        if now - self.filled_at > 2 * bounds.window + bounds.capacity / (bounds.rate * (1 - BURST_PART)):
+            self.tokens, self.filled_at = bounds.capacity, now  # it is full for longer than a window
+        self.tokens = min(self.tokens, bounds.capacity)
+        if not self.peaks:  # whoever owned it before may have seen it full
+            self.peaks.extend([bounds.capacity] * (PEAK_SLOTS + 1))
+            self.slot_ends = self.filled_at + slot
+        while self.filled_at < now:
+            until = min(now, self.slot_ends)
+            gained = self.refill(bounds) * (until - self.filled_at)
+            self.tokens = min(bounds.capacity, self.tokens + gained)
+            self.filled_at = until
+            self.peaks[-1] = max(self.peaks[-1], self.tokens)
+            if until >= self.slot_ends:
+                self.peaks.append(self.tokens)
+                self.peaks.popleft()
+                self.slot_ends = until + slot
+
+    def refill(self, bounds: _Bounds) -> float:
+        """Tokens that it gains in a second at present."""
+        excess = min(max(self.peaks), bounds.capacity) - bounds.usual
+        return bounds.rate - max(0.0, excess) / bounds.window
 
     def unused_ahead(self, now: float) -> float:
         while self.ahead and self.ahead[0][0] < now - AHEAD_LASTS:
@@ -144,9 +175,10 @@
         bucket = owned.bucket(ask.tenant, bounds, now)
         bucket.fill(bounds, now)
         bucket.used_at = now
-        missing = max(-bucket.tokens, ask.cost - bounds.debt - bucket.tokens)
-        if missing > 0 or bucket.tokens <= 0:
-            pause = min(missing, bounds.capacity) / bounds.rate
+        needed = max(PRESENT_PART * ask.cost, ask.cost - bounds.debt)
+        missing = needed - bucket.tokens
+        if missing > 0:
+            pause = min(missing, bounds.capacity) / bucket.refill(bounds)
             self._take_spent(bucket, ask, bounds)
             return Grant(ask.nonce, Status.DENIED, 0, min(LONGEST_PAUSE, max(LEAST_PAUSE, pause)), None)
         if bucket.tokens - ask.cost < owned.floor(ask.tenant):
