Let a long prompt leave its home once half of its aim is expected there

Cause: weekly-digest has four shared parts of 2,520 tokens, so four homes for 95 requests a second. Each home took prompts until the whole aim was expected to pass there, beside 26 idle engines; what was late was late by that. Hypothesis: the largest tenth of the kind and the worst windows gain, and little more is read again. The expected time is uncertain, so only half of the aim counts as surely in time.

--- a/firvane/placement/selection.py
+++ b/firvane/placement/selection.py
@@ -1,7 +1,7 @@
 """Which server a prompt goes to.
 
-1. A long prompt goes to its home while its aim is met there, or the home's load is within the cap over the
-   mean. Else it follows the window's moves, or goes where it costs least.
+1. A long prompt goes to its home while its aim is surely met there, or the home's load is within the cap over
+   the mean. Else it follows the window's moves, or goes where it costs least.
    What would wait for most of its client's patience leaves its home, whatever is read again.
 2. A short prompt goes where it costs least: the expected time to its first event, and what reading its shared
    parts again costs anywhere but at its home (or where the moves send it).
@@ -25,6 +25,7 @@
     from firvane.placement.service import Service
 
 CAP = 1.25  # a server may hold this multiple of the mean load, and one request more
+HOME_AIM_PART = 0.5  # of the aim, up to which an expected first event at home is surely in time
 HEAVY_TOKENS = 2000  # tokens to read from which on a prompt is long
 REREAD_FACTOR = 20.0  # times its reading time that reading a shared part again costs
 LEAST_PATIENCE, AIM_PATIENCE, GAP_PATIENCE = 2.0, 4.0, 8.0  # s; times the aim; times the longest pause
@@ -94,8 +95,9 @@
 
 
 def stays_home(service: Service, job: Job, home: Server, candidates: Sequence[Server], now: float) -> bool:
-    """Whether a long prompt goes to its home: the aim is met there, or the load is within the cap."""
-    if expected_first(service, home, service.unread(job.prompt, home), now) <= job.request.aim:
+    """Whether a long prompt goes to its home: the aim is surely met there, or the load is within the cap."""
+    expected = expected_first(service, home, service.unread(job.prompt, home), now)
+    if expected <= HOME_AIM_PART * job.request.aim:
         return True
     speed = service.speeds.reading.value
     mean = sum(server.work(speed, now) for server in candidates) / len(candidates)
