--- a/tools/day_report.py
+++ b/tools/day_report.py
@@ -48,8 +48,8 @@
     return [
         Loss(
             each["name"],
-            f"{each['n']} asked, {each['late']} late, {each['refused']} refused, {each['failed']} failed, worth "
-            f"{each['worth']:.3f}, first event {each['p50_ms']:.0f} ms, {each['p99_ms']:.0f} of 99 in 100",
+            f"{each['n']} asked, {each['late']} late, {each['refused']} refused, {each['failed']} failed, "
+            f"worth {each['worth']:.3f}, first event {each['p50_ms']:.0f} ms, 99 in 100 {each['p99_ms']:.0f}",
             (each["n"] - each["not_owed"]) * (1 - each["worth"]) / owed,
         )
         for each in listed
