--- /dev/null
+++ b/tests/crossings/mutants/tenancy.py
@@ -0,0 +1,128 @@
+"""Promises of docs/tenancy.md: keys, proofs of freshness, quotas and their floors."""
+
+from tests.crossings.mutants import Mutant
+
+FRESHNESS, QUOTA = "tests/tenancy/test_freshness.py", "tests/tenancy/test_quota.py"
+ADMISSION, SERVICE = "tests/router/test_admission.py", "tests/controller/test_tenant_service.py"
+
+MUTANTS = [
+    Mutant(
+        "the key is not passed on",
+        "firvane/router/upstream_connection.py",
+        "        if request.is_private:\n",
+        "        if False:\n",
+        ADMISSION,
+    ),
+    Mutant(
+        "a key that nobody holds is 401",
+        "firvane/router/admission.py",
+        "            waiting.applicant.turned_away(401, 0.0)\n",
+        "            waiting.applicant.admitted(Admitted(True))\n",
+        ADMISSION,
+    ),
+    Mutant(
+        "without a proof what needs a key is refused",
+        "firvane/router/admission.py",
+        "        if not self._freshness.is_fresh(now):\n            self._wait_for_proof(waiting, now)\n",
+        "        if False:\n            self._wait_for_proof(waiting, now)\n",
+        ADMISSION,
+    ),
+    Mutant(
+        "a proof counts from the question on, not from the answer",
+        "firvane/tenancy/freshness.py",
+        "        self._note(proof.version, asked_at - proof.age)\n",
+        "        self._note(proof.version, now - proof.age)\n",
+        FRESHNESS,
+    ),
+    Mutant(
+        "the age that an answer tells is taken off",
+        "firvane/tenancy/freshness.py",
+        "        self._note(proof.version, asked_at - proof.age)\n",
+        "        self._note(proof.version, asked_at)\n",
+        FRESHNESS,
+    ),
+    Mutant(
+        "a proof of a newer version waits for that version",
+        "firvane/tenancy/freshness.py",
+        "        if version <= self._version:\n",
+        "        if True:\n",
+        FRESHNESS,
+    ),
+    Mutant(
+        "a proof lasts less than the bound, for clocks at other rates",
+        "firvane/tenancy/freshness.py",
+        "SAFE_SHARE = 0.85",
+        "SAFE_SHARE = 1.1",
+        FRESHNESS,
+    ),
+    Mutant(
+        "who heard of no majority lately proves nothing",
+        "firvane/controller/tenant_service.py",
+        "        if age is None or age > PROOF_PATIENCE:\n",
+        "        if age is None:\n",
+        SERVICE,
+    ),
+    Mutant(
+        "only the owner under its lease grants",
+        "firvane/controller/tenant_service.py",
+        "        if not self._replication.is_owner(ask.part):\n",
+        "        if False:\n",
+        SERVICE,
+    ),
+    Mutant(
+        "a bucket does not fall below its floor",
+        "firvane/tenancy/quota.py",
+        "        if bucket.tokens - ask.cost < owned.floor(ask.tenant):\n",
+        "        if False:\n",
+        QUOTA,
+    ),
+    Mutant(
+        "a new owner begins a bucket at its floor",
+        "firvane/tenancy/quota.py",
+        "            start = bounds.capacity if floor is None else floor\n",
+        "            start = bounds.capacity\n",
+        QUOTA,
+    ),
+    Mutant(
+        "a higher floor binds from its proposal on",
+        "firvane/tenancy/quota.py",
+        'float("inf") if proposed == REMOVED else max(committed, proposed)',
+        'float("inf") if proposed == REMOVED else committed',
+        QUOTA,
+    ),
+    Mutant(
+        "a bucket that held more fills the slower",
+        "firvane/tenancy/quota.py",
+        "        return bounds.rate - max(0.0, excess) / bounds.window\n",
+        "        return bounds.rate\n",
+        QUOTA,
+    ),
+    Mutant(
+        "what was used without a grant is taken off",
+        "firvane/tenancy/quota.py",
+        "max(-bounds.capacity, bucket.tokens - ask.spent)",
+        "max(-bounds.capacity, bucket.tokens)",
+        QUOTA,
+    ),
+    Mutant(
+        "tokens in advance are used for a moment only",
+        "firvane/tenancy/allowance.py",
+        "        if now >= use.expires:\n            use.tokens = 0.0\n",
+        "        if False:\n            use.tokens = 0.0\n",
+        "tests/tenancy/test_allowance.py",
+    ),
+    Mutant(
+        "a second run counts once more",
+        "firvane/router/requests.py",
+        "        if self.runs > 1 and self.on_repeat:\n",
+        "        if False:\n",
+        ADMISSION,
+    ),
+    Mutant(
+        "two tenants do not share a key",
+        "firvane/configuration/structure.py",
+        "            if first != position:\n                other = item_place(TENANTS",
+        "            if False:\n                other = item_place(TENANTS",
+        "tests/configuration/test_tenants.py",
+    ),
+]
