Use a grant of quota at once or not at all, and read a controller's tenants without its routes

Cause: read once more, a process that stood still could read a grant of seconds ago before the timer that ends its request's wait, and use tokens in another window than the one in which they were granted; what is in flight is counted as some milliseconds. A test forces it (it fails before), and a deliberate fault of it is caught. Ruled out: the same for proofs (they count from the question) and for what is granted in advance (it expires from the ask on).

Change: a grant that is read after its request may wait is dropped, and the request refused with 503. Beside it, with the same behaviour: controllers no longer build all typed routes of a configuration to learn its tenants; routers spread over controllers by a checksum, not by a hash that differs with each process; `_rotated` and `KEYLESS` are named; the worlds of test_quota share their set-up.

--- a/firvane/configuration/item.py
+++ b/firvane/configuration/item.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from firvane.configuration.routes import Configuration, ConfigurationEntry
+from firvane.configuration.routes import Configuration, ConfigurationEntry, Tenant, TenantsEntry
 
 ITEM_VERSION = 1
 COMPRESSION_LEVEL = 6
@@ -19,6 +19,7 @@
 _HEAD = struct.Struct("!BQI")  # record version, configuration version, length of the document
 
 _decoder = msgspec.json.Decoder(ConfigurationEntry)
+_tenants_decoder = msgspec.json.Decoder(TenantsEntry)
 
 
 class ItemError(ValueError):
@@ -68,3 +69,11 @@
         return _decoder.decode(document)
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise ItemError(f"the document cannot be read: {error}") from error
+
+
+def read_tenants(document: bytes) -> tuple[Tenant, ...]:
+    """The tenants of a JSON text, without its routes; `ItemError` where it is none."""
+    try:
+        return _tenants_decoder.decode(document).typed()
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        raise ItemError(f"the tenants cannot be read: {error}") from error
--- a/firvane/configuration/routes.py
+++ b/firvane/configuration/routes.py
@@ -318,6 +318,16 @@
         )
 
 
+class TenantsEntry(msgspec.Struct):
+    """The tenants of a document and nothing else of it."""
+
+    tenants: list[_TenantEntry] | None = None
+
+    def typed(self) -> tuple[Tenant, ...]:
+        """The tenants in types; empty where the document has no such member."""
+        return tuple(entry.tenant() for entry in self.tenants or ())
+
+
 _KINDS: dict[str | None, RouteKind] = {kind.value: kind for kind in RouteKind}
 
 
--- a/firvane/controller/controller.py
+++ b/firvane/controller/controller.py
@@ -8,7 +8,7 @@
 
 from firvane.address import Address
 from firvane.cluster.agent import Channel, ClusterAgent, Item, Member, Role
-from firvane.configuration.item import ItemError, read_document, unpack_document
+from firvane.configuration.item import ItemError, read_tenants, unpack_document
 from firvane.configuration.recovered import recovered_version
 from firvane.configuration.state import ConfigurationState
 from firvane.controller.configuration_publisher import CONFIGURATION_KEY, ConfigurationPublisher
@@ -219,12 +219,12 @@
         if version <= self.tenants_version:
             return
         try:
-            configuration = read_document(document, version)
+            tenants = read_tenants(document)
         except ItemError as error:
             self.log.error("tenancy: configuration unreadable.", version=version, reason=str(error))
             return
         self.tenants_version = version
-        self.tenants.configure(configuration.tenants or ())
+        self.tenants.configure(tenants)
 
     def _on_item(self, item: Item) -> None:
         if item.key == CONFIGURATION_KEY and item.version > self.tenants_version:
--- a/firvane/router/admission.py
+++ b/firvane/router/admission.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Protocol
+from zlib import crc32
 
 from firvane.address import Address
 from firvane.cluster.agent import Member, Role
@@ -62,6 +63,7 @@
 
 
 OPEN = Admitted()
+KEYLESS = Admitted(is_private=True)
 
 
 @dataclass(slots=True, eq=False)
@@ -141,7 +143,7 @@
     def _identify(self, waiting: _Waiting, keys: KeyRing, now: float) -> None:
         key = bearer_key(waiting.message.fields)
         if waiting.route.anonymous and key is None:
-            waiting.applicant.admitted(Admitted(True))
+            waiting.applicant.admitted(KEYLESS)
             return
         if not self._freshness.is_fresh(now):
             self._wait_for_proof(waiting, now)
@@ -150,7 +152,7 @@
         if tenant is not None:
             self._count(waiting, tenant, now)
         elif waiting.route.anonymous:
-            waiting.applicant.admitted(Admitted(True))
+            waiting.applicant.admitted(KEYLESS)
         else:
             self.counts["unknown_key"] += 1
             waiting.applicant.turned_away(401, 0.0)
@@ -236,6 +238,9 @@
             self._ask_elsewhere(waiting, tenant, grant.other, sender, now)
             return
         self._owners[part] = sender
+        if now >= waiting.until:  # this process stood still meanwhile: the tokens are those of another moment
+            self._not_granted(waiting)
+            return
         ahead = max(0, grant.tokens - waiting.cost)
         self._allowances.granted(tenant.name, ahead, waiting.spent, waiting.asked_at)
         if grant.status is Status.DENIED:
@@ -308,10 +313,10 @@
     def _controllers(self) -> list[Address]:
         """Controllers, those of the own zone first, each router beginning with another one."""
         members = self._members(Role.CONTROLLER)
-        turn = hash(self._own)
+        turn = crc32(self._own[0].encode())
         near = sorted(member.address for member in members if member.zone == self._zone)
         far = sorted(member.address for member in members if member.zone != self._zone)
-        return [*_turned(near, turn), *_turned(far, turn)]
+        return [*_rotated(near, turn), *_rotated(far, turn)]
 
     def _routers(self) -> list[Address]:
         return [member.address for member in self._members(Role.ROUTER) if member.address != self._own]
@@ -321,6 +326,6 @@
         return controllers[turn % len(controllers)] if controllers else None
 
 
-def _turned(addresses: Sequence[Address], turn: int) -> list[Address]:
+def _rotated(addresses: Sequence[Address], turn: int) -> list[Address]:
     start = turn % len(addresses) if addresses else 0
     return [*addresses[start:], *addresses[:start]]
--- a/tests/configuration/test_tenants.py
+++ b/tests/configuration/test_tenants.py
@@ -9,7 +9,7 @@
 
 from firvane.configuration.checker import Checker
 from firvane.configuration.codes import ResultCode
-from firvane.configuration.item import read_document, read_item
+from firvane.configuration.item import ItemError, read_document, read_item, read_tenants
 from firvane.configuration.orders import Order, Result
 from firvane.configuration.routes import Tenant, key_digest
 from firvane.configuration.state import ConfigurationState
@@ -54,6 +54,15 @@
     assert "huka270-1" not in repr(read)
 
 
+def test_the_tenants_alone_are_read_as_with_the_rest() -> None:
+    text = json.dumps(whole(tenants=[tenant(), {"name": "bare"}])).encode()
+    assert read_tenants(text) == read_document(text, 1).tenants
+    assert read_tenants(json.dumps(whole()).encode()) == ()
+    for bad in (b"", b"[]", b'{"tenants":7}'):
+        with pytest.raises(ItemError):
+            read_tenants(bad)
+
+
 @pytest.mark.parametrize(("given", "read"), [(..., None), (None, None), ([], ())])
 def test_no_tenants_are_not_an_empty_list_of_tenants(given: Any, read: tuple[Tenant, ...] | None) -> None:
     assert read_document(json.dumps(whole(tenants=given)).encode(), 1).tenants == read
--- a/tests/crossings/mutants/tenancy.py
+++ b/tests/crossings/mutants/tenancy.py
@@ -17,7 +17,7 @@
         "a key that nobody holds is 401",
         "firvane/router/admission.py",
         "            waiting.applicant.turned_away(401, 0.0)\n",
-        "            waiting.applicant.admitted(Admitted(True))\n",
+        "            waiting.applicant.admitted(KEYLESS)\n",
         ADMISSION,
     ),
     Mutant(
@@ -118,6 +118,13 @@
         "        if False:\n",
         ADMISSION,
     ),
+    Mutant(
+        "a grant is used at once or not at all",
+        "firvane/router/admission.py",
+        "        if now >= waiting.until:  # this",
+        "        if False:  # this",
+        ADMISSION,
+    ),
     Mutant(
         "two tenants do not share a key",
         "firvane/configuration/structure.py",
--- a/tests/router/test_admission.py
+++ b/tests/router/test_admission.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 import pytest
@@ -13,7 +13,7 @@
 from firvane.cluster.agent import Member, Role
 from firvane.configuration.routes import Configuration, RouteTable, Tenant, key_digest
 from firvane.logs import QUIET
-from firvane.router.admission import Admission
+from firvane.router.admission import LONGEST_HOLD, Admission
 from firvane.tenancy.messages import Ask, Grant, Proof, Question, Status, decode, encode
 from tests.router.helpers import Backend, Rig, request_id, rig, route
 
@@ -69,7 +69,7 @@
 
 
 async def play(
-    test: Callable[[Rig, Controllers], asyncio.Future[None] | object],
+    test: Callable[[Rig, Controllers], Awaitable[None]],
     backends: list[Backend],
     tenants: tuple[Tenant, ...] | None = (KEYED, LIMITED),
     revoke: float = 5.0,
@@ -93,7 +93,7 @@
         configuration = Configuration(1, routes, tenants=tenants)
         admission.configure(configuration)
         found.front.configure(RouteTable(configuration), configuration.limits)
-        await test(found, scripted)  # type: ignore[misc]
+        await test(found, scripted)
 
 
 def fields_of(got: bytes) -> dict[str, str]:
@@ -276,8 +276,7 @@
 
     async def ask(found: Rig, controllers: Controllers) -> None:
         held: list[tuple[Address, bytes]] = []
-        answered, controllers.send = controllers.send, lambda to, payload: held.append((to, payload))  # type: ignore[method-assign]
-        found.front.admission._send = controllers.send  # type: ignore[union-attr]
+        controllers.admission._send = lambda to, payload: held.append((to, payload))
         _, writer = await found.connect()
         writer.write(request("tram"))
         while not held:
@@ -285,8 +284,8 @@
         writer.close()
         while found.front.connections:
             await asyncio.sleep(0)
-        found.front.admission._send = answered  # type: ignore[union-attr]
-        answered(*held[0])
+        controllers.admission._send = controllers.send
+        controllers.send(*held[0])
         assert (await found.ask(request("tram", number="a2"))).startswith(b"HTTP/1.1 200")
         assert len(backend.requests) == 1 and len(controllers.asks) == 1
 
@@ -305,3 +304,31 @@
         assert controllers.asks[-1][1].spent == 200
 
     asyncio.run(play(ask, [broken, sound], revoke=0.0))
+
+
+class LaterLoop:
+    """The clock of a process that stood still: it is late, and no timer has run yet."""
+
+    def time(self) -> float:
+        return asyncio.get_running_loop().time() + LONGEST_HOLD
+
+
+def test_a_grant_that_is_read_after_its_request_may_wait_is_not_used() -> None:
+    """A process that stood still may read a grant of long ago before its timers have run."""
+    backend = Backend("b", answer_whole)
+
+    async def ask(found: Rig, controllers: Controllers) -> None:
+        held: list[tuple[Address, bytes]] = []
+        controllers.admission._send = lambda to, payload: held.append((to, payload))
+        asking = asyncio.ensure_future(found.ask(request("tram")))
+        while not held:
+            await asyncio.sleep(0)
+        to, payload = held[0]
+        record = decode(payload)
+        assert isinstance(record, Ask)
+        controllers.admission._loop = LaterLoop()
+        controllers.admission.receive(to, encode(Grant(record.nonce, Status.GRANTED, record.cost, 0.0, None)))
+        assert (await asking).startswith(b"HTTP/1.1 503")
+        assert not backend.requests
+
+    asyncio.run(play(ask, [backend], revoke=0.0))
--- a/tests/tenancy/test_freshness.py
+++ b/tests/tenancy/test_freshness.py
@@ -12,6 +12,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 import pytest
 
@@ -174,9 +175,9 @@
     def play(self) -> None:
         self.at(0.0, self.change)
         for address in CONTROLLERS:
-            self.at(0.0, lambda address=address: self.contact(address))  # type: ignore[misc]
+            self.at(0.0, partial(self.contact, address))
         for address in ROUTERS:
-            self.at(self.random.random(), lambda address=address: self.turn(address))  # type: ignore[misc]
+            self.at(self.random.random(), partial(self.turn, address))
         while self.queue and self.queue[0][0] < self.length:
             self.now, _, call = heapq.heappop(self.queue)
             call()
@@ -187,7 +188,7 @@
         self.acknowledged.append((self.now, version))
         for router in self.routers.values():
             delay = self.random.choice((0.05, 0.3, 3.0, 15.0))
-            self.at(self.now + delay, lambda router=router: self.install(router, version))  # type: ignore[misc]
+            self.at(self.now + delay, partial(self.install, router, version))
         self.at(self.now + self.random.uniform(0.3, 4.0), self.change)
 
     def install(self, router: Router, version: int) -> None:
--- a/tests/tenancy/test_quota.py
+++ b/tests/tenancy/test_quota.py
@@ -400,31 +400,38 @@
         assert world.most_in_a_window() <= LIMIT, seed
 
 
+class CalmWorld(World):
+    """One owner for the whole history, and nothing is lost on the way."""
+
+    def __post_init__(self) -> None:
+        super().__post_init__()
+        self.is_lossy = False
+        self.owner = 0
+        self.ledgers[0].own(PART, self.floors, 0.0)
+
+    def elect(self) -> None:
+        pass
+
+
+class SteadyWorld(CalmWorld):
+    """The same, with one request as large as the other, and no bursts."""
+
+    def arrive(self) -> None:
+        cost = self.size
+        self.offered += cost
+        self.request(self.random.choice(self.routers), cost)
+        self.at(self.now + cost / (TENANT.rate * self.load), self.arrive)
+
+
 def test_what_is_asked_below_the_limit_is_granted_while_there_is_an_owner() -> None:
     for seed in range(6):
-        world = World(seed, 0.6)
-        world.is_lossy = False
-        world.elect = lambda: None  # type: ignore[method-assign]
-        world.owner = 0
-        world.ledgers[0].own(PART, world.floors, 0.0)
-        world.arrive = lambda world=world: steady(world)  # type: ignore[method-assign,misc]
+        world = SteadyWorld(seed, 0.6)
         world.play()
         assert sum(cost for _, cost in world.ran) >= 0.9 * world.offered, seed
 
 
-def steady(world: World) -> None:
-    cost = world.size
-    world.offered += cost
-    world.request(world.random.choice(world.routers), cost)
-    world.at(world.now + cost / (TENANT.rate * world.load), lambda: steady(world))
-
-
 def test_at_many_times_the_limit_nearly_all_of_it_is_used() -> None:
     for seed in range(4):
-        world = World(seed, 6.0)
-        world.is_lossy = False
-        world.elect = lambda: None  # type: ignore[method-assign]
-        world.owner = 0
-        world.ledgers[0].own(PART, world.floors, 0.0)
+        world = CalmWorld(seed, 6.0)
         world.play()
         assert sum(cost for _, cost in world.ran) >= 0.85 * TENANT.rate * world.length, seed
