Let all clients of a test of endings connect before any of them asks

Its targets answer nobody until a request of each of five kinds has come, while its clients connected one by one: who connected 0.2 s later found all targets silent, was refused with no attempt, and the others waited for it until their deadline. Ruled out: a change of the proxy, whose code was the same before; a trace of the decisions on a failing round shows the messages, and a fifth client that is held up for 0.4 s forces them. Change: the test connects all clients first. What it asserts is as it was. Before: fails with the fifth client held up; after: the same delay passed 27 of 27.

--- a/tests/crossings/test_attempts.py
+++ b/tests/crossings/test_attempts.py
@@ -742,7 +742,10 @@
             await starting
             for target, place in zip(made.targets, PLACES, strict=True):
                 made.later(scripted(place, target, ends, arrivals))
-            asked = [made.later(ask(made, kind)) for kind in KINDS]
+            # All connect before any asks: targets answer nobody until all have come, and count as silent to
+            # who asks later. It would be refused with no attempt, and the others would wait for it in vain.
+            clients = [await made.client() for _ in KINDS]
+            asked = [made.later(ask(client, kind)) for client, kind in zip(clients, KINDS, strict=True)]
             statuses = dict(zip(KINDS, [await one for one in asked], strict=True))
             await at_rest(made)
             for kind in KINDS:
@@ -760,8 +763,7 @@
                 else:
                     assert statuses[kind] != 200, said
 
-    async def ask(made: Rig, kind: str) -> int:
-        client = await made.client()
+    async def ask(client: Link, kind: str) -> int:
         body = b"" if kind == "read" else b"body"
         await client.send(request(kind, f"/{kind}/x", budget=span - 50, body=body))
         status = int((await client.until(b"\r\n"))[9:12])
