Give the engine its decisions, so that a router does not load the balancer of the proxy in service

Change: Engine takes its decisions; the proxy and the control service make their balancers and hold them. What operators are told of skipped targets moves to the proxy, which has the balancer.

--- a/firvane/control/core.py
+++ b/firvane/control/core.py
@@ -14,6 +14,7 @@
 
 from firvane import interface as api
 from firvane.address import Address
+from firvane.choice import Balancer
 from firvane.config.model import Control as Words
 from firvane.control import beliefs
 from firvane.control.catalog import Catalog
@@ -72,12 +73,13 @@
         self.number = 0  # of the list
         self.addresses: dict[str, Address] = {}
         self.names: dict[Address, str] = {}  # the other way round: reports name boxes by address
+        self.balancers = [Balancer(own, seed + place, wall()) for place, own in enumerate(settings)]
         self.engines: list[Engine[Any, Any]] = [
-            Engine(own, seed + place, clock, NoTargets(), post, directory, wall, log)
-            for place, (own, post) in enumerate(zip(settings, posts, strict=True))
+            Engine(own, balancer, clock, NoTargets(), post, directory, wall, log)
+            for own, balancer, post in zip(settings, self.balancers, posts, strict=True)
         ]
         self.engine = self.engines[0]
-        self.feedbacks = [Feedback(engine.balancer) for engine in self.engines]
+        self.feedbacks = [Feedback(balancer) for balancer in self.balancers]
         self.looks = 0
         self.ledger = Ledger(words.report_s, words.keep_s, words.assumed_rps, words.most_rps)
         self.pace = Pace(words.settle_ms / 1e3, words.most_ms / 1e3)
@@ -120,7 +122,7 @@
         self.number = news.version
         for engine in self.engines:
             engine.listed(news)
-        self._up = {server.entry.id for server in self.engine.balancer.up}
+        self._up = {server.entry.id for server in self.balancers[0].up}
         left_out = before - {server.id for server in news.servers}
         self.panic.named(named)
         if news.kind is api.ListKind.COMPLETE and self.panic.listed(before, self._up, left_out, now):
@@ -146,7 +148,7 @@
     def _boxes(self) -> list[Box]:
         """As the module has them, and those that a doubtful list leaves out as they were."""
         places = [
-            beliefs.read(engine.balancer, self.addresses, feedback.took, engine.now())
+            beliefs.read(feedback.balancer, self.addresses, feedback.took, engine.now())
             for engine, feedback in zip(self.engines, self.feedbacks, strict=True)
         ]
         boxes = {box.name: box for box in beliefs.joined(places)}
--- a/firvane/proxy.py
+++ b/firvane/proxy.py
@@ -12,6 +12,7 @@
 
 from firvane import __version__, logs
 from firvane import interface as api
+from firvane.choice import Balancer
 from firvane.config.node import Config
 from firvane.config.reload import check_open_flows, check_shape, waiting_for_start
 from firvane.engine import Engine
@@ -36,6 +37,7 @@
 from firvane.ops.states import Event, Life, State
 from firvane.optional_parts import AGREEING, Agreement, Keeper
 from firvane.retune import merged, retired
+from firvane.rooms.skipped import skipped
 
 LAME = 0.7  # s after SIGTERM for which clients may still come; SIGKILL is the longest deadline away from then
 COUNTED, MARGIN = 3.0, 0.2  # s: the longest that a deadline counts there; kept for the last answers
@@ -97,8 +99,9 @@
         self.unseen = 0, 0  # turned away unseen, and for want of a turn, up to the last line of figures
         self.tables = 0  # bytes charged for the list and what is kept of each target
         self.peers = Peers(settings.me, config.peers, config.peers_all, self._heard, loop.time)
+        self.balancer = Balancer(settings, config.seed, wall())
         self.engine: Engine[Message, Message] = Engine(
-            settings, config.seed, loop, self.forwards, self.peers, self.group, wall, self.log
+            settings, self.balancer, loop, self.forwards, self.peers, self.group, wall, self.log
         )
         self.guard.tell = self.engine.give
         self.front = Front(loop, self.engine, settings, self.guard)
@@ -202,7 +205,7 @@
 
     def _recall(self, config: Config) -> Config:
         """Take in what was kept; the configuration, with the list from there where it has none."""
-        recovery = self.engine.balancer.recovery
+        recovery = self.balancer.recovery
         kept = self.keeper.recall(self.wall()) if self.keeper and recovery else None
         if not (kept and recovery):
             return config
@@ -214,7 +217,7 @@
         return config if config.known or config.discovery is None else replace(config, known=listed)
 
     def _held(self) -> tuple[float, Callable[[], Any], api.Remembered]:
-        recovery, balancer = self.engine.balancer.recovery, self.engine.balancer
+        recovery, balancer = self.balancer.recovery, self.balancer
         assert recovery  # a keeper without one is not made
         return self.wall(), self.group.listed(), recovery.recall(balancer.servers.values(), self.config.kinds)
 
@@ -235,7 +238,7 @@
             engine.tally.by,
             engine.owed + waiting,
             len(engine.known),
-            engine.skipped(),
+            skipped(self.balancer.servers.values(), engine.now()),
             self.loads,
         )
 
@@ -263,7 +266,7 @@
                 return calls.no(f"{state}, and refuses: it has no lease on the policy in force")
             return calls.yes(state) if self.life.meaning().takes else calls.no(f"{state}: no clients yet")
         if call is Call.RECOVERY:
-            recovery = self.engine.balancer.recovery
+            recovery = self.balancer.recovery
             if recovery is None:
                 return calls.no("recovery is switched off")
             told = recovery.status(self.engine.now())
--- a/firvane/router/router.py
+++ b/firvane/router/router.py
@@ -104,14 +104,13 @@
     def _make_engine(self) -> Engine[ProxiedRequest, Message]:
         return Engine(
             self.balancer.settings,
-            self.settings.seed,
+            self.balancer,
             self.loop,
             self.upstreams,
             self.peers,
             NoDirectory(),
             wall=self.loop.time,
             log=self.log,
-            decisions=self.balancer,
         )
 
     async def start(self) -> None:
