--- a/firvane/configuration/orders.py
+++ b/firvane/configuration/orders.py
@@ -6,7 +6,8 @@
 import hashlib
 import struct
 from collections.abc import Sequence
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from firvane.configuration.codes import ResultCode, code_of
 
@@ -33,8 +34,7 @@
     MODIFY = 2
 
 
-@dataclass(frozen=True, slots=True)
-class Order:
+class Order(Struct, frozen=True):
     """One change as the operator sent it: `base` is the version it builds on, `body` its unchanged text."""
 
     kind: OrderKind
@@ -73,8 +73,7 @@
         return cls(order_kind, base, bytes(record[_ORDER_HEAD.size :]))
 
 
-@dataclass(frozen=True, slots=True)
-class Problem:
+class Problem(Struct, frozen=True):
     """One fault of a document: its code, the place (`routes[NAME].timeout_ms`) and what is wrong there."""
 
     code: ResultCode
@@ -86,8 +85,7 @@
         return f"{self.code.value} {place}{self.detail}"
 
 
-@dataclass(frozen=True, slots=True)
-class Result:
+class Result(Struct, frozen=True):
     """The answer to an order: `version` is the configuration's version after it."""
 
     code: ResultCode
--- a/firvane/configuration/routes.py
+++ b/firvane/configuration/routes.py
@@ -4,10 +4,10 @@
 
 import enum
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
 from typing import NamedTuple
 
 import msgspec
+from msgspec import Struct, field
 
 from firvane.digest import digest
 
@@ -35,8 +35,7 @@
     weight: float
 
 
-@dataclass(frozen=True, slots=True)
-class Route:
+class Route(Struct, frozen=True):
     """One route. Times are in milliseconds; `targets` holds no weight of 0 and is never empty.
 
     `target_latency_ms` and `gap_aim_ms` are 0 where the operator gave none.
@@ -57,8 +56,7 @@
     anonymous: bool = False  # no key is asked for, where the configuration has tenants
 
 
-@dataclass(frozen=True, slots=True)
-class Tenant:
+class Tenant(Struct, frozen=True):
     """One tenant: digests of its keys, its rank, and what it may use over all routers together.
 
     `rate` (a second) and `burst` count tokens where `counts_tokens`, else requests; a `rate` of 0
@@ -74,8 +72,7 @@
     burst: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class Engine:
+class Engine(Struct, frozen=True):
     """The model server of a backend: batch places, memory in tokens, tokens an event of a stream holds."""
 
     slots: int
@@ -86,8 +83,7 @@
     models: tuple[str, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Service:
+class Service(Struct, frozen=True):
     """One service. `connection_limit` bounds the connections of all callers to one backend; 0: unknown."""
 
     name: str
@@ -98,8 +94,7 @@
     engine: Engine | None
 
 
-@dataclass(frozen=True, slots=True)
-class Limits:
+class Limits(Struct, frozen=True):
     """Bounds on what a client sends (bytes) and on how long it takes or stays idle (milliseconds)."""
 
     max_header_bytes: int = DEFAULT_MAX_HEADER_BYTES
@@ -108,8 +103,7 @@
     idle_timeout_ms: float = DEFAULT_IDLE_TIMEOUT_MS
 
 
-@dataclass(frozen=True, slots=True)
-class Configuration:
+class Configuration(Struct, frozen=True):
     """One version of the whole configuration; `services` are by name.
 
     `tenants` is None where the document has no such member: then no request needs a key.
--- a/firvane/configuration/state.py
+++ b/firvane/configuration/state.py
@@ -16,7 +16,8 @@
 from __future__ import annotations
 
 import struct
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from firvane.configuration import document as documents
 from firvane.configuration.codes import ResultCode
@@ -46,8 +47,7 @@
 _OLD_SNAPSHOT_HEAD = struct.Struct("!BHI")  # snapshot version, number of digests, length of the item
 
 
-@dataclass(frozen=True, slots=True)
-class Draft:
+class Draft(Struct, frozen=True):
     """What an order would lead to, found valid."""
 
     version: int
--- a/firvane/controller/configuration_service.py
+++ b/firvane/controller/configuration_service.py
@@ -12,9 +12,10 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 from typing import Protocol
 
+from msgspec import Struct
+
 from firvane.address import Address
 from firvane.configuration.checker import Checker
 from firvane.configuration.codes import ResultCode
@@ -42,8 +43,7 @@
     def owner(self, group: int) -> Address | None: ...
 
 
-@dataclass(frozen=True, slots=True)
-class Outcome:
+class Outcome(Struct, frozen=True):
     """What became of an operator's call.
 
     `owner` is the internal address of the controller to call instead, with `OTHER_OWNER`; `document` is the
--- a/firvane/controller/hand_over_order.py
+++ b/firvane/controller/hand_over_order.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
 import msgspec
+from msgspec import Struct
 
 from firvane.address import Address, parse_address
 from firvane.cluster.reports import HandOverOrder
@@ -23,8 +22,7 @@
         self.problem = Problem(code, place, detail)
 
 
-@dataclass(frozen=True, slots=True)
-class HandOver:
+class HandOver(Struct, frozen=True):
     """A checked order; `successor` is an internal or a control address, None for the best one."""
 
     part: int
--- a/firvane/controller/http_server.py
+++ b/firvane/controller/http_server.py
@@ -16,10 +16,10 @@
 import contextlib
 import enum
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from typing import cast
 
 import httptools
+from msgspec import Struct
 
 from firvane.address import Address
 from firvane.controller.responses import Response, encode_response
@@ -31,8 +31,7 @@
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-@dataclass(frozen=True, slots=True)
-class Bounds:
+class Bounds(Struct, frozen=True):
     """What clients may make this server hold, in bytes, and for how long, in seconds."""
 
     connections: int = 64
--- a/firvane/controller/options.py
+++ b/firvane/controller/options.py
@@ -3,17 +3,17 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 from pathlib import Path
 
+from msgspec import Struct, field
+
 from firvane.address import Address
 from firvane.tenancy.quota import QuotaRules
 
 SMALLEST_GROUP = 3
 
 
-@dataclass(frozen=True, slots=True)
-class ControllerOptions:
+class ControllerOptions(Struct, frozen=True):
     """Frozen. Addresses of seeds and of this process are internal ones, except `control`."""
 
     zone: str
--- a/firvane/controller/platform_client.py
+++ b/firvane/controller/platform_client.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 from typing import cast
 
 import httptools
+from msgspec import Struct
 
 from firvane.address import Address
 from firvane.net.http import Fault, Message, Reader
@@ -19,8 +19,7 @@
     """The platform gave no usable answer; the text says why."""
 
 
-@dataclass(frozen=True, slots=True)
-class PlatformReply:
+class PlatformReply(Struct, frozen=True):
     """A whole answer of any status; `retry_after` is in seconds, where it was given."""
 
     status: int
--- a/firvane/controller/replication.py
+++ b/firvane/controller/replication.py
@@ -18,9 +18,10 @@
 import random
 import time
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
 from pathlib import Path
 
+from msgspec import Struct
+
 from firvane.address import Address
 from firvane.controller.replication_opening import JournalOpener, OpenedJournal
 from firvane.logs import Log
@@ -58,8 +59,7 @@
 OWN_WRITE = 1  # the first write of a replica: what was read back is to be synced
 
 
-@dataclass(frozen=True, slots=True)
-class Transfer:
+class Transfer(Struct, frozen=True):
     """How a transfer has ended: `owner` has taken over, None where nobody has in time."""
 
     start: TransferStart
--- a/firvane/controller/replication_opening.py
+++ b/firvane/controller/replication_opening.py
@@ -6,9 +6,10 @@
 import threading
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
 from pathlib import Path
 
+from msgspec import Struct
+
 from firvane import process_signals
 from firvane.logs import Log
 from firvane.replication.core import Recovered
@@ -22,8 +23,7 @@
 RETRY_INTERVAL = 0.25  # seconds between two tries at a disk that refuses
 
 
-@dataclass(frozen=True, slots=True)
-class OpenedJournal:
+class OpenedJournal(Struct, frozen=True):
     """A journal with what it held. `fresh`: made just now, and synced."""
 
     journal: Journal
--- a/firvane/controller/responses.py
+++ b/firvane/controller/responses.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 from http import HTTPStatus
 
+from msgspec import Struct, field
 
-@dataclass(frozen=True, slots=True)
-class Response:
+
+class Response(Struct, frozen=True):
     """One whole answer; `headers` has those beyond the type and the length of its body."""
 
     status: int
--- a/firvane/controller/service_part.py
+++ b/firvane/controller/service_part.py
@@ -9,7 +9,8 @@
 
 import struct
 from collections.abc import Callable, Iterator, Mapping
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from firvane.tenancy.floors import FLOORS_VERSION, Floors, FloorsError, FloorsRecord, unpack_floors
 
@@ -31,8 +32,7 @@
     """A record or a snapshot of a part cannot be read or written."""
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceRecord:
+class ServiceRecord(Struct, frozen=True):
     """The instances of one service as published under `version`."""
 
     service: str
--- a/firvane/controller/tenant_service.py
+++ b/firvane/controller/tenant_service.py
@@ -11,9 +11,10 @@
 import random
 import time
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
 from typing import Protocol
 
+from msgspec import Struct
+
 from firvane.address import Address
 from firvane.configuration.routes import Tenant
 from firvane.logs import Log
@@ -42,8 +43,7 @@
     async def propose(self, group: int, payload: bytes, timeout: float) -> Proposal: ...
 
 
-@dataclass(frozen=True, slots=True)
-class _WaitingAsk:
+class _WaitingAsk(Struct, frozen=True):
     router: Address
     ask: Ask
     until: float
--- a/firvane/discovery/instances.py
+++ b/firvane/discovery/instances.py
@@ -13,7 +13,9 @@
 
 import enum
 from collections.abc import Sequence
-from dataclasses import dataclass, replace
+
+from msgspec import Struct
+from msgspec.structs import replace
 
 from firvane.address import Address
 
@@ -28,8 +30,7 @@
     GONE = 2
 
 
-@dataclass(frozen=True, slots=True)
-class ModelVersion:
+class ModelVersion(Struct, frozen=True):
     """A model that an instance holds, with the version of its weights."""
 
     name: str
@@ -37,8 +38,7 @@
     adapters: tuple[str, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class Instance:
+class Instance(Struct, frozen=True):
     """One start of a backend. `cold_remaining_ms`: how much longer it stays slow, as the list said it."""
 
     id: str
--- a/firvane/discovery/pages.py
+++ b/firvane/discovery/pages.py
@@ -7,10 +7,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from urllib.parse import quote
 
 import msgspec
+from msgspec import Struct
 
 from firvane.address import parse_address
 from firvane.discovery.instances import Instance, InstanceState, ModelVersion
@@ -33,8 +33,7 @@
     """A page of the list cannot be read."""
 
 
-@dataclass(frozen=True, slots=True)
-class Page:
+class Page(Struct, frozen=True):
     """One page; `next_token` is None on the last."""
 
     instances: tuple[Instance, ...]
@@ -79,15 +78,13 @@
         raise PageError(f"the page cannot be read: {error}") from error
 
 
-@dataclass(frozen=True, slots=True)
-class Fetch:
+class Fetch(Struct, frozen=True):
     """Ask for this path and query now."""
 
     path: str
 
 
-@dataclass(frozen=True, slots=True)
-class Pause:
+class Pause(Struct, frozen=True):
     """Ask for `path` at the time `until` (monotonic seconds); `reason` says what went wrong."""
 
     until: float
@@ -95,8 +92,7 @@
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class CompleteList:
+class CompleteList(Struct, frozen=True):
     """All pages have come. `certain` is false where there were several, between which the list may shift."""
 
     instances: tuple[Instance, ...]
--- a/firvane/dissemination/items.py
+++ b/firvane/dissemination/items.py
@@ -5,7 +5,8 @@
 import struct
 import zlib
 from collections.abc import Iterator
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 MAX_KEY_BYTES = 255
 MAX_ITEMS = 4096
@@ -13,8 +14,7 @@
 _VERSION = struct.Struct(">HQ")
 
 
-@dataclass(frozen=True, slots=True)
-class Item:
+class Item(Struct, frozen=True):
     """A payload under a key; of two versions the higher one wins everywhere."""
 
     key: bytes
--- a/firvane/membership/members.py
+++ b/firvane/membership/members.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass
 
 from msgspec import Struct
 
@@ -22,8 +21,7 @@
     CONTROLLER = 2
 
 
-@dataclass(frozen=True, slots=True)
-class Member:
+class Member(Struct, frozen=True):
     """The identity of one process."""
 
     address: Address
--- a/firvane/membership/view.py
+++ b/firvane/membership/view.py
@@ -7,7 +7,8 @@
 
 import random
 from collections.abc import Iterable, Sequence
-from dataclasses import replace
+
+from msgspec.structs import replace
 
 from firvane.address import Address
 from firvane.membership.codec import MAX_COUNTER, MAX_INCARNATION, encode_record
--- a/firvane/placement/budget.py
+++ b/firvane/placement/budget.py
@@ -17,7 +17,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 RESERVE = 0.8  # of the slack that is given out
 LEAST_CAPACITY = 1.0  # tokens: a bucket that holds less never allows a repeat
@@ -46,8 +46,7 @@
         return max(self._known, self._former[0][0] if self._former else 1)
 
 
-@dataclass(frozen=True, slots=True)
-class BudgetFigures:
+class BudgetFigures(Struct, frozen=True):
     """What one budget tells the log; the counts are since the last look."""
 
     tokens: float
--- a/firvane/placement/events.py
+++ b/firvane/placement/events.py
@@ -5,6 +5,8 @@
 import enum
 from dataclasses import dataclass
 
+from msgspec import Struct
+
 from firvane import interface as api
 from firvane.discovery.instances import Instance
 
@@ -44,31 +46,27 @@
         return self.kind is RequestKind.IDEMPOTENT
 
 
-@dataclass(slots=True)
-class InstancesChanged:
+class InstancesChanged(Struct):
     """All instances of a service as they are known now; those that are absent are gone."""
 
     service: str
     instances: tuple[Instance, ...]
 
 
-@dataclass(slots=True)
-class PeersChanged:
+class PeersChanged(Struct):
     """The live routers, this one included, as sorted numbers, and the zone of each."""
 
     numbers: tuple[int, ...]
     zones: tuple[int, ...]
 
 
-@dataclass(slots=True)
-class Progress:
+class Progress(Struct):
     """Bytes of an answer that has begun have come from a server: it lives. Told now and then only."""
 
     server: str
 
 
-@dataclass(slots=True)
-class ServiceInfo:
+class ServiceInfo(Struct):
     """What the configuration says of a service's backends; 0 where it does not."""
 
     service: str
--- a/firvane/placement/jobs.py
+++ b/firvane/placement/jobs.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from msgspec import Struct, field
+
 from firvane.placement.events import PromptRequest
 from firvane.placement.homes import Prompt
 from firvane.placement.picture import Server
@@ -13,8 +14,7 @@
     from firvane.placement.service import Service
 
 
-@dataclass(slots=True, eq=False)
-class Attempt:
+class Attempt(Struct, eq=False):
     """One attempt of a request that is out."""
 
     request: int
@@ -31,8 +31,7 @@
     started: bool = False
 
 
-@dataclass(slots=True, eq=False)
-class Job:
+class Job(Struct, eq=False):
     """A request that has no final answer yet."""
 
     request: PromptRequest
--- a/firvane/placement/peers.py
+++ b/firvane/placement/peers.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from firvane.placement.rows import Row
 from firvane.routing.window import WINDOW
@@ -19,8 +19,7 @@
 RESTARTED_MS = 2000  # a sequence lower by more is that of a peer that started anew, not of a late row
 
 
-@dataclass(slots=True)
-class Peer:
+class Peer(Struct):
     """One live router as its last row told of it."""
 
     zone: int
--- a/firvane/placement/picture.py
+++ b/firvane/placement/picture.py
@@ -7,10 +7,11 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field
 from typing import NamedTuple
 from zlib import crc32
 
+from msgspec import Struct, field
+
 from firvane.placement.homes import Prompt
 
 STREAM_TOKENS = 64  # prompt tokens that one running stream weighs in a backend's load
@@ -83,8 +84,7 @@
     return math.exp(-max(0.0, span) / FADE_TIME)
 
 
-@dataclass(slots=True)
-class PeerLoad:
+class PeerLoad(Struct):
     """What a peer has out at a server, as its row said."""
 
     running: int
@@ -127,8 +127,7 @@
     due: float  # when its first event is expected, s
 
 
-@dataclass(slots=True, eq=False)
-class Server:
+class Server(Struct, eq=False):
     """One instance of a model server."""
 
     id: str
--- a/firvane/placement/services.py
+++ b/firvane/placement/services.py
@@ -3,15 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 from random import Random
 
+from msgspec import Struct
+
 from firvane.placement.budget import RetryBudget, Sharers
 from firvane.placement.service import Service
 
 
-@dataclass(frozen=True, slots=True)
-class RetryLimits:
+class RetryLimits(Struct, frozen=True):
     """The retry budget of each service over all routers, for any window of the rule."""
 
     ratio: float
--- a/firvane/replication/contact.py
+++ b/firvane/replication/contact.py
@@ -7,7 +7,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from firvane.replication.replica import Replica
 
@@ -16,8 +17,7 @@
 FED_WITHIN = 1.0  # seconds without anything of the log after which a replica counts as outside the group
 
 
-@dataclass(slots=True)
-class _Read:
+class _Read(Struct):
     token: int
     begun_at: float
     index: int | None = None  # what must be applied, once the leader has told it
--- a/firvane/replication/core.py
+++ b/firvane/replication/core.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from firvane.address import Address
 from firvane.replication.durability import WriteTracker
@@ -23,8 +24,7 @@
 MAXIMUM_HELD = 256  # messages that wait for a sync; the oldest are dropped, as the network might
 
 
-@dataclass(slots=True)
-class Write:
+class Write(Struct):
     """What the driver has to sync, in the order of `sequence`.
 
     With a `snapshot` the whole state is written anew: the snapshot, the hard state, and the entries that
@@ -37,16 +37,14 @@
     snapshot: Snapshot | None = None
 
 
-@dataclass(slots=True)
-class ReadReady:
+class ReadReady(Struct):
     """A read is linearizable once the entry `index` has been applied here."""
 
     token: int
     index: int
 
 
-@dataclass(slots=True)
-class Outputs:
+class Outputs(Struct):
     """What came of the inputs since the last time; the lists are in order."""
 
     writes: list[Write] = field(default_factory=list)
@@ -56,8 +54,7 @@
     installed: Snapshot | None = None  # to be loaded by the state machine before anything else
 
 
-@dataclass(frozen=True, slots=True)
-class Recovered:
+class Recovered(Struct, frozen=True):
     """What a replica finds on its disk.
 
     `founder`: its folder was new at the first start of the whole system.
--- a/firvane/replication/durability.py
+++ b/firvane/replication/durability.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from firvane.replication.types import HardState
 
 
-@dataclass(slots=True)
-class _PendingWrite:
+class _PendingWrite(Struct):
     sequence: int
     issued_at: float
     last_index: int
--- a/firvane/replication/group.py
+++ b/firvane/replication/group.py
@@ -12,7 +12,8 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from firvane.address import Address
 from firvane.replication.contact import Contact
@@ -39,8 +40,7 @@
 READ_INTERVAL = 0.1  # seconds before a follower asks again for a read
 
 
-@dataclass(slots=True)
-class Actions:
+class Actions(Struct):
     """What the driver has to do, in the order of the fields."""
 
     writes: list[Write] = field(default_factory=list)
--- a/firvane/replication/membership.py
+++ b/firvane/replication/membership.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from firvane.address import Address
 from firvane.replication.core import Core
@@ -12,8 +13,7 @@
 from firvane.replication.types import Member
 
 
-@dataclass(slots=True)
-class _Spare:
+class _Spare(Struct):
     member: Member
     heard_at: float
 
--- a/firvane/replication/membership_policy.py
+++ b/firvane/replication/membership_policy.py
@@ -18,7 +18,8 @@
 
 import enum
 from collections.abc import Sequence
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from firvane.replication.spread import DomainOf, Spread, each_alone
 from firvane.replication.types import Member
@@ -34,16 +35,14 @@
     REMOVE = 2
 
 
-@dataclass(frozen=True, slots=True)
-class Change:
+class Change(Struct, frozen=True):
     """One change, to be made through the group's log."""
 
     kind: ChangeKind
     member: Member
 
 
-@dataclass(frozen=True, slots=True)
-class VoterView:
+class VoterView(Struct, frozen=True):
     """A voter as the leader sees it; `silent_for` in seconds, 0 for the leader itself."""
 
     member: Member
@@ -53,16 +52,14 @@
     is_leader: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class LearnerView:
+class LearnerView(Struct, frozen=True):
     """A learner as the leader sees it."""
 
     member: Member
     caught_up: bool
 
 
-@dataclass(frozen=True, slots=True)
-class MembershipPolicy:
+class MembershipPolicy(Struct, frozen=True):
     """The target size, and times in seconds: the patience with silent voters, and what counts as well.
 
     `domain_of` names the failure domain of an address.
--- a/firvane/replication/messages.py
+++ b/firvane/replication/messages.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from firvane.address import Address
 from firvane.replication.types import Entry, Member, Snapshot
 
 
-@dataclass(slots=True)
-class PreVote:
+class PreVote(Struct):
     """Would you vote for me in this term? Changes nothing at either end."""
 
     term: int
@@ -17,8 +16,7 @@
     last_term: int
 
 
-@dataclass(slots=True)
-class PreVoteReply:
+class PreVoteReply(Struct):
     """`term` is the voter's own, `proposed` the one that was asked about; `leader` whom the voter follows."""
 
     term: int
@@ -27,8 +25,7 @@
     leader: Address | None
 
 
-@dataclass(slots=True)
-class Vote:
+class Vote(Struct):
     """A request for a vote. `transfer`: the leader of the term before has resigned in the sender's favour."""
 
     term: int
@@ -37,16 +34,14 @@
     transfer: bool
 
 
-@dataclass(slots=True)
-class VoteReply:
+class VoteReply(Struct):
     """The answer, sent once the vote is synced."""
 
     term: int
     granted: bool
 
 
-@dataclass(slots=True)
-class Append:
+class Append(Struct):
     """Entries that follow `previous_index`; without entries a heartbeat."""
 
     term: int
@@ -57,8 +52,7 @@
     entries: tuple[Entry, ...]
 
 
-@dataclass(slots=True)
-class AppendReply:
+class AppendReply(Struct):
     """The answer to `Append` and `InstallSnapshot`.
 
     Accepted: the log agrees with the leader's up to `received`, and is synced up to `synced`. Refused:
@@ -73,8 +67,7 @@
     disk_trouble: bool
 
 
-@dataclass(slots=True)
-class InstallSnapshot:
+class InstallSnapshot(Struct):
     """A snapshot for a replica that lacks entries which the leader has compacted."""
 
     term: int
@@ -82,39 +75,34 @@
     snapshot: Snapshot
 
 
-@dataclass(slots=True)
-class TimeoutNow:
+class TimeoutNow(Struct):
     """The leader has resigned: the receiver should stand for election at once."""
 
     term: int
 
 
-@dataclass(slots=True)
-class Beacon:
+class Beacon(Struct):
     """The leader's sign of life to a controller that is no member, or whose incarnation is unknown."""
 
     term: int
     sent_at: float
 
 
-@dataclass(slots=True)
-class BeaconReply:
+class BeaconReply(Struct):
     """Tells the sender's incarnation, in the envelope; also to who meant another incarnation."""
 
     term: int
     echo: float
 
 
-@dataclass(slots=True)
-class ReadRequest:
+class ReadRequest(Struct):
     """A follower asks up to which entry it must have applied before a read is linearizable."""
 
     term: int
     token: int
 
 
-@dataclass(slots=True)
-class ReadReply:
+class ReadReply(Struct):
     """The answer to `ReadRequest`."""
 
     term: int
@@ -122,15 +110,13 @@
     index: int
 
 
-@dataclass(slots=True)
-class Leave:
+class Leave(Struct):
     """The sender is about to stop: replace it if a spare controller is there."""
 
     term: int
 
 
-@dataclass(slots=True)
-class Introduction:
+class Introduction(Struct):
     """A replica without a group tells its incarnation to the seed that founds the group."""
 
     term: int
@@ -154,16 +140,14 @@
 )
 
 
-@dataclass(slots=True)
-class Outgoing:
+class Outgoing(Struct):
     """A message and whom it is for; incarnation `NOBODY`: whoever answers at the address."""
 
     to: Member
     message: Message
 
 
-@dataclass(slots=True)
-class Envelope:
+class Envelope(Struct):
     """A message as it travels between two controllers."""
 
     group: int
--- a/firvane/replication/progress.py
+++ b/firvane/replication/progress.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from firvane.replication.types import Member
 
@@ -13,8 +14,7 @@
 MOST_DOUBLINGS = 3  # of the patience with a snapshot that is sent again and again
 
 
-@dataclass(slots=True)
-class Progress:
+class Progress(Struct):
     """One other replica, voter or learner, in one leader's term. Times are the leader's."""
 
     member: Member
--- a/firvane/replication/proposals.py
+++ b/firvane/replication/proposals.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass
 from typing import Protocol
 
+from msgspec import Struct
+
 from firvane.address import Address
 
 
@@ -18,8 +19,7 @@
     UNAVAILABLE = "unavailable"  # surely not taken: there was no owner in time
 
 
-@dataclass(frozen=True, slots=True)
-class Proposal:
+class Proposal(Struct, frozen=True):
     """The end of a proposal: `result` is that of `StateMachine.apply`, `owner` the owner if one is known."""
 
     status: ProposalStatus
@@ -40,16 +40,14 @@
         """Take a state that `save` gave, here or elsewhere."""
 
 
-@dataclass(frozen=True, slots=True)
-class Resolved:
+class Resolved(Struct, frozen=True):
     """The answer to a proposal or read by its token."""
 
     token: int
     proposal: Proposal
 
 
-@dataclass(slots=True)
-class PendingProposal:
+class PendingProposal(Struct):
     """A proposal without an answer; `index` is 0 until it is appended."""
 
     token: int
@@ -59,8 +57,7 @@
     term: int = 0
 
 
-@dataclass(slots=True)
-class PendingRead:
+class PendingRead(Struct):
     """A read without an answer; `index` is known once it is linearizable after that entry."""
 
     token: int
--- a/firvane/replication/reads.py
+++ b/firvane/replication/reads.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from firvane.replication.core import Core, ReadReady
 from firvane.replication.messages import ReadReply
@@ -11,8 +11,7 @@
 MAXIMUM_READS = 1_024  # reads that wait at a leader; more are dropped, and their askers ask again
 
 
-@dataclass(slots=True)
-class _PendingRead:
+class _PendingRead(Struct):
     token: int
     asked_at: float
     asker: Member | None  # None: this replica itself
--- a/firvane/replication/replica.py
+++ b/firvane/replication/replica.py
@@ -7,7 +7,8 @@
 
 import enum
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from firvane.address import Address
 from firvane.replication.candidacy import Candidacy, Phase
@@ -49,8 +50,7 @@
     LEADER = 3
 
 
-@dataclass(frozen=True, slots=True)
-class ReplicaOptions:
+class ReplicaOptions(Struct, frozen=True):
     """What a replica is told at its start.
 
     `seeds`: the founders' addresses. `domain_of` names the failure domain of an address.
--- a/firvane/replication/status.py
+++ b/firvane/replication/status.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from firvane.address import Address
 from firvane.replication.group import ReplicatedGroup
@@ -11,8 +11,7 @@
 from firvane.replication.types import Member
 
 
-@dataclass(frozen=True, slots=True)
-class ReplicaStatus:
+class ReplicaStatus(Struct, frozen=True):
     """One replica of the group; None stands for what only a leader knows of others."""
 
     member: Member
@@ -24,8 +23,7 @@
     leaving: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class GroupStatus:
+class GroupStatus(Struct, frozen=True):
     """The group as seen by the replica `own`."""
 
     own: Member
--- a/firvane/replication/types.py
+++ b/firvane/replication/types.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from firvane.address import Address
 
@@ -11,8 +12,7 @@
 """The incarnation that no replica has: no vote yet, or a message to whoever answers at an address."""
 
 
-@dataclass(frozen=True, slots=True)
-class Member:
+class Member(Struct, frozen=True):
     """One replica for as long as it keeps its disk.
 
     A machine that returns with an empty disk has another incarnation, and is another member.
@@ -33,8 +33,7 @@
     MEMBERS = 2  # the voters of the group from here on
 
 
-@dataclass(frozen=True, slots=True)
-class Entry:
+class Entry(Struct, frozen=True):
     """One entry of the replicated log."""
 
     index: int
@@ -43,8 +42,7 @@
     payload: bytes = b""
 
 
-@dataclass(frozen=True, slots=True)
-class HardState:
+class HardState(Struct, frozen=True):
     """What a replica must never forget: its term, and the incarnation it voted for in that term."""
 
     term: int = 0
@@ -54,8 +52,7 @@
 NO_HARD_STATE = HardState()
 
 
-@dataclass(frozen=True, slots=True)
-class Snapshot:
+class Snapshot(Struct, frozen=True):
     """The state machine after the entry `index`, with the voters in force there."""
 
     index: int
@@ -65,8 +62,7 @@
     state: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class Timing:
+class Timing(Struct, frozen=True):
     """Times of the protocol, in seconds of a monotonic clock.
 
     `clock_rate_bound` is the largest ratio that is assumed between the rates of two machines' monotonic
--- a/firvane/router/admission.py
+++ b/firvane/router/admission.py
@@ -9,10 +9,11 @@
 import asyncio
 import random
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 from typing import Protocol
 from zlib import crc32
 
+from msgspec import Struct
+
 from firvane.address import Address
 from firvane.cluster.agent import Member, Role
 from firvane.configuration.routes import Configuration, Route, Tenant
@@ -53,8 +54,7 @@
         """The request ends with this status; `retry_after` is 0 where it need not come again."""
 
 
-@dataclass(frozen=True, slots=True)
-class Admitted:
+class Admitted(Struct, frozen=True):
     """A request that may go on: its tenant, None without a key, and what it was counted with."""
 
     is_private: bool = False  # the configuration has tenants: what tells of them is not passed on
@@ -66,8 +66,7 @@
 KEYLESS = Admitted(is_private=True)
 
 
-@dataclass(slots=True, eq=False)
-class _Waiting:
+class _Waiting(Struct, eq=False):
     """A request that waits for a proof, or for a grant."""
 
     applicant: Applicant
--- a/firvane/router/drain.py
+++ b/firvane/router/drain.py
@@ -10,15 +10,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 TAKEN_FOR = 2.8  # s from SIGTERM on in which requests are taken
 TAKEN_PART = 0.5  # of the time until the end, where that is less
 LATE_PAUSE = 0.05  # s that a refused client is asked to wait: others take its request at once
 
 
-@dataclass(slots=True)
-class DrainFigures:
+class DrainFigures(Struct):
     """What has come since SIGTERM, for the log."""
 
     accepted: int = 0  # new connections
--- a/firvane/router/requests.py
+++ b/firvane/router/requests.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from firvane.configuration.routes import Route
 from firvane.net.http import Fault, Message
@@ -15,8 +16,7 @@
 SINGLE_FIELDS = frozenset((REQUEST_ID, DEADLINE, b"host", b"content-length", b"transfer-encoding"))
 
 
-@dataclass(slots=True)
-class ProxiedRequest:
+class ProxiedRequest(Struct):
     """A client's message, its route, and how much of the answer the client has been given."""
 
     message: Message
@@ -41,8 +41,7 @@
         self.runs -= 1
 
 
-@dataclass(slots=True, frozen=True)
-class PromptShape:
+class PromptShape(Struct, frozen=True):
     """What the headers say of a prompt: its parts in order, and tokens in and out at the most."""
 
     chain: tuple[tuple[int, int], ...] = field(default=())
--- a/firvane/router/router.py
+++ b/firvane/router/router.py
@@ -5,7 +5,8 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import asdict
+
+from msgspec.structs import asdict
 
 from firvane import interface as api
 from firvane.address import Address
--- a/firvane/storage/frames.py
+++ b/firvane/storage/frames.py
@@ -12,7 +12,8 @@
 import struct
 import zlib
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from firvane.storage.errors import DamagedJournalError
 
@@ -23,8 +24,7 @@
 _SEED = struct.Struct("<QQQ")
 
 
-@dataclass(frozen=True, slots=True)
-class Frames:
+class Frames(Struct, frozen=True):
     """What a segment holds. `end` is the offset after the last frame that can be read."""
 
     records: list[list[bytes]]  # of each frame
--- a/firvane/storage/journal.py
+++ b/firvane/storage/journal.py
@@ -15,7 +15,8 @@
 import os
 import struct
 from collections.abc import Sequence
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from firvane.storage.errors import DamagedJournalError, UnknownFormatError
 from firvane.storage.filesystem import File, FileSystem
@@ -30,8 +31,7 @@
 _HEADER_OFFSET = 24  # of the header's bytes in a segment: after the head of a frame and a record's length
 
 
-@dataclass(frozen=True, slots=True)
-class Contents:
+class Contents(Struct, frozen=True):
     """What a journal held when it was opened."""
 
     identity: int
@@ -40,8 +40,7 @@
     torn: bool  # an unsynced end was dropped
 
 
-@dataclass(slots=True)
-class _Position:
+class _Position(Struct):
     """Where a journal stands: the segment in use, its snapshot (0 for none), and its end."""
 
     generation: int
--- a/firvane/storage/writer.py
+++ b/firvane/storage/writer.py
@@ -12,7 +12,8 @@
 import threading
 from collections import deque
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from firvane import process_signals
 from firvane.storage.journal import Journal
@@ -23,8 +24,7 @@
 Refused = Callable[[int, OSError], None]  # journal, why
 
 
-@dataclass(slots=True)
-class _Job:
+class _Job(Struct):
     sequence: int
     records: Sequence[bytes]
     snapshot: bytes | None = None
@@ -32,8 +32,7 @@
     settle: bool = False
 
 
-@dataclass(slots=True)
-class _Queue:
+class _Queue(Struct):
     journal: Journal
     jobs: deque[_Job] = field(default_factory=deque)
 
--- a/firvane/tenancy/allowance.py
+++ b/firvane/tenancy/allowance.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from firvane.configuration.routes import Tenant
 from firvane.tenancy.quota import AHEAD_LASTS
@@ -24,8 +24,7 @@
     return tenant.uncached_tokens if tokens is None else tokens
 
 
-@dataclass(slots=True)
-class _Use:
+class _Use(Struct):
     tokens: float = 0.0  # granted in advance
     expires: float = 0.0
     spent: float = 0.0  # used without a grant, and not told of yet
--- a/firvane/tenancy/floors.py
+++ b/firvane/tenancy/floors.py
@@ -9,7 +9,8 @@
 
 import struct
 from collections.abc import Mapping
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from firvane.tenancy.messages import TENANT_ID_BYTES
 
@@ -25,8 +26,7 @@
     """A record of floors cannot be read or written."""
 
 
-@dataclass(frozen=True, slots=True)
-class FloorsRecord:
+class FloorsRecord(Struct, frozen=True):
     """New floors of some tenants, in tokens or requests; `number` tells an owner's proposals apart."""
 
     number: int
--- a/firvane/tenancy/quota.py
+++ b/firvane/tenancy/quota.py
@@ -24,7 +24,8 @@
 import math
 from collections import deque
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from firvane.configuration.routes import Tenant
 from firvane.parts import part_of
@@ -44,8 +45,7 @@
 REST_TIME = 30.0  # s after which a full bucket that nobody uses is forgotten
 
 
-@dataclass(frozen=True, slots=True)
-class QuotaRules:
+class QuotaRules(Struct, frozen=True):
     """What the deployment allows in any window, beyond rate x window + burst."""
 
     window: float = 8.0  # s
@@ -72,8 +72,7 @@
         self.margin = FLOOR_MARGIN * tenant.rate
 
 
-@dataclass(slots=True)
-class _Bucket:
+class _Bucket(Struct):
     tokens: float
     filled_at: float
     used_at: float
--- a/tests/discovery/test_codec.py
+++ b/tests/discovery/test_codec.py
@@ -5,11 +5,11 @@
 import contextlib
 import struct
 import zlib
-from dataclasses import replace
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from firvane.discovery import codec
 from firvane.discovery.codec import (
--- a/tests/discovery/test_instances.py
+++ b/tests/discovery/test_instances.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
+from msgspec.structs import replace
 
 from firvane.discovery.instances import GONE_KEPT_S, Instance, InstanceState, InstanceTable
 
--- a/tests/discovery/test_table_oracle.py
+++ b/tests/discovery/test_table_oracle.py
@@ -4,9 +4,9 @@
 
 import random
 from collections.abc import Sequence
-from dataclasses import replace
 
 import pytest
+from msgspec.structs import replace
 
 from firvane.discovery.codec import decode_instances, encode_instances
 from firvane.discovery.instances import Instance, InstanceState, InstanceTable
--- a/tests/membership/test_view.py
+++ b/tests/membership/test_view.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import random
-from dataclasses import replace
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from firvane.membership.codec import MAX_COUNTER, MAX_INCARNATION
 from firvane.membership.lost import FIRST_PAUSE
--- a/tests/router/test_backends.py
+++ b/tests/router/test_backends.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from typing import Any
 
+from msgspec.structs import replace
+
 from firvane.address import Address
 from firvane.discovery.instances import Instance, InstanceState
 from firvane.placement.events import InstancesChanged
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -112,7 +112,7 @@
 
 
 async def answered(host: str, port: int) -> None:
-    """One more client, answered before it goes: unanswered ones in a row would hold a busy proxy's turns up."""
+    """One more client, answered before it goes: unanswered ones in a row would hold up a busy proxy."""
     reader, writer = await asyncio.open_connection(host, port)
     try:
         writer.write(b"GET /up HTTP/1.1\r\n\r\n")
