Let the routers whose slice holds a server try it first after it was left out for its failures

Ruled out: longer pauses, which would cost as much of a server that has got well. Change: after the pause only the routers whose slice holds the server send there for a second. The first failure of a request sent in that trial ends it; it is told with the row of the next window (a flag of an entry, unknown to earlier readers and skipped by them), and who hears it leaves the server out again, once for a trial. Where nobody tries it in that second, all come back as before.

--- a/firvane/placement/announcement.py
+++ b/firvane/placement/announcement.py
@@ -29,8 +29,10 @@
             suspect, heard = health.is_witnessed(server), health.answer_age(server, now)
             failures = server.outcomes.failures(now)
             wanted = heard is not None and health.any_peer_suspects(server)
-            if server.running or suspect or wanted or failures >= outliers.LEAST_TOLD:
-                entries.append(Entry(server.salt, server.running, int(tokens), suspect, heard, failures))
+            failed = outliers.has_failed_trial(server, now)
+            if server.running or suspect or wanted or failed or failures >= outliers.LEAST_TOLD:
+                told = Entry(server.salt, server.running, int(tokens), suspect, heard, failures, failed)
+                entries.append(told)
     entries.sort(key=_most_work_first)
     return Row(flags, zone, int(now * 1000), held, tuple(sections), tuple(entries), ())
 
@@ -102,6 +104,8 @@
         health.hear_suspicion(server, now)
     elif entry.heard is not None:
         health.hear_alive(server, now - entry.heard, now)
+    if entry.failed_trial:
+        outliers.hear_failed_trial(server, now)
 
 
 def learn_reads(reads: Iterable[Read], services: Iterable[Service]) -> list[Read]:
--- a/firvane/placement/balancer.py
+++ b/firvane/placement/balancer.py
@@ -69,7 +69,7 @@
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.exchange = RowExchange(settings.me, self.services, now)
         self.windows = self.tag = 0
-        self.notice_owed = False  # a long prompt went out that no row tells of yet
+        self.notice_owed = False  # a long prompt went out, or a trial failed, and no row has told of it
         self.actions: list[api.Action] = []
         self.handlers: dict[type, Callable[..., None]] = {
             PromptRequest: self._on_request,
@@ -219,6 +219,9 @@
         if outcome.result is api.Result.OK:
             service.answered(attempt, now)
         health.note_end(attempt.server, outcome.result, attempt.started, now)
+        failed = health.is_failure(outcome.result, attempt.started)
+        if failed and outliers.note_failure(attempt.server, attempt.sent_at, now):
+            self.notice_owed = True
         service.ended(attempt, now)
         if outcome.result.never_ran and outcome.result is not api.Result.FULL and attempt.repeat:
             service.budget.refund(now)
--- a/firvane/placement/health.py
+++ b/firvane/placement/health.py
@@ -70,9 +70,14 @@
     note_alive(server, now)
 
 
+def is_failure(result: api.Result, started: bool) -> bool:
+    """Whether the end of an attempt is a failure of its server; `started`: its first event had come."""
+    return result in SIGNALS and not (result is api.Result.TIMEOUT and started)
+
+
 def note_end(server: Server, result: api.Result, started: bool, now: float) -> None:
     """An attempt there has ended; `started`: its first event had come."""
-    if result in SIGNALS and not (result is api.Result.TIMEOUT and started):
+    if is_failure(result, started):
         server.outcomes.note(False, now)
     if result is api.Result.OK:
         if not started:
--- a/firvane/placement/outliers.py
+++ b/firvane/placement/outliers.py
@@ -5,6 +5,9 @@
    Far beyond it, the server is left out for a pause, which doubles each time that it comes to that again.
 3. A router that sees failures at many servers has a trouble of its own: its word does not count.
 4. Servers that fail all requests are found sooner, by failures in a row (`health.py`).
+5. After its pause a server is on trial: for a while only the routers whose slice holds it send there. Where a
+   request of theirs fails, they say so, and all routers leave the server out again: not each of them has to
+   lose requests to find the same.
 """
 
 from __future__ import annotations
@@ -23,6 +26,9 @@
 FEWEST_TROUBLED = 3  # servers, and at no fewer
 FIRST_PAUSE, LONGEST_PAUSE = 0.8, 4.0  # s
 FORGET_ROUNDS = 10.0  # s without being left out after which the pause begins anew
+TRIAL_SPAN = 1.0  # s after a pause in which only the routers whose slice holds a server send there
+TELL_TRIAL = 0.3  # s for which peers are told that a trial has failed: a row goes in the next window
+SAME_TRIAL = 0.4  # s after being left out in which words of failed trials tell of the same one
 
 
 def step(servers: Sequence[Server], routers: int, now: float) -> list[Server]:
@@ -62,5 +68,27 @@
     """Nothing goes to the server for a pause."""
     if now - server.outlier_until > FORGET_ROUNDS:
         server.outlier_rounds = 0
-    server.outlier_until = now + min(LONGEST_PAUSE, FIRST_PAUSE * math.pow(2.0, server.outlier_rounds))
+    pause = min(LONGEST_PAUSE, FIRST_PAUSE * math.pow(2.0, server.outlier_rounds))
+    server.left_out_at, server.trial_from = now, now + pause
+    server.outlier_until = server.trial_from + (0.0 if server.mine else TRIAL_SPAN)
     server.outlier_rounds += 1
+
+
+def note_failure(server: Server, sent_at: float, now: float) -> bool:
+    """A request that was sent to the server at `sent_at` has failed; whether this ends a trial."""
+    if not server.trial_from <= sent_at < server.trial_from + TRIAL_SPAN:
+        return False
+    leave_out(server, now)
+    server.trial_failed_at = now
+    return True
+
+
+def has_failed_trial(server: Server, now: float) -> bool:
+    """Whether a trial from here has just failed, so that peers are to be told."""
+    return now - server.trial_failed_at < TELL_TRIAL
+
+
+def hear_failed_trial(server: Server, now: float) -> None:
+    """A peer's trial of the server has failed."""
+    if server.left_out_at + SAME_TRIAL <= now < server.trial_from + TRIAL_SPAN:
+        leave_out(server, now)
--- a/firvane/placement/picture.py
+++ b/firvane/placement/picture.py
@@ -164,6 +164,9 @@
     outcomes: Outcomes = field(default_factory=Outcomes)  # of requests from here
     outlier_until: float = 0.0  # it is left out until then, for failing more than others
     outlier_rounds: int = 0  # how often in a row that has happened
+    left_out_at: float = -1e9  # when it last was
+    trial_from: float = -1e9  # when its pause ended, from which on its trial counts
+    trial_failed_at: float = -1e9  # when a request from here last failed in its trial
     full_until: float = 0.0  # it turned a request away and is believed to be full until then
 
     def __post_init__(self) -> None:
--- a/firvane/placement/rows.py
+++ b/firvane/placement/rows.py
@@ -24,7 +24,7 @@
 READ = struct.Struct("<IIH")  # server, key, tokens in units of READ_UNIT
 READ_UNIT = 16  # tokens
 MOST_RATE = 1e9
-SUSPECT = 1  # flag of an entry
+SUSPECT, FAILED_TRIAL = 1, 2  # flags of an entry; those that a reader does not know tell it nothing
 AGE_UNIT = 0.01  # s
 FAILURE_UNIT = 0.1
 UNHEARD = 255  # age of a server from which nothing came lately
@@ -64,6 +64,7 @@
     suspect: bool  # nothing comes from it
     heard: float | None  # s since something came from it to this router; None where that is long ago
     failures: float  # of late, faded
+    failed_trial: bool = False  # a request of its sender has just failed in the server's trial
 
 
 class Read(NamedTuple):
@@ -129,7 +130,7 @@
 
 def _encode_entry(entry: Entry) -> bytes:
     running, tokens = min(entry.running, 0xFFFF), min(entry.tokens, 0xFFFFFFFF)
-    flags = SUSPECT if entry.suspect else 0
+    flags = (SUSPECT if entry.suspect else 0) | (FAILED_TRIAL if entry.failed_trial else 0)
     failures = min(0xFF, round(entry.failures / FAILURE_UNIT))
     return ENTRY.pack(entry.server, running, tokens, flags, _encode_age(entry.heard), failures)
 
@@ -143,7 +144,8 @@
 
 def _decode_entry(server: int, running: int, tokens: int, flags: int, age: int, failures: int) -> Entry:
     heard = None if age == UNHEARD else age * AGE_UNIT
-    return Entry(server, running, tokens, bool(flags & SUSPECT), heard, failures * FAILURE_UNIT)
+    suspect, failed = bool(flags & SUSPECT), bool(flags & FAILED_TRIAL)
+    return Entry(server, running, tokens, suspect, heard, failures * FAILURE_UNIT, failed)
 
 
 def _encode_read(read: Read) -> bytes:
--- a/tests/placement/test_outliers.py
+++ b/tests/placement/test_outliers.py
@@ -126,3 +126,67 @@
             one.window(after=0.0)
     assert failed > 1 and len(late) == 100
     assert late.count(bad) < 100 / 6 / 2  # less than half of an even part
+
+
+def tried(mine: bool) -> Server:
+    """A server that was left out at `NOW` and whose first pause has just passed."""
+    one = servers()[0]
+    one.mine = mine
+    outliers.leave_out(one, NOW)
+    return one
+
+
+def test_only_routers_whose_slice_holds_it_try_a_server_first() -> None:
+    after = NOW + outliers.FIRST_PAUSE
+    for mine, until in ((True, after), (False, after + outliers.TRIAL_SPAN)):
+        one = tried(mine)
+        others = servers()[1:]
+        assert one not in health.usable([one, *others], until - 0.01)
+        assert one in health.usable([one, *others], until)
+
+
+def test_one_failure_in_the_trial_ends_it() -> None:
+    one, after = tried(mine=True), NOW + outliers.FIRST_PAUSE
+    assert not outliers.note_failure(one, NOW - 0.1, after + 0.1)  # it was sent before
+    assert not outliers.note_failure(one, after + outliers.TRIAL_SPAN, after + outliers.TRIAL_SPAN + 0.1)
+    assert not outliers.has_failed_trial(one, after + 0.1)
+    assert outliers.note_failure(one, after, after + 0.1)
+    assert one.outlier_until == pytest.approx(after + 0.1 + 2 * outliers.FIRST_PAUSE)
+    assert outliers.has_failed_trial(one, after + 0.1)
+    assert not outliers.note_failure(one, after, after + 0.2)  # a second one of the same trial
+    assert not outliers.has_failed_trial(one, after + 0.11 + outliers.TELL_TRIAL)
+
+
+def test_a_peers_failed_trial_counts_once_and_only_while_a_trial_is_due() -> None:
+    one, after = tried(mine=False), NOW + outliers.FIRST_PAUSE
+    outliers.hear_failed_trial(one, after + 0.1)
+    until = after + 0.1 + 2 * outliers.FIRST_PAUSE + outliers.TRIAL_SPAN
+    assert one.outlier_until == pytest.approx(until)
+    outliers.hear_failed_trial(one, after + 0.1 + outliers.SAME_TRIAL / 2)  # the same, told once more
+    outliers.hear_failed_trial(one, until)  # an old word, after the trial is over
+    assert one.outlier_until == pytest.approx(until)
+    well = servers()[0]
+    outliers.hear_failed_trial(well, NOW)  # it was never left out here
+    assert well in health.usable([well], NOW) and well.outlier_rounds == 0
+
+
+def test_a_failed_trial_reaches_the_peers_with_the_next_window() -> None:
+    one, other = Harness(3, me=1, peers=(1, 2)), Harness(3, me=2, peers=(1, 2))
+    bad = one.balancer.services["model"].servers["i-01"]
+    far = other.balancer.services["model"].servers["i-01"]
+    for server, router in ((bad, one), (far, other)):
+        server.mine = server is bad
+        outliers.leave_out(server, router.now)
+    for router in (one, other):
+        router.now += outliers.FIRST_PAUSE
+    [send] = only(one.ask(max_attempts=1), api.Send)
+    while send.server != bad.id:
+        [send] = only(one.ask(max_attempts=1), api.Send)
+    one.ends(send, api.Result.ERROR, finished=True)
+    assert bad.outlier_rounds == 2 and far.outlier_rounds == 1
+    for tell in only(one.window(after=0.2), api.Tell):
+        other.give(api.PeerMessage(1, tell.payload), after=0.2)
+    assert far.outlier_rounds == 2
+    assert far not in health.usable(
+        other.balancer.services["model"].ready, other.now + 2 * outliers.FIRST_PAUSE
+    )
--- a/tests/placement/test_rows.py
+++ b/tests/placement/test_rows.py
@@ -97,3 +97,11 @@
     assert row.entries == entries[:MOST_ENTRIES]
     assert row.reads == reads[: room_for_reads(0, 300)] and len(row.reads) > 30
     assert len(payload) <= LARGEST
+
+
+@pytest.mark.parametrize("suspect", [False, True])
+@pytest.mark.parametrize("failed_trial", [False, True])
+def test_flags_of_an_entry_come_back_alone_and_together(suspect: bool, failed_trial: bool) -> None:
+    entry = Entry(7, 1, 10, suspect, None, 0.5, failed_trial)
+    row = decode_row(encode_row(Row(RowFlags.NONE, 0, 1, 0, (), (entry,), ())))
+    assert row.entries == (entry,)
