--- a/firvane/net/dial.py
+++ b/firvane/net/dial.py
@@ -11,7 +11,7 @@
 from typing import Generic, Protocol, TypeVar
 
 from firvane.endings import Ending
-from firvane.net.hands import Hands
+from firvane.net.transport_pool import TransportPool
 from firvane.net.words import Quiet
 
 P = TypeVar("P", bound=asyncio.BaseProtocol)
@@ -71,7 +71,7 @@
             self._fail(Ending.REFUSED)
         else:
             self._stop_waiting()
-            self.dialer.hands.give(self)
+            self.dialer.transports.give(self)
 
     def _fail(self, ending: Ending) -> None:
         if self.waiting:
@@ -94,10 +94,10 @@
 
 
 class SocketDialer:
-    """Dials as non-blocking connects, which become transports in the hands that it is given."""
+    """Dials as non-blocking connects, which become transports in the pool that it is given."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, hands: Hands) -> None:
-        self.loop, self.hands = loop, hands
+    def __init__(self, loop: asyncio.AbstractEventLoop, transports: TransportPool) -> None:
+        self.loop, self.transports = loop, transports
 
     def dial(
         self,
--- a/firvane/net/door.py
+++ b/firvane/net/door.py
@@ -11,7 +11,7 @@
 
 from firvane.logs import QUIET, Log
 from firvane.net.dial import is_quiet, stands
-from firvane.net.hands import Hands
+from firvane.net.transport_pool import TransportPool
 from firvane.net.words import Quiet, Stands, always
 
 BACKLOG = 1024  # connections that the kernel holds until they are accepted
@@ -65,12 +65,12 @@
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
-        hands: Hands,
+        transports: TransportPool,
         log: Log = QUIET,
         inherited: socket.socket | None = None,
     ) -> None:
         """`inherited` listens already, and others may accept from it, too: it is never bound or shut down."""
-        self.loop, self.hands, self.log = loop, hands, log
+        self.loop, self.transports, self.log = loop, transports, log
         self.inherited = inherited is not None
         self.sock = inherited or socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         self.wanted = self.reading = False
@@ -102,7 +102,7 @@
     def _accept(self) -> bool:
         """Let newcomers in, as far as this turn has room for them; whether more may be waiting."""
         for _ in range(ACCEPTS):
-            if self.hands.line.qsize() >= ACCEPTS:
+            if self.transports.line.qsize() >= ACCEPTS:
                 return True
             try:
                 sock, _ = self.sock.accept()
@@ -119,7 +119,7 @@
                 return False
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.hands.give(Newcomer(sock, self.accept))
+            self.transports.give(Newcomer(sock, self.accept))
         return True
 
     def _again(self) -> None:
--- a/firvane/net/hands.py
+++ b/firvane/net/transport_pool.py
@@ -12,7 +12,7 @@
 from functools import partial
 from typing import Any, Protocol
 
-HANDS = 16  # sockets that become transports in one turn of the loop
+MAKERS = 16  # coroutines, each of which makes one transport at a time
 
 
 class Standing(Protocol):
@@ -30,7 +30,7 @@
         """It has none, and is closed."""
 
 
-class Hands:
+class TransportPool:
     """The coroutines that make transports, and the line of sockets before them."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -43,7 +43,7 @@
         return self.busy > 0 or not self.line.empty()
 
     def start(self) -> None:
-        self.tasks = [self.loop.create_task(self._work()) for _ in range(HANDS)]
+        self.tasks = [self.loop.create_task(self._work()) for _ in range(MAKERS)]
 
     def give(self, standing: Standing) -> None:
         self.line.put_nowait(standing)
@@ -59,7 +59,7 @@
             try:
                 await self._make(standing)
             except Exception as error:
-                # A fault of whoever is told must not cost a hand: without any, nobody would come in again.
+                # A fault of whoever is told must not cost a coroutine: without any, nobody would come in.
                 self.loop.call_exception_handler({"message": "a socket is lost", "exception": error})
             finally:
                 self.busy -= 1
--- a/firvane/proxy.py
+++ b/firvane/proxy.py
@@ -26,10 +26,10 @@
 from firvane.net.forward import Forwards
 from firvane.net.front import Front
 from firvane.net.guard import Guard, OwnUsage, Usage
-from firvane.net.hands import Hands
 from firvane.net.http import Message
 from firvane.net.peers import Peers
 from firvane.net.targets import ListReader, TargetGroup
+from firvane.net.transport_pool import TransportPool
 from firvane.ops import calls
 from firvane.ops.calls import Asked, Call
 from firvane.ops.desk import DESCRIPTORS, Desk
@@ -75,8 +75,8 @@
         errors = Errors(log) if config.measures else None
         self.log: logs.Log = (errors or log).bind(proxy=config.name)
         self.loop, self.config = loop, config
-        self.hands = Hands(loop)
-        self.dialer = dialer or SocketDialer(loop, self.hands)
+        self.transports = TransportPool(loop)
+        self.dialer = dialer or SocketDialer(loop, self.transports)
         settings = config.settings
         self.guard = Guard(
             loop,
@@ -106,7 +106,7 @@
         self.guard.tell = self.engine.give
         self.front = Front(loop, self.engine, settings, self.guard)
         inherited = None if config.inherited is None else adopt(config.inherited)
-        self.door: Door = LoopDoor(loop) if dialer else SocketDoor(loop, self.hands, self.log, inherited)
+        self.door: Door = LoopDoor(loop) if dialer else SocketDoor(loop, self.transports, self.log, inherited)
         self.front.door = self.door.let
         self.in_memory = dialer is not None  # among others in one process
         if errors:
@@ -118,8 +118,8 @@
         if self.keeper:
             self.group.addresses = {}
         self.life, self.loads = Life(), Loads()
-        self.desk, self.desk_hands = Desk(loop, self._answer), Hands(loop)
-        self.ops: Door = LoopDoor(loop) if dialer else SocketDoor(loop, self.desk_hands, self.log)
+        self.desk, self.desk_transports = Desk(loop, self._answer), TransportPool(loop)
+        self.ops: Door = LoopDoor(loop) if dialer else SocketDoor(loop, self.desk_transports, self.log)
         self.agreement = self.front.agreement = agreement(self) if agreement else None
         self.starting: asyncio.Task[Any] | None = None  # at work on the start
 
@@ -145,7 +145,7 @@
     async def _start(self) -> None:
         config = self.config
         if config.ops:
-            self.desk_hands.start()
+            self.desk_transports.start()
             await self.ops.open(config.ops, lambda *kernel: self.desk.caller())
             self.log.info("ops", listen="{}:{}".format(*self.ops.address()))
         if config.peer_listen:
@@ -154,7 +154,7 @@
             await self.loop.create_datagram_endpoint(
                 lambda: self.peers, local_addr=config.peer_listen, reuse_port=shared
             )
-        self.hands.start()
+        self.transports.start()
         if config.inherited is None:
             await self.door.open(config.listen, self.front.accept)
         if self.agreement:  # what is learnt, recovered and served from here on is by the policy in force
@@ -438,7 +438,7 @@
 
     def _has_clients(self) -> bool:
         """Whether anybody is connected, or is about to be."""
-        return bool(self.front.connections) or self.hands.has_work()
+        return bool(self.front.connections) or self.transports.has_work()
 
     def _stop(self) -> None:
         if self.keeper and self.group.known:
@@ -446,7 +446,7 @@
         if self.agreement:
             self.agreement.close()
         self.group.stop()
-        self.hands.close()
+        self.transports.close()
         self.desk.close()
         self.ops.close()
-        self.desk_hands.close()
+        self.desk_transports.close()
--- a/firvane/router/router.py
+++ b/firvane/router/router.py
@@ -18,8 +18,8 @@
 from firvane.engine import Engine
 from firvane.logs import Log
 from firvane.net.dial import SocketDialer
-from firvane.net.hands import Hands
 from firvane.net.http import Message
+from firvane.net.transport_pool import TransportPool
 from firvane.placement.balancer import PromptBalancer
 from firvane.placement.events import Progress, ServiceInfo
 from firvane.router.admission import Admission
@@ -55,9 +55,9 @@
     ) -> None:
         self.loop, self.settings, self.log = loop, settings, log
         self.front = Front(loop, log)
-        self.hands = Hands(loop)
+        self.transports = TransportPool(loop)
         most = max(64, settings.file_descriptors // 2 - RESERVED_DESCRIPTORS)
-        self.upstreams = Upstreams(loop, SocketDialer(loop, self.hands), most)
+        self.upstreams = Upstreams(loop, SocketDialer(loop, self.transports), most)
         identity = Member(settings.internal, Role.ROUTER, settings.zone, None, settings.incarnation)
         self.agent = ClusterAgent(
             loop,
@@ -115,7 +115,7 @@
         )
 
     async def start(self) -> None:
-        self.hands.start()
+        self.transports.start()
         await self.agent.start()
         self.front_server = await self._listen(self.settings.front, self.front.accept)
         await self._listen(self.settings.readiness, self._accept_question)
--- a/tests/crossings/mutants/ends.py
+++ b/tests/crossings/mutants/ends.py
@@ -121,10 +121,10 @@
     ),
     Mutant(
         "a fault at a connection costs no hand",
-        "firvane/net/hands.py",
+        "firvane/net/transport_pool.py",
         "            except Exception as error:\n                # A fault",
         "            except OSError as error:\n                # A fault",
-        f"{ENDS}test_a_fault_at_a_connection_costs_none_of_the_hands",
+        f"{ENDS}test_a_fault_at_a_connection_costs_none_of_the_makers",
     ),
     Mutant(
         "what comes after the last moment is answered at once",
@@ -150,7 +150,7 @@
     Mutant(
         "who has been accepted is served though the door is closed",
         PROXY,
-        "        return bool(self.front.connections) or self.hands.has_work()",
+        "        return bool(self.front.connections) or self.transports.has_work()",
         "        return bool(self.front.connections)",
         f"{HANDS}test_a_connection_accepted_in_the_turn_of_the_order_is_served",
     ),
--- a/tests/crossings/test_attempts.py
+++ b/tests/crossings/test_attempts.py
@@ -17,7 +17,7 @@
 from firvane.limits.descriptors import Use
 from firvane.net.dial import SocketDialer
 from firvane.net.forward import SETTLE, Connection, Forwards
-from firvane.net.hands import Hands
+from firvane.net.transport_pool import TransportPool
 from tests.crossings.harness import (
     CHUNKED,
     ERROR,
@@ -511,9 +511,9 @@
 def test_nothing_is_written_once_its_time_is_over() -> None:
     async def work() -> None:
         loop, target = asyncio.get_running_loop(), Target()
-        hands = Hands(loop)
-        hands.start()
-        making = Making(SocketDialer(loop, hands))
+        transports = TransportPool(loop)
+        transports.start()
+        making = Making(SocketDialer(loop, transports))
         limits = api.Limits(max_attempts=3, connect_timeout=5.0, connection_idle=30.0)
         forwards = Forwards(loop, limits, RULES, guard(loop, 10), making)
         forwards.listed("s", ("127.0.0.1", target.port), True)
@@ -531,7 +531,7 @@
         await (await target.taken()).send(OK)
         await in_time.over.wait()
         assert in_time.endings == [Ending.SERVED] and target.calls == ["1"]
-        hands.close()
+        transports.close()
         target.close()
 
     play(work())
--- a/tests/crossings/test_ends.py
+++ b/tests/crossings/test_ends.py
@@ -13,7 +13,7 @@
 import pytest
 
 from firvane.net.door import ACCEPTS
-from firvane.net.hands import HANDS
+from firvane.net.transport_pool import MAKERS
 from firvane.process_signals import SIGNALS
 from firvane.proxy import LAME
 from tests.crossings.harness import (
@@ -402,7 +402,7 @@
                 raise RuntimeError("a fault")
 
             made.proxy.door.accept = fails
-            for _ in range(HANDS):
+            for _ in range(MAKERS):
                 assert await (await made.client()).gone() == "fin"
             made.proxy.door.accept = accept
             assert b" 200 " in await asked(await made.client(), "c1")
--- a/tests/crossings/test_handovers.py
+++ b/tests/crossings/test_handovers.py
@@ -357,7 +357,7 @@
         async with rig(tmp_path, settings=first, **more) as made:
             starting = made.later(made.proxy.start())
             await asyncio.sleep(0)  # the start has begun, and waits for its datagrams
-            assert made.proxy.config.known and not made.proxy.hands.tasks
+            assert made.proxy.config.known and not made.proxy.transports.tasks
             configured(tmp_path, made.agent, without_pay())
             made.proxy.reload(made.read_again)
             await (await made.agent.watch()).tell(1, *made.entries())
--- a/tests/limits/test_bounds.py
+++ b/tests/limits/test_bounds.py
@@ -20,11 +20,11 @@
 from firvane.net.door import SocketDoor
 from firvane.net.forward import Pool, Run
 from firvane.net.front import Front
-from firvane.net.hands import Hands
 from firvane.net.http import MAX_BODY, bare_tenant, is_again
 from firvane.net.listener import Listener
 from firvane.net.peers import BURST, Peers
 from firvane.net.targets import BadList, Lines, ListReader
+from firvane.net.transport_pool import TransportPool
 from tests.helpers import settings
 from tests.net_helpers import PAY, READ, Clock, Ended, Wire, endpoint, guard, make_places, run, seeded
 from tests.test_forward import connected, unwired
@@ -296,7 +296,7 @@
 ) -> None:
     async def work() -> None:
         loop = asyncio.get_running_loop()
-        hands, came = Hands(loop), asyncio.Event()
+        transports, came = TransportPool(loop), asyncio.Event()
 
         class Client(Listener):
             def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -304,8 +304,8 @@
 
             def connection_lost(self, error: Exception | None) -> None: ...
 
-        door, shared = SocketDoor(loop, hands), front()[0]
-        hands.start()
+        door, shared = SocketDoor(loop, transports), front()[0]
+        transports.start()
         await door.open(("127.0.0.1", 0), lambda *kernel: Client(shared, *kernel))
         door.let(False)
         newcomer = socket.create_connection(door.address())
@@ -335,7 +335,7 @@
         assert spent.tries >= 2
         newcomer.close()
         door.close()
-        hands.close()
+        transports.close()
 
     run(work())
 
@@ -361,9 +361,9 @@
     # The loop's own server takes one a turn: at the limit most clients had left before their turn came.
     async def work() -> None:
         loop = asyncio.get_running_loop()
-        hands, shared = Hands(loop), front(places=200)[0]
-        hands.start()
-        door = SocketDoor(loop, hands)
+        transports, shared = TransportPool(loop), front(places=200)[0]
+        transports.start()
+        door = SocketDoor(loop, transports)
         await door.open(("127.0.0.1", 0), shared.accept)
         clients = [socket.create_connection(door.address()) for _ in range(64)]
         turns = 0
@@ -374,7 +374,7 @@
         for client in clients:
             client.close()
         door.close()
-        hands.close()
+        transports.close()
 
     run(work())
 
--- a/tests/quorum/test_fetch.py
+++ b/tests/quorum/test_fetch.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from firvane.net.dial import SocketDialer
-from firvane.net.hands import Hands
+from firvane.net.transport_pool import TransportPool
 from firvane.ops import calls
 from firvane.policy_text import MOST_TEXT, digest_of
 from firvane.quorum.fetch import PATIENCE, Fetching
@@ -105,14 +105,14 @@
             def note(self, what: object) -> None: ...
 
         server = await loop.create_server(lambda: Real(well), "127.0.0.1", 0)
-        hands = Hands(loop)
-        hands.start()
+        transports = TransportPool(loop)
+        transports.start()
         told: asyncio.Future[tuple[bytes | None, str]] = loop.create_future()
         doors = [server.sockets[0].getsockname()]
-        dialer = SocketDialer(loop, hands)
+        dialer = SocketDialer(loop, transports)
         Fetching(loop, dialer, doors, DIGEST, (0,), lambda *what: told.set_result(what))
         assert await told == (TEXT, "")
-        hands.close()
+        transports.close()
         server.close()
 
     run(work())
--- a/tests/router/helpers.py
+++ b/tests/router/helpers.py
@@ -11,8 +11,8 @@
 from firvane.configuration.routes import Configuration, Route, RouteKind, RouteTable, Target
 from firvane.engine import Engine
 from firvane.net.dial import SocketDialer
-from firvane.net.hands import Hands
 from firvane.net.http import Message
+from firvane.net.transport_pool import TransportPool
 from firvane.router.front import Front
 from firvane.router.requests import ProxiedRequest
 from firvane.router.router import NoDirectory, engine_settings
@@ -164,9 +164,9 @@
         one.name: ("127.0.0.1", server.sockets[0].getsockname()[1])
         for one, server in zip(backends, servers, strict=True)
     }
-    front, hands = Front(loop), Hands(loop)
-    hands.start()
-    upstreams = Upstreams(loop, SocketDialer(loop, hands), 100)
+    front, transports = Front(loop), TransportPool(loop)
+    transports.start()
+    upstreams = Upstreams(loop, SocketDialer(loop, transports), 100)
     upstreams.set_backends(addresses, {})
     decisions = FirstThenNext([one.name for one in backends], most)
     engine: Engine[ProxiedRequest, Message] = Engine(
@@ -181,7 +181,7 @@
         yield Rig(front, engine, upstreams, decisions, listener.sockets[0].getsockname()[1])
     finally:
         listener.close()
-        hands.close()
+        transports.close()
         for connection in list(front.connections):
             connection.transport.abort()
         for pool in upstreams.pools.values():
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -14,14 +14,14 @@
 from firvane.limits.descriptors import Use
 from firvane.net.dial import SocketDialer
 from firvane.net.forward import SETTLE, Connection, Forwards, Pool, Run
-from firvane.net.hands import Hands
 from firvane.net.http import Message, Reader
+from firvane.net.transport_pool import TransportPool
 from tests.helpers import RULES
 from tests.net_helpers import Clock, Ended, Wire, guard, run
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
 TOO_MANY = b"HTTP/1.1 503 No\r\nX-Rejected: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-NOBODY = SocketDialer(Clock(), Hands(Clock()))  # type: ignore[arg-type]  # never asked to dial
+NOBODY = SocketDialer(Clock(), TransportPool(Clock()))  # type: ignore[arg-type]  # never asked to dial
 Target = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 
@@ -54,10 +54,10 @@
     def __init__(self, max_sockets: int = 10, connect_timeout: float = LEFT) -> None:
         self.loop = asyncio.get_running_loop()
         limits = api.Limits(max_attempts=3, connect_timeout=connect_timeout, connection_idle=30.0)
-        self.hands = Hands(self.loop)
-        self.dialer = SocketDialer(self.loop, self.hands)
+        self.transports = TransportPool(self.loop)
+        self.dialer = SocketDialer(self.loop, self.transports)
         self.forwards = Forwards(self.loop, limits, RULES, guard(self.loop, max_sockets), self.dialer)
-        self.hands.start()
+        self.transports.start()
         self.heads: list[bytes] = []
         self.connections = 0
 
@@ -124,7 +124,7 @@
         assert ended.endings == [ending]
         assert b"X-Call-Id: 1\r\n" in bench.heads[0]
         assert 0 < int(bench.heads[0].split(b"X-Budget-Ms: ")[1]) <= 1000 * LEFT
-        bench.hands.close()
+        bench.transports.close()
 
     run(work())
 
@@ -136,7 +136,7 @@
         await bench.send()
         bench.reply = TOO_MANY
         assert (await bench.send()).endings == [Ending.TURNED_AWAY] and bench.connections == 1
-        bench.hands.close()
+        bench.transports.close()
 
     run(work())
 
@@ -153,7 +153,7 @@
         assert not bench.forwards.pools["s"].idle
         await bench.send()
         assert bench.connections == 2 and not ended.endings
-        bench.hands.close()
+        bench.transports.close()
 
     run(work())
 
@@ -166,7 +166,7 @@
             bench.forwards.listed("s", free.getsockname(), True)
             assert (await bench.send()).endings == [Ending.REFUSED]
         assert bench.forwards.guard.descriptors.held[Use.TARGETS] == 0
-        bench.hands.close()
+        bench.transports.close()
 
     run(work())
 
@@ -185,7 +185,7 @@
             assert (await bench.send()).endings == [Ending.DIAL_EXPIRED]
             for one in waiting:
                 one.close()
-        bench.hands.close()
+        bench.transports.close()
 
     run(work())
 
@@ -202,7 +202,7 @@
         await ended.over.wait()
         assert ended.endings == [Ending.TOO_LATE] and not bench.heads
         assert (await bench.send()).endings == [Ending.TOO_LATE]
-        bench.hands.close()
+        bench.transports.close()
 
     run(work())
 
@@ -218,7 +218,7 @@
         bench.forwards.forward(request(), "t", held)
         await held.over.wait()
         assert held.endings == [Ending.SERVED] and not bench.forwards.pools["s"].idle
-        bench.hands.close()
+        bench.transports.close()
 
     run(work())
 
@@ -274,7 +274,7 @@
                     peer.send(left)
                 else:
                     peer.close()
-        bench.hands.close()
+        bench.transports.close()
 
     run(work())
 
