Give the cases of a test that wait for a deadline 3 s in place of 0.9

Kept logs show the five cases that only the deadline ends: 0.9 s were over before each kind had been sent on. Ruled out: the earlier cause (targets that seem silent), whose message differs. Change: the deadline of those five cases. What is asserted stays. They take 10 s more in all.

--- a/tests/crossings/test_attempts.py
+++ b/tests/crossings/test_attempts.py
@@ -728,8 +728,8 @@
 def test_over_every_ending_a_class_is_sent_again_only_as_it_may_be(tmp_path: Path, name: str) -> None:
     ends, ran = ENDINGS[name]
     # Only where nothing else ends an attempt is it the deadline that does: what a busy machine is late with
-    # must not pass for that.
-    span = 900 if name == "nothing" or name.endswith("without-end") else 15_000
+    # must not pass for that: at a load of 28 on 8 cores, 900 ms were over before each kind had been sent on.
+    span = 3_000 if name == "nothing" or name.endswith("without-end") else 15_000
 
     async def one(number: int, limits: dict[str, Any]) -> None:
         arrivals = Arrivals()
