--- a/firvane/core/engine.py
+++ b/firvane/core/engine.py
@@ -360,7 +360,7 @@
                 self._close(flow)
                 flow.counters.passed += 1
                 flow.client.on_response_finished()
-            elif flow.is_resumable and self.clock.time() < flow.deadline:
+            elif self.clock.time() < flow.deadline and flow.can_resume():
                 # Its client waits: the decisions may continue it elsewhere, or fail it.
                 flow.responding = None
                 self.event_counts["broke off, may be resumed"] += 1
--- a/firvane/core/flows.py
+++ b/firvane/core/flows.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from asyncio import TimerHandle
+from collections.abc import Callable
 from typing import Generic, TypeVar
 
 from firvane.core.engine_protocols import Client, Handle
@@ -19,6 +20,11 @@
 UNCOUNTED = ClassCounters()  # of a flow that has no class yet
 
 
+def never_resumed() -> bool:
+    """Return False: an answer that broke off stays short."""
+    return False
+
+
 class AttemptObserver(Generic[Q, A]):
     """What attempts and health checks report to: the engine."""
 
@@ -54,7 +60,7 @@
         responding: the attempt whose streamed answer its client receives.
         body_consumed: part of its body was forwarded, so that it cannot be sent again.
         is_bounded: its deadline also ends an answer that has begun.
-        is_resumable: an answer that broke off may be continued by another attempt.
+        can_resume: returns whether another attempt can continue the answer that has begun and broken off.
         response_time: seconds that it has from its last byte on, where that is yet to come; else 0.
         attempts: by number; None where one is over.
         attempts_in_flight: attempts that are not over.
@@ -65,13 +71,13 @@
         "attempts",
         "attempts_in_flight",
         "body_consumed",
+        "can_resume",
         "client",
         "counters",
         "deadline",
         "decision_timers",
         "id",
         "is_bounded",
-        "is_resumable",
         "log",
         "name",
         "open",
@@ -92,7 +98,7 @@
         self.responding: Attempt[Q, A] | None = None
         self.body_consumed = False
         self.is_bounded = False
-        self.is_resumable = False
+        self.can_resume: Callable[[], bool] = never_resumed
         self.response_time = 0.0
         self.attempts: list[Attempt[Q, A] | None] = []
         self.attempts_in_flight = 0
--- a/firvane/fleet/router/client.py
+++ b/firvane/fleet/router/client.py
@@ -31,6 +31,7 @@
 READ_AHEAD_BYTES = 256 * 1024  # of what follows a request
 CONFIGURATION_WAIT_S = 0.4  # of a request, for the first configuration of a new router
 NO_CONFIGURATION_RETRY_AFTER_S = 1.0  # longer, since a client retries only a few times
+NOT_CONTINUED = "not continued in time"  # metric of responses that another backend could have continued
 STATUS_BAD_REQUEST = 400
 STATUS_NOT_FOUND = 404
 STATUS_REQUEST_TIMEOUT = 408
@@ -247,7 +248,7 @@
             request.on_retry = partial(context.charge_retry, admission)
         flow = Flow[ProxiedRequest, Message](request, self, deadline, request_id)
         flow.is_bounded = True
-        flow.is_resumable = route.stream_resume
+        flow.can_resume = request.can_resume
         self.flow = flow
         context.engine.accept_request(flow, context.prompt_request(request))
         request.flow_id = flow.id
@@ -301,6 +302,7 @@
 
     def on_response_aborted(self) -> None:
         """End the connection short of the response's end."""
+        self._count_truncated()
         self._log_truncated()
         self.flow = self.body_source = None
         self.closing = True
@@ -309,6 +311,13 @@
         else:
             self.transport.close()
 
+    def _count_truncated(self) -> None:
+        """Count a truncated response by what kept another backend from continuing it."""
+        if self.flow:
+            obstacle = self.flow.request.resume_obstacle()
+            reason = obstacle.value if obstacle else NOT_CONTINUED
+            self.context.engine.event_counts[f"truncated, {reason}"] += 1
+
     def _log_truncated(self) -> None:
         """Log a response that is truncated while the router drains, and how its request came here."""
         drain = self.context.drain
--- a/firvane/fleet/router/requests.py
+++ b/firvane/fleet/router/requests.py
@@ -4,10 +4,11 @@
 
 from collections.abc import Callable
 
-from msgspec import Struct
+from msgspec import Struct, field
 
 from firvane.core.net.http_message import HttpError, Message
 from firvane.fleet.configuration.routes import Route
+from firvane.fleet.router.resumption import ResponseProgress, ResumeObstacle
 
 REQUEST_ID = b"x-request-id"
 DEADLINE = b"x-deadline-ms"
@@ -26,7 +27,7 @@
         message: The request as it came.
         route: Its route.
         request_id: Its id, as the client gave it.
-        last_event_id: Id of the last complete event that the client was sent.
+        progress: How much of the response the client has.
         flow_id: Id of the engine's flow.
         tenant: Name of the tenant.
         is_private: Whether the key, and what it tells of the tenant, are not forwarded.
@@ -38,7 +39,7 @@
     message: Message
     route: Route
     request_id: bytes
-    last_event_id: int | None = None
+    progress: ResponseProgress = field(default_factory=ResponseProgress)
     flow_id: int = -1
     tenant: bytes | None = None
     is_private: bool = False
@@ -46,6 +47,14 @@
     runs: int = 0
     on_retry: Callable[[], None] | None = None
 
+    def resume_obstacle(self) -> ResumeObstacle | None:
+        """Return why another backend cannot continue the response that has begun; None where it can."""
+        return self.progress.resume_obstacle(allowed=self.route.stream_resume)
+
+    def can_resume(self) -> bool:
+        """Return whether another backend can continue the response that has begun."""
+        return self.resume_obstacle() is None
+
     def record_sent(self) -> None:
         """Count an attempt that is sent to a backend."""
         self.runs += 1
--- a/firvane/fleet/router/upstream_connection.py
+++ b/firvane/fleet/router/upstream_connection.py
@@ -12,7 +12,9 @@
 4. A connection is reused only after an exchange in perfect order: the request written completely, one
    response, framed and complete, and not a byte beside it. A request that was rejected on it never uses it
    again: if the rejection came a second time, its id would match the second attempt.
-5. Of a stream only complete events are passed on (`firvane.fleet.router.events`).
+5. Of a stream only complete events are passed on (`firvane.fleet.router.events`), and its head goes with the
+   first: where no event has come, no response has begun.
+6. What continues a response that has begun is a stream of events (`firvane.fleet.router.resumption`).
 """
 
 from __future__ import annotations
@@ -30,8 +32,9 @@
 from firvane.core.net.http_writer import format_forwarded_head
 from firvane.core.net.upstream_exchange import UpstreamRun, close_idle
 from firvane.core.terminations import Termination
-from firvane.fleet.router.events import EventFramer
+from firvane.fleet.router.events import EventFramer, UnknownPositionError
 from firvane.fleet.router.requests import DEADLINE, REQUEST_ID, ProxiedRequest
+from firvane.fleet.router.resumption import has_event_stream_type, is_event_stream
 from firvane.fleet.tenancy.keys import PRIVATE_FIELDS
 
 MAX_BUFFERED_RESPONSE_BYTES = 64 * 1024  # larger responses are streamed
@@ -43,7 +46,6 @@
 MIN_STALL_TIMEOUT_S = 0.35
 PROGRESS_INTERVAL_S = 0.05  # between reports of a backend's progress
 LOWEST_PRIORITY = 9
-STREAM_TYPE = b"text/event-stream"
 REPLACED_FIELDS = frozenset((DEADLINE, b"x-target-instance", b"priority", b"expect-version"))
 RESUMED_FIELDS = frozenset((b"last-event-id",))
 STATUS_OK = 200
@@ -113,7 +115,7 @@
         written: Whether the last byte of its request is in the kernel.
         skipped_responses: Responses dropped since the request was sent.
         rejected_ids: Ids of the requests that the backend rejected on this connection.
-        stream: The response that is being streamed.
+        stream: The response that is being streamed, from when the client gets it.
         framer: Splits it into events, where it is a stream of events.
         idle_since: Loop time at which it became idle.
         last_data_at: Loop time at which bytes of the response last came.
@@ -161,7 +163,9 @@
     def eof_received(self) -> None:
         """Complete a body that lasts until the end of the connection, or close (asyncio)."""
         message = self.reader.message
-        if self.run and message and not self.reader.in_head and not message.is_framed and self.stream:
+        if self.run is None or message is None or self.reader.in_head or message.is_framed:
+            self.close()
+        elif self.stream or (self.framer and self._start_stream(message, self.run)):
             self._complete(message)
         else:
             self.close()
@@ -191,9 +195,9 @@
             without |= PRIVATE_FIELDS
         if request.tenant is not None:
             fields.append(b"X-Tenant: %s\r\n" % request.tenant)
-        if request.last_event_id is not None:
+        if request.progress.last_event_id is not None:
             without |= RESUMED_FIELDS
-            fields.append(b"Last-Event-Id: %d\r\n" % request.last_event_id)
+            fields.append(b"Last-Event-Id: %d\r\n" % request.progress.last_event_id)
         host = b"%s:%d" % (self.pool.address[0].encode(), self.pool.address[1])
         self.run, run.connection = run, self
         request.record_sent()
@@ -248,11 +252,8 @@
         if REQUEST_ID not in message.fields:
             self._fail(Termination.BAD_RESPONSE)
             return False
-        starts = self.stream is None and is_success(message) and self._is_streamed(message)
-        if starts and not self._start_stream(message):
+        if is_success(message) and not self._pass_on(message):
             return False
-        if self.stream:
-            self._feed(message)
         if message.complete:
             followed = followed or len(done) > 1 or self.reader.message is not None
             done.clear()
@@ -281,45 +282,60 @@
             return False
         return self._process_response(followed)
 
-    def _is_streamed(self, message: Message) -> bool:
-        """Return whether a response goes to the client as it comes, and not only once it is complete."""
-        kind = message.fields.get(b"content-type", b"")
-        length = message.content_length()
-        return kind.startswith(STREAM_TYPE) or length is None or length > MAX_BUFFERED_RESPONSE_BYTES
-
-    def _start_stream(self, message: Message) -> bool:
-        """Start streaming a response, and return whether the exchange goes on."""
+    def _pass_on(self, message: Message) -> bool:
+        """Pass on what has come of a success that is streamed, and return whether the exchange goes on."""
         run = self.run
-        if run is None:
+        if run is None or not (self.stream or self.framer or run.request.progress.accepts(message)):
+            self._fail(Termination.BAD_RESPONSE)
             return False
-        message.stream = self.stream = Stream(self)
-        if message.fields.get(b"content-type", b"").startswith(STREAM_TYPE):
-            self.framer = EventFramer(run.request.last_event_id)
+        if not (self.stream or self.framer):
+            if not is_streamed(message):
+                return True
+            self._prepare_stream(message, run)
+        try:
+            pieces = self._take_pieces(message)
+        except UnknownPositionError:
+            self._fail(Termination.BAD_RESPONSE)
+            return False
+        is_due = bool(pieces) or message.complete or not self.framer
+        if not self.stream and is_due and not self._start_stream(message, run):
+            return False
+        self._feed(pieces, run)
+        return True
+
+    def _prepare_stream(self, message: Message, run: Run) -> None:
+        if is_event_stream(message):
+            self.framer = EventFramer(run.request.progress.last_event_id)
         self.upstreams.streams[self] = None
-        run.exchange.on_response_started(message)
-        return self.run is run
 
-    def _feed(self, message: Message) -> None:
-        """Pass on the body that has come, by complete events in a stream of events."""
+    def _take_pieces(self, message: Message) -> list[BytesLike]:
+        """Take the body that has come: complete events in a stream of events."""
         pieces = message.take_body()
-        if self.framer:
-            events = self.framer.feed(b"".join(pieces))
-            pieces = [events] if events else []
-            self._store_last_event_id()
+        if not self.framer:
+            return pieces
+        events = self.framer.feed(b"".join(pieces))
+        return [events] if events else []
+
+    def _start_stream(self, message: Message, run: Run) -> bool:
+        """Start streaming a response, and return whether the exchange goes on."""
+        message.stream = self.stream = Stream(self)
+        run.exchange.on_response_started(message)
+        if self.run is not run:
+            return False
+        run.request.progress.record_start(message)
+        return True
+
+    def _feed(self, pieces: list[BytesLike], run: Run) -> None:
         if self.stream and pieces:
             self.stream.feed(pieces)
-
-    def _store_last_event_id(self) -> None:
-        if self.run and self.framer and self.framer.last_id is not None:
-            self.run.request.last_event_id = self.framer.last_id
+            if self.framer:
+                run.request.progress.record_events(self.framer)
 
     def _complete(self, message: Message, followed: bool = False) -> None:
         """End the exchange with a complete response, and reuse or close the connection."""
         if self.stream:
-            self._feed(message)
-            rest: BytesLike = self.framer.finish() if self.framer else b""
-            if rest:
-                self.stream.feed([rest])
+            rest = self.framer.finish() if self.framer else b""
+            self.stream.feed([rest] if rest else [])
             self.stream.end()
         run, self.run = self.run, None
         self._end_stream()
@@ -344,9 +360,8 @@
             run.end(ending)
 
     def _end_stream(self) -> None:
-        if self.stream:
-            self.stream = self.framer = None
-            self.upstreams.streams.pop(self, None)
+        self.stream = self.framer = None
+        self.upstreams.streams.pop(self, None)
         self.paused = False
 
     def set_paused(self, paused: bool) -> None:
@@ -361,13 +376,19 @@
         Only where another backend would continue it: a stall alone is no reason to end a response sooner.
         """
         run = self.run
-        if run is None or self.paused or not run.request.route.stream_resume:
+        if run is None or self.paused or not run.request.can_resume():
             return
         timeout = max(MIN_STALL_TIMEOUT_S, STALL_TIMEOUT_FACTOR * run.request.route.gap_aim_ms / 1000)
         if now > self.last_data_at + timeout and self.upstreams.may_continue(run.request):
             self._fail(Termination.DEADLINE_EXCEEDED)
 
 
+def is_streamed(response: Message) -> bool:
+    """Return whether a response goes to the client as it comes, and not only once it is complete."""
+    length = response.content_length()
+    return has_event_stream_type(response) or length is None or length > MAX_BUFFERED_RESPONSE_BYTES
+
+
 def is_success(response: Message) -> bool:
     """Return whether the status of a response is 2xx."""
     return STATUS_OK <= response.status < STATUS_MULTIPLE_CHOICES
