--- a/firvane/core/engine.py
+++ b/firvane/core/engine.py
@@ -15,6 +15,8 @@
    client has disconnected, a streamed answer has begun, or a long body has gone out on another attempt. So a
    connection that is established late brings nobody's request to a target.
 5. What was stopped before it was sent never ran, and is reported so (`Attempt.stop`).
+6. Once an answer has begun, the answers of other attempts, which the settings may forbid to cancel, are
+   dropped; only a streamed one may continue it where it broke off.
 """
 
 from __future__ import annotations
@@ -308,7 +310,7 @@
         if attempt.over or not flow.open or flow.responding:
             attempt.stop(Termination.CANCELLED)
             return
-        flow.responding = attempt
+        flow.responding, flow.response_started = attempt, True
         attempt.time_to_response = self.clock.time() - attempt.started_at
         for timer in (None if flow.is_bounded else flow.timer, attempt.timer):
             if timer:
@@ -354,7 +356,9 @@
     def _answer_client(
         self, flow: Flow[Q, A], attempt: Attempt[Q, A], termination: Termination, answer: A | None
     ) -> None:
-        """Give the client what the end of an attempt decides, if anything."""
+        """Give the client what the end of an attempt decides, if anything (rule 6)."""
+        if flow.response_started and flow.responding is not attempt:
+            return
         if flow.responding is attempt and flow.open:
             if termination is Termination.SERVED:
                 self._close(flow)
--- a/firvane/core/flows.py
+++ b/firvane/core/flows.py
@@ -58,6 +58,7 @@
         open: whether its final answer is due.
         counters: of its class, once it is accepted.
         responding: the attempt whose streamed answer its client receives.
+        response_started: its client has received the beginning of a streamed answer.
         body_consumed: part of its body was forwarded, so that it cannot be sent again.
         is_bounded: its deadline also ends an answer that has begun.
         can_resume: returns whether another attempt can continue the answer that has begun and broken off.
@@ -83,6 +84,7 @@
         "open",
         "request",
         "responding",
+        "response_started",
         "response_time",
         "timer",
     )
@@ -96,6 +98,7 @@
         self.open = True
         self.counters = UNCOUNTED
         self.responding: Attempt[Q, A] | None = None
+        self.response_started = False
         self.body_consumed = False
         self.is_bounded = False
         self.can_resume: Callable[[], bool] = never_resumed
--- a/tests/core/test_engine.py
+++ b/tests/core/test_engine.py
@@ -122,6 +122,42 @@
     assert results(script)[0] is api.Result.ERROR and not made.flows
 
 
+@pytest.mark.parametrize(
+    ("ending", "answer"), [(Termination.SERVED, "another body"), (Termination.BAD_REQUEST, None)]
+)
+def test_the_answer_of_another_attempt_never_joins_one_that_has_begun(
+    ending: Termination, answer: str | None
+) -> None:
+    # Guards against: a second copy, which the settings forbid to cancel, put its answer into a streamed one.
+    script = Script(Request=[api.Send(1, "a"), api.Send(1, "b")])
+    made, parties, _ = engine(script, cancel=False)
+    flow = take(made, parties)
+    (_, first, _), (_, second, _) = parties.forwards
+    for exchange in (first, second):
+        exchange.on_request_sent()
+    first.on_response_started("head")
+    second.on_ended(ending, answer)
+    assert flow.open and parties.answers == [("started", "head")]
+    first.on_ended(Termination.SERVED, "head")
+    assert parties.answers == [("started", "head"), ("finished", None)]
+    assert not made.flows and not made.unanswered
+
+
+def test_a_whole_answer_never_continues_one_that_broke_off() -> None:
+    # Guards against: a front that takes a broken answer up again with one that is not streamed.
+    script = Script(Request=[api.Send(1, "a")])
+    made, parties, _ = engine(script)
+    flow = take(made, parties)
+    flow.can_resume = lambda: True
+    _, first, _ = parties.forwards[0]
+    first.on_response_started("head")
+    script.replies["Outcome"] = [api.Send(1, "b")]
+    first.on_ended(Termination.BROKEN_AFTER_SENT)
+    script.replies["Outcome"] = [api.Fail(1)]
+    parties.forwards[1][1].on_ended(Termination.SERVED, "body")
+    assert parties.answers == [("started", "head"), ("failed", None)] and not made.flows
+
+
 def test_no_second_copy_where_the_settings_forbid_it() -> None:
     made, parties, _ = engine(Script(Request=[api.Send(1, "a"), api.Send(1, "b")]), hedging=False)
     take(made, parties)
--- a/tests/proxy/net/helpers.py
+++ b/tests/proxy/net/helpers.py
@@ -193,6 +193,15 @@
     def on_response(self, answer: Any) -> None:
         self.answers.append(("served", answer))
 
+    def on_response_started(self, answer: Any) -> None:
+        self.answers.append(("started", answer))
+
+    def on_response_finished(self) -> None:
+        self.answers.append(("finished", None))
+
+    def on_response_aborted(self) -> None:
+        self.answers.append(("aborted", None))
+
     def on_rejected(self, retry_after: float) -> None:
         self.answers.append(("refused", retry_after))
 
