--- a/firvane/core/engine.py
+++ b/firvane/core/engine.py
@@ -331,10 +331,9 @@
         if attempt.timer:
             attempt.timer.cancel()
         flow = attempt.flow
-        flow.attempts[attempt.number] = None
-        flow.attempts_in_flight -= 1
         self.event_counts[termination.value] += 1
         self._answer_client(flow, attempt, termination, answer)
+        flow.release(attempt)
         duration = attempt.time_to_response or self.clock.time() - attempt.started_at
         if self.tracing:
             flow.log.debug(
--- a/firvane/core/flows.py
+++ b/firvane/core/flows.py
@@ -109,6 +109,13 @@
         self.decision_timers: list[TimerHandle] = []
         self.log = QUIET
 
+    def release(self, attempt: Attempt[Q, A]) -> None:
+        """Let go of an attempt that is over: the two know each other only until then."""
+        self.attempts[attempt.number] = None
+        self.attempts_in_flight -= 1
+        if self.responding is attempt:
+            self.responding = None
+
 
 class Attempt(Generic[Q, A]):
     """One attempt of a flow at a target; the `Exchange` that a front reports to.
--- a/firvane/core/net/http_reader.py
+++ b/firvane/core/net/http_reader.py
@@ -100,8 +100,7 @@
                 self.completed[-1].keep_alive = False
             return len(data)
         except httptools.HttpParserCallbackError as error:
-            cause = error.__context__
-            raise cause if isinstance(cause, HttpError) else HttpError(HTTP_BAD_REQUEST) from None
+            raise _as_http_error(error.__context__) from None
         except httptools.HttpParserError:
             raise HttpError(HTTP_BAD_REQUEST) from None
         self.tail = (self.tail + data[max(start, end - 3) : end])[-3:] if self.message else b""
@@ -138,10 +137,11 @@
         message = self.message
         return message is not None and not self.in_head and b"content-length" not in message.fields
 
-    def reset(self) -> None:
-        """Drop what is parsed, complete or not: the connection has ended."""
+    def close(self) -> None:
+        """Drop what is parsed, complete or not: the connection has ended, and no step follows."""
         self.message, self.raw_size = None, 0
         self.completed.clear()
+        del self._parser  # it holds the reader, by its callbacks
 
     def feed(self, data: bytes) -> None:
         """Parse all of `data`; raises `HttpError` as `step` does."""
@@ -214,3 +214,8 @@
             self.message.complete = True
             self.completed.append(self.message)
             self.message, self.raw_size = None, 0
+
+
+def _as_http_error(cause: BaseException | None) -> HttpError:
+    """Return a new error with the status of `cause`, whose own traceback would keep the message."""
+    return HttpError(cause.status if isinstance(cause, HttpError) else HTTP_BAD_REQUEST)
--- a/firvane/core/net/transport_pool.py
+++ b/firvane/core/net/transport_pool.py
@@ -58,15 +58,19 @@
 
     async def _work(self) -> None:
         while True:
-            pending = await self.queue.get()
-            self.in_progress += 1
-            try:
-                await self._make(pending)
-            except Exception as error:
-                # A fault in a callback must not end the worker: without workers nobody could connect.
-                self.loop.call_exception_handler({"message": "a socket is lost", "exception": error})
-            finally:
-                self.in_progress -= 1
+            await self._make_next()
+
+    async def _make_next(self) -> None:
+        """Make the next transport; a worker that waits keeps nothing of the last one."""
+        pending = await self.queue.get()
+        self.in_progress += 1
+        try:
+            await self._make(pending)
+        except Exception as error:
+            # A fault in a callback must not end the worker: without workers nobody could connect.
+            self.loop.call_exception_handler({"message": "a socket is lost", "exception": error})
+        finally:
+            self.in_progress -= 1
 
     async def _make(self, pending: PendingSocket) -> None:
         try:
--- a/firvane/core/net/upstream_exchange.py
+++ b/firvane/core/net/upstream_exchange.py
@@ -26,7 +26,11 @@
 
 
 class UpstreamRun(Generic[RequestT, ConnectionT, PoolT]):
-    """An attempt of the engine on the network, over an idle connection of its pool or a new one."""
+    """An attempt of the engine on the network, over an idle connection of its pool or a new one.
+
+    A run and its dial know each other until the dial reports, a run and its connection until the exchange has
+    ended. The run lets go of both: neither keeps the request once it is over.
+    """
 
     __slots__ = ("connection", "dial", "exchange", "over", "pool", "request")
 
@@ -39,16 +43,27 @@
     def cancel(self) -> None:
         """Cancel the run and close its connection, by which the server learns of it."""
         self.over = True
-        if self.connection:
-            self.connection.run = None
-            self.connection.close()
-        elif self.dial:
-            self.dial.close()
+        connection, dial = self.connection, self.dial
+        self.release()
+        if connection:
+            connection.run = None
+            connection.close()
+        elif dial:
+            dial.close()
+
+    def on_dial_ended(self) -> None:
+        """The dial has reported: nothing of it is left to cancel."""
+        self.dial = None
+
+    def release(self) -> None:
+        """Let go of the dial and the connection."""
+        self.connection = self.dial = None
 
     def end(self, ending: Termination, answer: Message | None = None) -> None:
         """Report to the engine how the run ended, once."""
         if not self.over:
             self.over = True
+            self.release()
             self.exchange.on_ended(ending, answer)
 
 
--- a/firvane/fleet/router/client.py
+++ b/firvane/fleet/router/client.py
@@ -46,6 +46,7 @@
         buffered: Bytes that came, of which those from `position` on are not parsed yet.
         flow: The engine's flow of the request that is being answered.
         unrouted: A complete request that waits for the first configuration.
+        configuration_timer: Ends that wait.
         admission_request: A complete request that waits for its admission.
         admission: The admission of the request that is being answered.
         keep_alive: Whether the connection stays open after this response.
@@ -71,6 +72,7 @@
         self.position = 0
         self.flow: Flow[ProxiedRequest, Message] | None = None
         self.unrouted: Message | None = None
+        self.configuration_timer: asyncio.TimerHandle | None = None
         self.admission_request: _AdmissionRequest | None = None
         self.admission = UNRESTRICTED
         self.keep_alive = True
@@ -101,8 +103,9 @@
         self.context.connections.pop(self, None)
         self.closing = True
         self.buffered = b""
-        self.reader.reset()
-        self.body_source = self.unrouted = self.admission_request = None
+        self.reader.close()
+        self.body_source = self.admission_request = None
+        self._take_unrouted()
         flow, self.flow = self.flow, None
         if flow:
             self.context.engine.on_client_disconnected(flow)
@@ -204,18 +207,25 @@
             return
         if context.routes is None:
             self.unrouted = message
-            context.loop.call_later(CONFIGURATION_WAIT_S, self._reject_unrouted, message)
+            self.configuration_timer = context.loop.call_later(CONFIGURATION_WAIT_S, self._reject_unrouted)
             return
         self._route(message, context.routes)
 
-    def _reject_unrouted(self, message: Message) -> None:
-        if self.unrouted is message:
-            self.unrouted = None
+    def _reject_unrouted(self) -> None:
+        if self._take_unrouted():
             self.on_rejected(NO_CONFIGURATION_RETRY_AFTER_S)
 
+    def _take_unrouted(self) -> Message | None:
+        """Take the request that waits for the first configuration, and end its wait."""
+        message, self.unrouted = self.unrouted, None
+        if self.configuration_timer:
+            self.configuration_timer.cancel()
+            self.configuration_timer = None
+        return message
+
     def resume(self) -> None:
         """Route the request that waits for the first configuration, which has come."""
-        message, self.unrouted = self.unrouted, None
+        message = self._take_unrouted()
         if message and self.context.routes and not self.closing:
             self._route(message, self.context.routes)
 
--- a/firvane/fleet/router/upstream.py
+++ b/firvane/fleet/router/upstream.py
@@ -121,6 +121,7 @@
 
     def _on_connected(self, run: Run, connection: UpstreamConnection) -> None:
         now = self.loop.time()
+        run.on_dial_ended()
         if run.over:
             self.park(connection)
         elif connection.closed or connection.transport.is_closing():
@@ -133,6 +134,7 @@
 
     def _on_connect_failed(self, run: Run, ending: Termination) -> None:
         self.connections -= 1
+        run.on_dial_ended()
         run.end(ending)
 
     def park(self, connection: UpstreamConnection, response: Message | None = None) -> None:
--- a/firvane/fleet/router/upstream_connection.py
+++ b/firvane/fleet/router/upstream_connection.py
@@ -152,7 +152,7 @@
         """End the exchange in flight, and leave the pool (asyncio)."""
         self.closed = True
         self.upstreams.connections -= 1
-        self.reader.reset()
+        self.reader.close()
         self._end_stream()
         if self in self.pool.idle:
             self.pool.idle.remove(self)
--- a/firvane/proxy/net/client_connection.py
+++ b/firvane/proxy/net/client_connection.py
@@ -84,7 +84,7 @@
         self.ending = True
         self.upload = self.response_stream = None
         self.unparsed, self.offset = b"", 0
-        self.reader.reset()
+        self.reader.close()
         self._update_account()
         self._release_output()
         context.monitor.leases.release(self)
--- a/firvane/proxy/net/upstream_pool.py
+++ b/firvane/proxy/net/upstream_pool.py
@@ -333,7 +333,7 @@
         monitor = self.owner.monitor
         monitor.descriptors.release(Use.TARGETS)
         monitor.account.charge(MemoryUse.TARGETS, -IDLE_TARGET_BYTES)
-        self.reader.reset()
+        self.reader.close()
         self._release()
         self._end_stream()
         self.upload = None
@@ -457,6 +457,7 @@
         )
 
     def _dial_succeeded(self, run: Run, connection: Connection) -> None:
+        run.on_dial_ended()
         if run.over or connection.transport.is_closing():
             connection.close()
             run.end(Termination.BROKEN_BEFORE_SENT)
@@ -468,6 +469,7 @@
 
     def _dial_failed(self, run: Run, ending: Termination) -> None:
         self.monitor.descriptors.release(Use.TARGETS)
+        run.on_dial_ended()
         run.end(ending)
 
     def park(self, connection: Connection) -> None:
