--- a/firvane/fleet/controller/http_server.py
+++ b/firvane/fleet/controller/http_server.py
@@ -167,8 +167,10 @@
         self._enter(ConnectionState.IDLE)
 
     def connection_lost(self, error: Exception | None) -> None:
-        """Remove the connection from the server."""
+        """Remove the connection from the server, and drop what has come of a request."""
         self._enter(ConnectionState.CLOSED)
+        self._reader.close()
+        self._pipelined = b""
         self.server.forget(self)
 
     def data_received(self, data: bytes) -> None:
--- a/firvane/fleet/controller/platform_client.py
+++ b/firvane/fleet/controller/platform_client.py
@@ -86,6 +86,7 @@
             self._complete(message)  # without a length, a reply ends with its connection
         else:
             self._fail("connection lost")
+        self.reader.close()
 
     def close(self) -> None:
         if self.transport:
--- a/firvane/proxy/net/client_connection.py
+++ b/firvane/proxy/net/client_connection.py
@@ -291,7 +291,8 @@
         try:
             self.offset = self.reader.step(self.unparsed, self.offset)
         except HttpError as fault:
-            self.error, self.offset = fault, len(self.unparsed)
+            # Made anew: the traceback of the one that was raised holds the message and this connection.
+            self.error, self.offset = HttpError(fault.status), len(self.unparsed)
             if self.upload:
                 self._abort_upload()
         if self.offset >= len(self.unparsed):
--- a/tests/fleet/controller/test_http_server.py
+++ b/tests/fleet/controller/test_http_server.py
@@ -14,6 +14,7 @@
 
 from firvane.core.logs import QUIET
 from firvane.core.net.http_message import Message
+from firvane.core.net.http_reader import MessageReader
 from firvane.fleet.controller.http_server import (
     CONTINUE_RESPONSE,
     Bounds,
@@ -22,6 +23,9 @@
     HttpServer,
 )
 from firvane.fleet.controller.responses import Response
+from tests.live_objects import OF_A_REQUEST, LiveObjects, alive, settle, wait_until
+
+__all__ = ["alive"]
 
 on_any_machine = settings(suppress_health_check=[HealthCheck.too_slow], deadline=None)
 LoopFactory = Callable[[], asyncio.AbstractEventLoop]
@@ -409,3 +413,38 @@
         writer.close()
 
     asyncio.run(asyncio.wait_for(scene(), 10))
+
+
+@pytest.mark.parametrize("leaves", (False, True))
+@pytest.mark.parametrize("loop_factory", (asyncio.new_event_loop, uvloop.new_event_loop))
+def test_an_order_s_body_ends_with_its_call(
+    loop_factory: LoopFactory, leaves: bool, alive: LiveObjects
+) -> None:
+    # Guards against: bodies of ended calls are kept until the collector of cycles runs.
+    order = b"x" * 1_000_000
+
+    async def handler(request: Message) -> Response:
+        return Response(200, b"taken")
+
+    async def scene() -> dict[str, int]:
+        server = HttpServer(asyncio.get_running_loop(), handler, QUIET)
+        await server.start(("127.0.0.1", 0))
+        reader, writer = await asyncio.open_connection(*server.address())
+        writer.write(b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % len(order))
+        writer.write(order[: len(order) // 2] if leaves else order)
+        if leaves:
+            await writer.drain()
+            await settle()
+        else:
+            await reader.readuntil(b"taken")
+            await settle()
+            assert alive.count() == {}  # on an open connection
+        writer.transport.abort()
+        await wait_until(lambda: not server.connections)
+        await settle()
+        left = alive.count((*OF_A_REQUEST, Connection, MessageReader))
+        server.close()
+        return left
+
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
+        assert runner.run(asyncio.wait_for(scene(), 10)) == {}
--- a/tests/fleet/router/test_request_memory.py
+++ b/tests/fleet/router/test_request_memory.py
@@ -7,21 +7,14 @@
 from __future__ import annotations
 
 import asyncio
-import gc
-import weakref
-from collections import Counter
-from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine, Iterator
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from contextlib import asynccontextmanager
 from typing import Any
 
 import pytest
 import uvloop
 
-from firvane.core.flows import Attempt, Flow
-from firvane.core.net.dialer import SocketDial
-from firvane.core.net.http_message import Message, Stream
 from firvane.core.net.http_reader import MessageReader
-from firvane.core.net.upstream_exchange import UpstreamRun
 from firvane.fleet.configuration.routes import Route
 from firvane.fleet.router import client
 from firvane.fleet.router.client import ClientConnection
@@ -29,8 +22,10 @@
 from firvane.fleet.router.requests import ProxiedRequest
 from firvane.fleet.router.upstream_connection import UpstreamConnection
 from tests.fleet.router.helpers import Backend, Handler, Rig, chunk, event, request_id, rig, route
+from tests.live_objects import OF_A_REQUEST, LiveObjects, alive, settle, wait_until
 
-OF_A_REQUEST = (Attempt, EventFramer, Flow, Message, ProxiedRequest, SocketDial, Stream, UpstreamRun)
+__all__ = ["alive"]
+OF_A_ROUTED_REQUEST = (*OF_A_REQUEST, EventFramer, ProxiedRequest)
 OF_A_CONNECTION = (ClientConnection, MessageReader, UpstreamConnection)
 BODY = b"x" * 100_000
 HEAD = (
@@ -38,35 +33,9 @@
     b"Content-Length: %d\r\n\r\n"
 )
 LAST_CHUNK = b"0\r\n\r\n"
-ON_BODY = MessageReader.on_body
-TURNS = 200  # of the event loop in which an end has gone through; no timer of the router is awaited
 LONG_MS, SHORT_MS = 5000, 50
 
 
-class TrackedBody(bytearray):
-    """A part of a body that can be referenced weakly."""
-
-
-class Alive:
-    """What is still there of requests, without a run of the collector."""
-
-    def __init__(self) -> None:
-        self.bodies: list[weakref.ref[TrackedBody]] = []
-
-    def track_body(self, reader: MessageReader, body: bytes) -> None:
-        """Stand in for the reader's own callback."""
-        message = reader.message
-        if message is not None:
-            part = TrackedBody(body)
-            self.bodies.append(weakref.ref(part))
-            ON_BODY(reader, part)  # type: ignore[arg-type]
-
-    def count(self, types: tuple[type, ...] = OF_A_REQUEST) -> dict[str, int]:
-        found = Counter(type(each).__name__ for each in gc.get_objects() if isinstance(each, types))
-        found["bodies"] = sum(body() is not None for body in self.bodies)
-        return {name: count for name, count in found.items() if count}
-
-
 Run = Callable[[Coroutine[Any, Any, dict[str, int]]], dict[str, int]]
 
 
@@ -81,21 +50,6 @@
     return work
 
 
-@pytest.fixture
-def alive(monkeypatch: pytest.MonkeyPatch) -> Iterator[Alive]:
-    made = Alive()
-    monkeypatch.setattr(MessageReader, "on_body", lambda reader, body: made.track_body(reader, body))
-    gc.collect()
-    gc.disable()
-    yield made
-    gc.enable()
-
-
-async def settle() -> None:
-    for _ in range(TURNS):
-        await asyncio.sleep(0)
-
-
 def head(path: bytes = b"/p/a", deadline_ms: int = LONG_MS, length: int = len(BODY)) -> bytes:
     return HEAD % (path, deadline_ms, length)
 
@@ -249,19 +203,14 @@
     one.writer.transport.abort()
 
 
-async def count_after_all_connections(made: Rig, alive: Alive) -> dict[str, int]:
+async def count_after_all_connections(made: Rig, alive: LiveObjects) -> dict[str, int]:
     """What is left once no connection is open, those to the backends included."""
     await wait_until(lambda: not made.listener.connections)
     for pool in made.upstreams.pools.values():
         pool.close_idle()
     await wait_until(lambda: not made.upstreams.connections)
     await settle()
-    return alive.count(OF_A_REQUEST + OF_A_CONNECTION)
-
-
-async def wait_until(holds: Callable[[], bool]) -> None:
-    while not holds():
-        await asyncio.sleep(0)
+    return alive.count(OF_A_ROUTED_REQUEST + OF_A_CONNECTION)
 
 
 async def holds_on(request: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -296,7 +245,7 @@
 
 
 @pytest.mark.parametrize("course", COURSES)
-def test_nothing_of_a_request_is_left_once_it_has_ended(course: str, alive: Alive, run: Run) -> None:
+def test_nothing_of_a_request_is_left_once_it_has_ended(course: str, alive: LiveObjects, run: Run) -> None:
     # Guards against: cycles kept the bodies of ended requests, and routers went over their memory.
     act, handlers, its_route = COURSES[course]
 
@@ -306,13 +255,13 @@
             async with side(made) as one:
                 await act(one)
                 await settle()
-                assert alive.count() == {}
+                assert alive.count(OF_A_ROUTED_REQUEST) == {}
             return await count_after_all_connections(made, alive)
 
     assert run(scene()) == {}
 
 
-def test_nothing_of_a_request_is_left_where_no_backend_can_be_reached(alive: Alive, run: Run) -> None:
+def test_nothing_of_a_request_is_left_where_no_backend_can_be_reached(alive: LiveObjects, run: Run) -> None:
     # Guards against: a dial that failed kept the request that it was for.
     async def scene() -> dict[str, int]:
         async with rig([Backend("a", serves)]) as made:
@@ -325,7 +274,7 @@
     assert run(scene()) == {}
 
 
-def test_nothing_of_a_request_is_left_behind_a_drain(alive: Alive, run: Run) -> None:
+def test_nothing_of_a_request_is_left_behind_a_drain(alive: LiveObjects, run: Run) -> None:
     # Guards against: what was under way at SIGTERM stayed until the end of the process.
     go_on = asyncio.Event()
 
@@ -349,7 +298,7 @@
 
 
 def test_the_wait_for_a_first_configuration_does_not_outlast_its_request(
-    alive: Alive, run: Run, monkeypatch: pytest.MonkeyPatch
+    alive: LiveObjects, run: Run, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     # Guards against: the timer of a request that waited for routes kept its body after the client had left.
     monkeypatch.setattr(client, "CONFIGURATION_WAIT_S", 60.0)
