--- a/firvane/fleet/router/events.py
+++ b/firvane/fleet/router/events.py
@@ -5,9 +5,11 @@
 1. Only complete events are passed on while a stream runs, so that another backend can continue a stream that
    breaks off without a seam inside an event. An event over `MAX_EVENT_BYTES` is the exception: until the next
    event with an id the client's position is not known.
-2. Of a continued stream, events whose id is not above the last one passed on are dropped: none comes twice.
+2. Of a response that continues another, the events before the first one whose id is above that of the last one
+   passed on are dropped: none comes twice. Nothing else is dropped, whatever its id.
 3. What follows the last complete event is passed on only where the stream has ended in order.
-4. The client's position is known where the last event passed on had an id. Comments do not change it.
+4. The client's position is known where the last event passed on had an id above all before. Comments do not
+   change it.
 """
 
 from __future__ import annotations
@@ -85,11 +87,13 @@
         if event_id is None:
             self._record_event_without_id(event)
             return True
-        if self.last_id is not None and event_id <= self.last_id:
+        rises = self.last_id is None or event_id > self.last_id
+        if self.is_catching_up and not rises:
             return False
-        self.last_id = event_id
-        self.is_position_known, self.is_catching_up = True, False
         self.passed += 1
+        self.is_position_known, self.is_catching_up = rises, False
+        if rises:
+            self.last_id = event_id
         return True
 
     def _record_event_without_id(self, event: bytes) -> None:
--- a/tests/fleet/router/test_events.py
+++ b/tests/fleet/router/test_events.py
@@ -2,6 +2,7 @@
 
 import itertools
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -46,6 +47,23 @@
     assert framer.last_id == 4
 
 
+@pytest.mark.parametrize("ids", ((1, 2, 2, 3), (5, 4, 6), (10**18, 10**18 + 1), (10**30, 10**31)))
+def test_nothing_is_dropped_of_a_stream_that_continues_none(ids: tuple[int, ...]) -> None:
+    # Guards against: events with long ids, or ids that do not rise, were dropped as if the client had them.
+    body = b"".join(b"id: %d\ndata: %d\n\n" % (number, place) for place, number in enumerate(ids))
+    framer = EventFramer()
+    assert framer.feed(body) == body
+    assert framer.passed == len(ids)
+
+
+def test_the_position_is_not_known_behind_an_id_that_does_not_rise() -> None:
+    framer = EventFramer()
+    framer.feed(b"id: 2\ndata: a\n\nid: 2\ndata: b\n\n")
+    assert not framer.is_position_known
+    framer.feed(b"id: 3\ndata: c\n\n")
+    assert framer.is_position_known and framer.last_id == 3
+
+
 def test_events_without_ids_pass_as_they_are() -> None:
     framer = EventFramer()
     assert framer.feed(b"data: a\r\n\r\ndata: b\n\n") == b"data: a\r\n\r\ndata: b\n\n"
