--- a/firvane/fleet/router/client.py
+++ b/firvane/fleet/router/client.py
@@ -304,6 +304,8 @@
             self._write_head(message)
         self.body_source = stream
         stream.connect(self)
+        if self.writing_paused:  # one that continues another may begin while the client does not keep up
+            stream.set_paused(True)
 
     def _write_head(self, message: Message) -> None:
         length = message.content_length()
--- a/firvane/fleet/router/events.py
+++ b/firvane/fleet/router/events.py
@@ -5,8 +5,8 @@
 1. Only complete events are passed on while a stream runs, so that another backend can continue a stream that
    breaks off without a seam inside an event. An event over `MAX_EVENT_BYTES` is the exception: until the next
    event with an id the client's position is not known.
-2. Of a response that continues another, the events before the first one whose id is above that of the last one
-   passed on are dropped: none comes twice. Nothing else is dropped, whatever its id.
+2. Of a response that continues another, the events before the first one whose id is above that of the last
+   one passed on are dropped: none comes twice. Nothing else is dropped, whatever its id.
 3. What follows the last complete event is passed on only where the stream has ended in order.
 4. The client's position is known where the last event passed on had an id above all before. Comments do not
    change it.
--- a/tests/fleet/router/test_resumption.py
+++ b/tests/fleet/router/test_resumption.py
@@ -190,6 +190,41 @@
     run(scene())
 
 
+def test_a_response_that_is_continued_waits_for_a_client_that_does_not_keep_up() -> None:
+    # Guards against: another backend's stream was read without bound while the client took nothing.
+    go_on = asyncio.Event()
+
+    async def holds_on(request: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(head(request, EVENTS, CHUNKED) + chunk(event(1)))
+        await reader.read()
+
+    async def goes_on(request: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(head(request, EVENTS, CHUNKED) + chunk(event(2)))
+        await go_on.wait()
+        writer.write(chunk(event(3)) + LAST_CHUNK)
+
+    async def scene() -> None:
+        backends = [Backend("a", holds_on), Backend("b", goes_on)]
+        async with rig(backends, (route(stream_resume=True),)) as made:
+            reader, writer = await made.connect()
+            writer.write(CLOSING)
+            await reader.readuntil(b"data: 1\n\n")
+            (connection,) = made.listener.connections
+            connection.pause_writing()  # type: ignore[attr-defined]
+            (first,) = made.upstreams.streams
+            first.transport.abort()
+            while first in made.upstreams.streams or not made.upstreams.streams:
+                await asyncio.sleep(0)
+            (second,) = made.upstreams.streams
+            assert second.paused
+            go_on.set()
+            connection.resume_writing()  # type: ignore[attr-defined]
+            assert event(3) in await reader.readuntil(LAST_CHUNK)
+            writer.close()
+
+    run(scene())
+
+
 def test_a_truncated_response_is_counted_by_what_kept_it_from_being_continued() -> None:
     async def scene(case: str) -> dict[str, int]:
         backends = [Backend("a", breaks_off(*NOT_CONTINUED[case]))]
