--- a/tests/fleet/router/test_long_bodies.py
+++ b/tests/fleet/router/test_long_bodies.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import socket
-from collections.abc import Callable, Coroutine
+from collections.abc import AsyncIterator, Callable, Coroutine
+from contextlib import asynccontextmanager
 from typing import Any
 
 import pytest
@@ -14,6 +15,7 @@
 from firvane.fleet.configuration.routes import Configuration, RouteTable
 from firvane.fleet.router import body_receiver
 from tests.fleet.router.helpers import Backend, Rig, chunk, request_id, rig, route
+from tests.live_objects import settle, wait_until
 
 LENGTH = 1_000_000
 BODY = b"x" * LENGTH
@@ -22,6 +24,7 @@
     route(name="patient", path_prefix="/patient/", priority=1),
 )
 Scene = Coroutine[Any, Any, None]
+ANOTHER = "another"  # who holds a lease beside the clients
 LOOPS = (asyncio.new_event_loop, uvloop.new_event_loop)
 
 
@@ -76,9 +79,13 @@
         return data
 
 
-async def wait_until(holds: Callable[[], bool]) -> None:
-    while not holds():
-        await asyncio.sleep(0.001)
+@asynccontextmanager
+async def rig_without_memory(held: Held) -> AsyncIterator[tuple[Rig, BodyLeases]]:
+    """A rig in which somebody else holds all the memory that one body takes, until it is released."""
+    async with rig([held.backend], (URGENT, PATIENT)) as made:
+        leases = made.listener.leases = BodyLeases(LENGTH)
+        leases.request(ANOTHER, lambda: None, LENGTH)
+        yield made, leases
 
 
 @pytest.mark.parametrize("framed", (True, False))
@@ -137,7 +144,7 @@
         held = Held()
         async with rig([held.backend], (URGENT, PATIENT)) as made:
             leases = made.listener.leases = BodyLeases(total)
-            leases.request("another", lambda: None, total)
+            leases.request(ANOTHER, lambda: None, total)
             answer = await Upload(made, "one").answer()
             assert b" 503 " in answer and b"Retry-After: 1.000" in answer and b"Connection: close" in answer
             assert not held.served and made.engine.event_counts["long body rejected"] == 1
@@ -156,9 +163,10 @@
             with socket.create_connection(("127.0.0.1", made.port)) as sock:
                 sock.setblocking(False)
                 await loop.sock_sendall(sock, head("one"))
+                await wait_until(lambda: made.engine.event_counts["long body rejected"] == 1)
                 for _ in range(20):
                     await loop.sock_sendall(sock, BODY[: LENGTH // 20])
-                    await asyncio.sleep(0.005)
+                    await settle()
                 answer = await loop.sock_recv(sock, 1000)
                 assert answer.split()[1] == b"503"
             await wait_until(lambda: not made.listener.connections)
@@ -169,16 +177,14 @@
 def test_a_client_that_leaves_gives_up_its_place(run: Callable[[Scene], None]) -> None:
     async def scene() -> None:
         held = Held()
-        async with rig([held.backend], (URGENT, PATIENT)) as made:
-            leases = made.listener.leases = BodyLeases(LENGTH)
-            leases.request("another", lambda: None, LENGTH)
+        async with rig_without_memory(held) as (made, leases):
             _, writer = await made.connect()
             writer.write(head("one") + BODY[:1000])
             await wait_until(lambda: len(leases.queue) == 1)
             connection = next(iter(made.listener.connections))
             connection.connection_lost(None)  # type: ignore[attr-defined]
             assert not leases.queue
-            leases.release("another")
+            leases.release(ANOTHER)
             assert leases.free == leases.total
             writer.close()
 
@@ -189,15 +195,13 @@
     async def scene() -> None:
         held = Held()
         held.go_on.set()
-        async with rig([held.backend], (URGENT, PATIENT)) as made:
-            leases = made.listener.leases = BodyLeases(LENGTH)
-            leases.request("another", lambda: None, LENGTH)
+        async with rig_without_memory(held) as (made, leases):
             reader, writer = await made.connect()
             writer.write(head("one", extra="Expect: 100-continue\r\n"))
             await wait_until(lambda: len(leases.queue) == 1)
             with pytest.raises(TimeoutError):
                 await asyncio.wait_for(reader.read(1), 0.05)
-            leases.release("another")
+            leases.release(ANOTHER)
             assert b"100 Continue" in await reader.readuntil(b"\r\n\r\n")
             writer.write(BODY)
             assert b" 200 " in await reader.readuntil(b"\r\n\r\n")
@@ -210,13 +214,11 @@
     async def scene() -> None:
         held = Held()
         held.go_on.set()
-        async with rig([held.backend], (URGENT, PATIENT)) as made:
-            leases = made.listener.leases = BodyLeases(LENGTH)
-            leases.request("another", lambda: None, LENGTH)
+        async with rig_without_memory(held) as (made, leases):
             answer = asyncio.create_task(Upload(made, "one").answer())
             await wait_until(lambda: len(leases.queue) == 1)
             made.listener.sweep(made.listener.loop.time() + 3600.0)
-            leases.release("another")
+            leases.release(ANOTHER)
             assert b" 200 " in await answer
 
     run(scene())
--- a/tests/proxy/net/test_request_memory.py
+++ b/tests/proxy/net/test_request_memory.py
@@ -111,7 +111,7 @@
         await settle()
         assert alive.count(OF_A_REQUEST) == {}
         stage.close()
-        await asyncio.sleep(0.05)
+        await settle()
         assert alive.count(OF_A_REQUEST + OF_A_CONNECTION) == {}
 
     run(work())
