--- a/review/4/case.py
+++ b/review/4/case.py
@@ -9,7 +9,7 @@
 from asyncio.subprocess import PIPE
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "stand_ins"))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "harness-2"))
 
 from fleet import (
     BACKEND,
@@ -25,7 +25,7 @@
     route,
 )
 
-STAND_INS = Path(__file__).resolve().parents[1] / "stand_ins"
+HARNESS = Path(__file__).resolve().parents[1] / "harness-2"
 EVENTS = 20
 PAUSE_AT = 8  # the event in which the first backend is killed
 REQUESTS = 10
@@ -47,7 +47,7 @@
 
     async def start(self, pause_at: int) -> None:
         arguments = (self.name, self.host, str(self.port), str(EVENTS), str(pause_at))
-        script = str(STAND_INS / "stream_server.py")
+        script = str(HARNESS / "stream_server.py")
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-B", script, *arguments, stdout=PIPE
         )
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -8,7 +8,7 @@
 import time
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "stand_ins"))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "harness-2"))
 
 from fleet import (
     FRONT,
