--- a/firvane/fleet/router/events.py
+++ b/firvane/fleet/router/events.py
@@ -7,14 +7,16 @@
    the client's position is unknown until the next event with an id.
 2. When a response resumes another, its events are dropped up to the first one whose id is above that of the
    last forwarded event, so that no event is sent twice. No other events are dropped, whatever their ids.
-3. Data after the last complete event is forwarded only if the stream ends properly and does not resume
-   another: a response that resumes another must end directly after a new event (`may_end`).
+3. Data after the last complete event is forwarded only if the stream is complete (`may_end`). A response that
+   resumes another must end between events, after a new one. So must a response without framing, whose end is
+   also that of a backend that was killed.
 4. The client's position is known if the last forwarded event has an id above all earlier ids. Comments do not
    change the position.
 5. The work is linear in the number of bytes, however they are split: each byte is searched once for each form
    of an empty line, and once more when its event is complete.
 
-Lines end with LF, CRLF or CR (HTML Living Standard, 9.2.5); a CRLF may be split too.
+Lines end with LF, CRLF or CR (HTML Living Standard, 9.2.5); a CRLF may be split too. An event that ends with
+a CR, but has an LF before it, is complete only when the LF that may follow has arrived or cannot follow.
 """
 
 from __future__ import annotations
@@ -22,6 +24,7 @@
 import re
 
 LF, CR = b"\n", b"\r"
+LINE_ENDS = (LF, CR)
 # Two consecutive line ends, which end an event; without the LF that may follow a final CR.
 EMPTY_LINES = (b"\n\n", b"\n\r", b"\r\r")
 ID_NAME = b"id"
@@ -49,7 +52,10 @@
     """
 
     __slots__ = (
+        "_awaits_lf",
+        "_comments",
         "_ends_with_cr",
+        "_large_part_has_lf",
         "_line_end",
         "_pieces",
         "_was_forwarded",
@@ -72,7 +78,10 @@
         self.partial_bytes = 0
         self._pieces: list[bytes] = []  # of an incomplete event
         self._line_end = b""  # last byte of the pieces if it is a line end
+        self._awaits_lf = False  # the pieces are a whole event that ends with CR, and an LF may follow
         self._ends_with_cr = False  # the last event ended with a CR, and an LF may follow
+        self._large_part_has_lf = False  # whether the forwarded part of an incomplete event has an LF
+        self._comments = 0  # forwarded events that consist only of comments
         self._was_forwarded = False  # whether the last event was forwarded
 
     def feed(self, data: bytes) -> bytes:
@@ -83,43 +92,82 @@
         """
         if self._is_single_event(data):
             return data if self._accept_event(data) else b""
+        if not data:
+            return b""
         forwarded: list[bytes] = []
-        start = 0
-        if self._ends_with_cr and data:
-            self._ends_with_cr = False
-            if data.startswith(LF):
-                start = 1
-                if self._was_forwarded:
-                    forwarded.append(LF)
+        start = self._finish_crlf(data, forwarded) if self._awaits_lf or self._ends_with_cr else 0
         for end in self._event_ends(data, start):
             event = self._complete_event(data[start:end])
-            self._was_forwarded = self._accept_event(event)
-            if self._was_forwarded:
-                forwarded.append(event)
             start = end
+            if self._ends_with_cr and end == len(data) and self._has_lf(event):
+                self._hold_back(event)
+            else:
+                self._forward_event(event, forwarded)
         self._buffer_partial(data[start:])
-        if self.partial_bytes > MAX_EVENT_BYTES:
+        if self.partial_bytes > MAX_EVENT_BYTES and not self._awaits_lf:
             forwarded.append(self._take_large_partial())
         return b"".join(forwarded)
 
-    def may_end(self) -> bool:
-        """Return whether the stream is complete if the response ends here."""
-        is_incomplete = self.is_catching_up or self.is_inside_event or self.partial_bytes > 0
-        return not (self.is_resumed and is_incomplete)
+    def may_end(self, *, is_framed: bool) -> bool:
+        """Return whether the stream is complete if the response ends here.
+
+        Args:
+            is_framed: Whether the response has framing that says that its body is complete. Otherwise it ends
+                with its connection, which the kernel also closes when the backend is killed.
+        """
+        if self.is_resumed:
+            return not self.is_catching_up and self._is_between_events()
+        return is_framed or (self._has_event() and self._is_between_events())
 
     def finish(self) -> bytes:
         """Return and clear the buffered data of an incomplete event."""
         partial = b"".join(self._pieces)
         self._pieces.clear()
-        self.partial_bytes, self._line_end = 0, b""
+        self.partial_bytes, self._line_end, self._awaits_lf = 0, b"", False
         return partial
 
+    def _has_event(self) -> bool:
+        """Return whether an event has been forwarded, at least in part; comments do not count."""
+        return self.forwarded_events > self._comments
+
+    def _is_between_events(self) -> bool:
+        """Return whether no event is incomplete; comments and empty lines may follow the last event."""
+        if self.is_inside_event:
+            return False
+        partial = b"".join(self._pieces)
+        return not partial or (partial[-1:] in LINE_ENDS and is_comment(partial))
+
     def _is_single_event(self, data: bytes) -> bool:
         """Return whether `data` is exactly one event with LF line ends, which is the usual case."""
         if self._pieces or self._line_end or self._ends_with_cr or CR in data:
             return False
         return 0 <= data.find(EMPTY_LINES[0]) == len(data) - len(EMPTY_LINES[0])
 
+    def _finish_crlf(self, data: bytes, forwarded: list[bytes]) -> int:
+        """Complete the CRLF of the last event if `data` begins with its LF; return the offset after it."""
+        has_lf = data.startswith(LF)
+        if self._awaits_lf:
+            self._forward_event(self._complete_event(LF if has_lf else b""), forwarded)
+        elif has_lf and self._was_forwarded:
+            forwarded.append(LF)
+        self._awaits_lf = self._ends_with_cr = False
+        return int(has_lf)
+
+    def _has_lf(self, event: bytes) -> bool:
+        """Return whether an event has an LF, so that its line ends are CRLF if the last one is a CR."""
+        return LF in event or (self.is_inside_event and self._large_part_has_lf)
+
+    def _hold_back(self, event: bytes) -> None:
+        """Buffer a complete event until it is known whether an LF follows."""
+        self._buffer_partial(event)
+        self._awaits_lf, self._ends_with_cr = True, False
+
+    def _forward_event(self, event: bytes, forwarded: list[bytes]) -> None:
+        """Update the position by a complete event, and forward it if the client needs it."""
+        self._was_forwarded = self._accept_event(event)
+        if self._was_forwarded:
+            forwarded.append(event)
+
     def _event_ends(self, data: bytes, start: int) -> list[int]:
         """Return the end offset of each event that ends in `data` from `start` on."""
         ends: list[int] = []
@@ -158,7 +206,7 @@
             self._pieces.append(data)
             self.partial_bytes += len(data)
             last = data[-1:]
-            self._line_end = last if last in (LF, CR) else b""
+            self._line_end = last if last in LINE_ENDS else b""
 
     def _take_large_partial(self) -> bytes:
         if self.is_catching_up:
@@ -167,12 +215,14 @@
         line_end = self._line_end
         partial = self.finish()
         self._line_end = line_end  # the event may end with the next byte
+        self._large_part_has_lf = self._large_part_has_lf or LF in partial
         return partial
 
     def _accept_event(self, event: bytes) -> bool:
         """Update the position by a complete event, and return whether to forward the event."""
         if self.is_inside_event:  # the remainder of a large event
-            self.is_inside_event = False
+            self.is_inside_event = self._large_part_has_lf = False
+            self.forwarded_events += 1
             return True
         event_id = numeric_id(event)
         if event_id is None:
@@ -190,6 +240,7 @@
     def _record_event_without_id(self, event: bytes) -> None:
         self.forwarded_events += 1
         if is_comment(event):
+            self._comments += 1
             return
         if self.is_catching_up:
             raise UnknownPositionError
--- a/firvane/fleet/router/upstream.py
+++ b/firvane/fleet/router/upstream.py
@@ -46,6 +46,7 @@
         may_resume: Returns whether another backend would resume a stalled stream.
         connections: Number of open connections, including those being dialed.
         dials: Number of dials since the start.
+        streams_cut_off: Number of event streams without a length that ended inside or before an event.
     """
 
     def __init__(
@@ -67,6 +68,7 @@
         self.may_resume: Callable[[ProxiedRequest], bool] = always_resumable
         self.connections = 0
         self.dials = 0
+        self.streams_cut_off = 0
 
     def set_backends(self, ready: dict[str, Address], draining: dict[str, Address]) -> None:
         """Replace the backends; those in `draining` only finish the requests in progress."""
--- a/firvane/fleet/router/upstream_connection.py
+++ b/firvane/fleet/router/upstream_connection.py
@@ -16,6 +16,8 @@
    together with the first event: before an event has been received, no response has begun.
 6. A response that has begun can be resumed only by an event stream (`firvane.fleet.router.resumption`) that
    has at least one new event and ends after a complete event; otherwise the exchange fails.
+7. An event stream that ends with its connection is complete only after at least one event, and only between
+   events: the connection of a backend that was killed ends in the same way. Elsewhere it has broken.
 """
 
 from __future__ import annotations
@@ -57,6 +59,7 @@
 REPLACED_FIELDS = frozenset((DEADLINE, b"x-target-instance", b"priority", b"expect-version"))
 RESUMED_FIELDS = frozenset((b"last-event-id",))
 STATUS_SWITCHING_PROTOCOLS = 101
+METHOD_HEAD = b"HEAD"  # its response has no body (RFC 9110, 9.3.2)
 
 
 class ConnectionOwner(Protocol):
@@ -64,6 +67,7 @@
 
     loop: asyncio.AbstractEventLoop
     connections: int
+    streams_cut_off: int
     streams: dict[UpstreamConnection, None]
     turns: TurnBudget
     on_progress: Callable[[str], None]
@@ -178,11 +182,10 @@
         message = self.reader.message
         if self.run is None or message is None or self.reader.in_head or message.is_framed:
             self.close()
-        elif self.framer and not self.framer.may_end():
-            self._fail(Termination.BAD_RESPONSE)
-        elif self.stream or (self.framer and self._start_stream(message, self.run)):
+        elif self.stream and (self.framer is None or self.framer.may_end(is_framed=False)):
             self._complete(message)
         else:
+            self.upstreams.streams_cut_off += 1
             self.close()
 
     def is_usable(self) -> bool:
@@ -347,7 +350,9 @@
         except UnknownPositionError:
             self._fail(Termination.BAD_RESPONSE)
             return False
-        is_incomplete = message.complete and self.framer is not None and not self.framer.may_end()
+        is_incomplete = (
+            message.complete and self.framer is not None and not self.framer.may_end(is_framed=True)
+        )
         should_start = bool(buffers) or not self.framer or (message.complete and not is_incomplete)
         if not self.stream and should_start and not self._start_stream(message, run):
             return False
@@ -357,7 +362,7 @@
         return not is_incomplete
 
     def _prepare_stream(self, message: Message, run: Run) -> None:
-        if is_event_stream(message):
+        if is_event_stream(message) and run.request.message.method != METHOD_HEAD:
             self.framer = EventFramer(run.request.progress.last_event_id)
         self.upstreams.streams[self] = None
 
--- a/tests/crossings/mutants/answers.py
+++ b/tests/crossings/mutants/answers.py
@@ -9,6 +9,8 @@
 MEMORY = "tests/fleet/router/test_request_memory.py"
 FRAMING = "tests/fleet/router/test_event_framing.py"
 TURNS = "firvane/core/turn_budget.py"
+EVENTS = "firvane/fleet/router/events.py"
+ENDS = "tests/fleet/router/test_stream_ends.py"
 UPSTREAM = "firvane/fleet/router/upstream_connection.py"
 BODIES = "tests/fleet/router/test_long_bodies.py"
 
@@ -50,7 +52,7 @@
     ),
     Mutant(
         "events are dropped only where a response continues another",
-        "firvane/fleet/router/events.py",
+        EVENTS,
         "if self.is_catching_up and not is_higher:",
         "if not is_higher:",
         "tests/fleet/router/test_events.py::test_no_event_is_dropped_from_a_stream_that_is_not_resumed",
@@ -106,17 +108,17 @@
     ),
     Mutant(
         "what was searched of an event is not searched again",
-        "firvane/fleet/router/events.py",
+        EVENTS,
         "        if self._is_single_event(data):",
         "        data = self.finish() + data\n        if self._is_single_event(data):",
         f"{FRAMING}::test_each_byte_is_visited_a_bounded_number_of_times",
     ),
     Mutant(
         "an LF behind a CR that was cut off belongs to the event before",
-        "firvane/fleet/router/events.py",
+        EVENTS,
         "self._ends_with_cr = offset + 1 == len(data)",
         "self._ends_with_cr = False",
-        f"{FRAMING}::test_an_lf_after_a_split_crlf_belongs_to_the_event_before",
+        f"{FRAMING}::test_an_lf_after_a_forwarded_cr_belongs_to_the_event_before",
     ),
     Mutant(
         "a turn has a bound",
@@ -163,17 +165,52 @@
     Mutant(
         "a continued stream is complete only behind a whole new event",
         UPSTREAM,
-        "is_incomplete = message.complete and self.framer is not None and not self.framer.may_end()",
-        "is_incomplete = False",
+        "not self.framer.may_end(is_framed=True)",
+        "False",
         f"{RESUMED}::test_a_resumed_stream_must_end_after_a_complete_new_event",
     ),
     Mutant(
         "what follows the last whole event of a continued stream makes it short",
-        "firvane/fleet/router/events.py",
-        "is_incomplete = self.is_catching_up or self.is_inside_event or self.partial_bytes > 0",
-        "is_incomplete = self.is_catching_up",
+        EVENTS,
+        "return not self.is_catching_up and self._is_between_events()",
+        "return not self.is_catching_up",
         f"{RESUMED}::test_a_resumed_stream_must_end_after_a_complete_new_event",
     ),
+    Mutant(
+        "a stream without a length that ends inside an event has broken",
+        UPSTREAM,
+        "self.framer is None or self.framer.may_end(is_framed=False)",
+        "True",
+        f"{ENDS} -k inside_an_event_is_resumed",
+    ),
+    Mutant(
+        "a stream without a length is complete only after an event",
+        EVENTS,
+        "(self._has_event() and self._is_between_events())",
+        "self._is_between_events()",
+        f"{ENDS} -k each_prefix",
+    ),
+    Mutant(
+        "what follows the last event may be comments and empty lines",
+        EVENTS,
+        "return not partial or (partial[-1:] in LINE_ENDS and is_comment(partial))",
+        "return not partial",
+        f"{ENDS} -k ends_between_events",
+    ),
+    Mutant(
+        "an event is held back until the LF of its last line has come",
+        EVENTS,
+        "if self._ends_with_cr and end == len(data) and self._has_lf(event):",
+        "if False:",
+        f"{ENDS} -k inside_an_event_is_resumed",
+    ),
+    Mutant(
+        "the rest of a large event is held back as well",
+        EVENTS,
+        "return LF in event or (self.is_inside_event and self._large_part_has_lf)",
+        "return LF in event",
+        "tests/fleet/router/test_event_framing.py -k rest_of_a_large_event",
+    ),
     Mutant(
         "no more problems are made than are told",
         "firvane/fleet/configuration/structure.py",
--- a/tests/fleet/router/test_event_framing.py
+++ b/tests/fleet/router/test_event_framing.py
@@ -66,10 +66,27 @@
     assert framer.is_position_known == reference.is_position_known
 
 
-def test_an_lf_after_a_split_crlf_belongs_to_the_event_before() -> None:
+def test_an_event_with_a_split_crlf_is_forwarded_with_its_lf() -> None:
+    # Guards against: a stream that broke between CR and LF was resumed after half of a line end.
     framer = EventFramer(4)
     assert framer.feed(b"id: 4\r\ndata: a\r\n\r") == b""
-    assert framer.feed(b"\nid: 5\r\ndata: b\r\n\r") == b"id: 5\r\ndata: b\r\n\r"
+    assert framer.feed(b"\nid: 5\r\ndata: b\r\n\r") == b""
+    assert framer.last_id == 4
+    assert framer.feed(b"\n") == b"id: 5\r\ndata: b\r\n\r\n"
+    assert framer.last_id == 5 and framer.finish() == b""
+
+
+def test_an_event_that_ends_with_cr_after_lf_is_forwarded_when_the_next_byte_is_no_lf() -> None:
+    framer = EventFramer()
+    assert framer.feed(b"id: 4\ndata: a\n\r") == b""
+    assert framer.feed(b"id: 5") == b"id: 4\ndata: a\n\r"
+    assert framer.last_id == 4 and framer.finish() == b"id: 5"
+
+
+def test_an_lf_after_a_forwarded_cr_belongs_to_the_event_before() -> None:
+    framer = EventFramer(4)
+    assert framer.feed(b"id: 4\rdata: a\r\r") == b""
+    assert framer.feed(b"\nid: 5\rdata: b\r\r") == b"id: 5\rdata: b\r\r"
     assert framer.feed(b"\n") == b"\n"
     assert framer.finish() == b""
 
@@ -90,6 +107,17 @@
     assert framer.last_id == 7 and framer.is_position_known
 
 
+def test_the_rest_of_a_large_event_is_held_back_until_its_lf_has_come(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against: a large event that was cut off between CR and LF counted as complete.
+    monkeypatch.setattr(events, "MAX_EVENT_BYTES", 10)
+    framer = EventFramer()
+    assert framer.feed(b"data: 0123456789\r\n") == b"data: 0123456789\r\n"
+    assert framer.feed(b"\r") == b"" and not framer.may_end(is_framed=False)
+    assert framer.feed(b"\n") == b"\r\n" and framer.may_end(is_framed=False)
+
+
 # Amount of work
 
 
