--- a/firvane/core/body_leases.py
+++ b/firvane/core/body_leases.py
@@ -1,7 +1,7 @@
 """Memory leases for large request bodies, acquired before the rest of a body is read.
 
-A lease covers the maximum size of its body. So its holder can always finish and release it, and owners that
-wait never deadlock.
+A lease covers the size of its body if that is known. So its holder can always finish and release it, and
+owners that wait never deadlock. Other leases are extended as their bodies grow, without a wait.
 """
 
 from __future__ import annotations
@@ -53,6 +53,17 @@
         self.queue.setdefault(owner, WaitingBody(on_granted, units, priority))
         return False
 
+    def extend(self, owner: Hashable, units: int) -> bool:
+        """Extend the lease of `owner` to `units`, and return whether they were free; it never waits.
+
+        A holder that waited could wait for another one that waits too.
+        """
+        added = units - self.holders[owner]
+        if added > self.free:
+            return False
+        self._grant(owner, added)
+        return True
+
     def release(self, owner: Hashable) -> None:
         """End the lease of `owner` or its wait for one, if any, and grant leases to waiting owners."""
         self.queue.pop(owner, None)
@@ -67,4 +78,4 @@
 
     def _grant(self, owner: Hashable, units: int) -> None:
         self.free -= units
-        self.holders[owner] = units
+        self.holders[owner] = self.holders.get(owner, 0) + units
--- a/firvane/fleet/router/body_receiver.py
+++ b/firvane/fleet/router/body_receiver.py
@@ -9,6 +9,7 @@
 from firvane.fleet.router.client_context import ClientContext
 
 LONG_BODY_BYTES = 64 * 1024  # shorter bodies never wait
+CHUNKED_LEASE_BYTES = 4 * 1024 * 1024  # first lease of a body of unknown length, which is doubled as it grows
 MAX_MEMORY_WAIT_S = 2.0
 
 
@@ -17,6 +18,7 @@
 
     A long body needs a lease (`firvane.core.body_leases`) until its request has ended. Without a lease the
     connection is not read, so that TCP flow control stops the client. The most urgent route is served first.
+    The lease of a body in chunks is extended as it grows; if there is no memory then, the body is rejected.
 
     Attributes:
         memory_timer: Ends the wait for memory; None if the connection does not wait.
@@ -56,11 +58,11 @@
         return True
 
     def _lease(self, message: Message, length: int | None) -> bool:
-        """Return whether memory for a long body is leased; a chunked body counts with the maximum size."""
+        """Return whether memory for a long body is leased."""
         leases = self.context.leases
         if self in leases.holders:
-            return True
-        size = self.reader.body_limit if length is None else length
+            return self._extend_lease(message)
+        size = min(self.reader.body_limit, CHUNKED_LEASE_BYTES, leases.total) if length is None else length
         if size > leases.total:
             self.on_memory_denied()
             return False
@@ -71,6 +73,18 @@
         self.memory_timer = self.context.loop.call_later(MAX_MEMORY_WAIT_S, self.on_memory_denied)
         return False
 
+    def _extend_lease(self, message: Message) -> bool:
+        """Return whether the lease covers the received part of the body, and extend it if it does not."""
+        leases = self.context.leases
+        leased = leases.holders[self]
+        if message.size <= leased:
+            return True
+        size = min(max(2 * leased, message.size), self.reader.body_limit, leases.total)
+        if size < message.size or not leases.extend(self, size):
+            self.on_memory_denied()
+            return False
+        return True
+
     def _priority(self, message: Message) -> int:
         routes = self.context.routes
         route = routes.find(message.fields.get(b"host", b""), message.url) if routes else None
--- a/firvane/fleet/router/client.py
+++ b/firvane/fleet/router/client.py
@@ -27,7 +27,8 @@
 from firvane.fleet.router.requests import REQUEST_ID, ProxiedRequest, check_framing, client_deadline_ms
 
 MEMORY_RETRY_AFTER_S = 1.0
-LINGER_S = 1.0  # the rest of a rejected request is read for this time before the connection is closed
+LINGER_S = 1.0  # the rest of a rejected request is read until the client has been silent for this time
+MAX_LINGER_S = 8.0  # and at most for this time
 CONFIGURATION_WAIT_S = 0.4  # a request waits this long for the first configuration of a new router
 NO_CONFIGURATION_RETRY_AFTER_S = 1.0  # longer, since a client retries only a few times
 NOT_RESUMED = "not continued in time"  # metric of truncated responses that were resumable
@@ -35,6 +36,7 @@
 STATUS_NOT_FOUND = 404
 STATUS_REQUEST_TIMEOUT = 408
 STATUS_BAD_GATEWAY = 502
+STATUS_CONTENT_TOO_LARGE = 413
 STATUS_UNAVAILABLE = 503
 
 
@@ -55,6 +57,7 @@
         requests_received: Number of complete requests received.
         received_at: Loop time at which the latest request was completely received.
         connected_at: Loop time at which the connection was accepted.
+        linger_timer: Ends the reading of the rest of a rejected request.
     """
 
     def __init__(self, context: ClientContext) -> None:
@@ -72,6 +75,7 @@
         self.requests_received = 0
         self.received_at = 0.0
         self.connected_at = self.state_since
+        self.linger_timer: asyncio.TimerHandle | None = None
 
     # Connection lifecycle
 
@@ -88,6 +92,9 @@
         self.reader.close()
         self.body_source = self.admission_request = None
         self._take_unrouted()
+        if self.linger_timer:
+            self.linger_timer.cancel()
+            self.linger_timer = None
         self.release_memory()
         flow, self.flow = self.flow, None
         if flow:
@@ -171,6 +178,9 @@
     def _route(self, message: Message, routes: RouteTable) -> None:
         """Find the route of a request, and request its admission."""
         context = self.context
+        if self.limits is None and context.limits and message.size > context.limits.max_body_bytes:
+            self.reject_malformed(HttpError(STATUS_CONTENT_TOO_LARGE))
+            return
         route = routes.find(message.fields.get(b"host", b""), message.url)
         if route is None:
             context.engine.event_counts["no route"] += 1
@@ -205,6 +215,7 @@
     def reject_malformed(self, error: HttpError) -> None:
         """Reject data that is not a valid request or exceeds a limit, and close the connection."""
         self.keep_alive = False
+        self.receiving = True  # the client may still be sending
         self._send_status(error.status)
 
     # Responses: called by the engine (`firvane.core.engine.Client`)
@@ -356,7 +367,18 @@
         self.closing = True
         self.reader.close()
         self.transport.write_eof()
-        self.context.loop.call_later(LINGER_S, self.transport.abort)
+        self.discarded_at = self.context.loop.time()
+        self._continue_linger(self.discarded_at + MAX_LINGER_S)
+
+    def _continue_linger(self, deadline: float) -> None:
+        """Close the connection at the deadline, or once the client has been silent."""
+        now = self.context.loop.time()
+        end = min(deadline, self.discarded_at + LINGER_S)
+        if now < end:
+            self.linger_timer = self.context.loop.call_at(end, self._continue_linger, deadline)
+        else:
+            self.linger_timer = None
+            self.transport.abort()
 
     # Flow control
 
--- a/firvane/fleet/router/client_context.py
+++ b/firvane/fleet/router/client_context.py
@@ -16,7 +16,6 @@
 from firvane.fleet.router.drain import Drain
 from firvane.fleet.router.requests import ProxiedRequest, parse_prompt_headers
 
-DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024
 DEFAULT_BODY_MEMORY_BYTES = 64 * 1024 * 1024
 DEFAULT_HEADER_TIMEOUT_S = 3.0
 DEFAULT_IDLE_TIMEOUT_S = 15.0  # between requests
@@ -51,7 +50,7 @@
         engine: The engine; set right after construction.
         routes: The active routes; None before the first configuration.
         connections: All open connections.
-        max_body: Maximum size of a request body in bytes.
+        limits: The active limits of requests; None before the first configuration.
         request_timeout: Maximum time in seconds from the first to the last byte of a request.
         idle_timeout: Maximum idle time of a connection in seconds.
         drain: The drain state.
@@ -65,7 +64,7 @@
         self.engine: Engine[ProxiedRequest, Message]
         self.routes: RouteTable | None = None
         self.connections: dict[Connection, None] = {}
-        self.max_body = DEFAULT_MAX_BODY_BYTES
+        self.limits: Limits | None = None
         self.request_timeout = DEFAULT_HEADER_TIMEOUT_S * REQUEST_TIMEOUT_FACTOR
         self.idle_timeout = DEFAULT_IDLE_TIMEOUT_S
         self.drain = Drain()
@@ -76,7 +75,7 @@
     def configure(self, routes: RouteTable, limits: Limits) -> None:
         """Apply new routes and limits to all requests from now on."""
         self.routes = routes
-        self.max_body = limits.max_body_bytes
+        self.limits = limits
         self.request_timeout = REQUEST_TIMEOUT_FACTOR * limits.header_timeout_ms / 1000
         self.idle_timeout = limits.idle_timeout_ms / 1000
 
--- a/firvane/fleet/router/request_receiver.py
+++ b/firvane/fleet/router/request_receiver.py
@@ -7,11 +7,13 @@
 from firvane.core.net.http_message import HttpError, Message
 from firvane.core.net.http_reader import MessageReader
 from firvane.core.turn_budget import step_units
+from firvane.fleet.configuration.routes import Limits
 from firvane.fleet.router.body_receiver import BodyReceiver
 from firvane.fleet.router.client_context import ClientContext
 
 READ_AHEAD_BYTES = 256 * 1024  # maximum of unparsed data; reading is paused above it
 HEAD_PRIORITY = -1  # more urgent than any route
+NO_LIMIT_BYTES = 2**53
 
 
 class RequestReceiver(BodyReceiver):
@@ -23,14 +25,17 @@
     Attributes:
         buffered: Received bytes; those from `position` on are not parsed yet.
         receiving: Whether a request has been received in part.
+        limits: Limits in force when the first byte of the latest request was parsed; None without any.
+        discarded_at: Loop time at which data was last discarded, since the connection is being closed.
         state_since: Loop time at which the connection was accepted, became idle or started a request.
         is_parsing: Whether a caller further up the stack is parsing requests.
         writing_paused: Whether writing is paused, since the client reads too slowly.
     """
 
     def __init__(self, context: ClientContext) -> None:
-        reader = MessageReader(httptools.HttpRequestParser, context.max_body, context.max_body)
-        super().__init__(context, reader)
+        super().__init__(context, MessageReader(httptools.HttpRequestParser))
+        self.limits: Limits | None = None
+        self.discarded_at = 0.0
         self.buffered = b""
         self.position = 0
         self.receiving = False
@@ -53,6 +58,7 @@
     def data_received(self, data: bytes) -> None:
         """Buffer received data, and parse it unless a request is in progress (asyncio)."""
         if self.closing:
+            self.discarded_at = self.context.loop.time()
             return
         self.buffered = self.buffered + data if self.buffered else data
         self.parse_requests()
@@ -88,6 +94,8 @@
         return units
 
     def _parse_next(self) -> None:
+        if not self.receiving:
+            self._apply_limits()
         try:
             self.position = self.reader.step(self.buffered, self.position)
         except HttpError as error:
@@ -100,6 +108,12 @@
             self.receiving = False
             self.on_request(message)
 
+    def _apply_limits(self) -> None:
+        """Apply the limits in force to the next request; without a configuration only memory limits it."""
+        self.limits = self.context.limits
+        max_body = self.limits.max_body_bytes if self.limits else NO_LIMIT_BYTES
+        self.reader.buffer_limit = self.reader.body_limit = max_body
+
     def _trim_buffer(self) -> None:
         """Drop parsed data from the buffer, and pause or resume reading."""
         if self.closing:
--- a/tests/crossings/mutants/answers.py
+++ b/tests/crossings/mutants/answers.py
@@ -10,6 +10,7 @@
 FRAMING = "tests/fleet/router/test_event_framing.py"
 TURNS = "firvane/core/turn_budget.py"
 EVENTS = "firvane/fleet/router/events.py"
+LIMITS = "tests/fleet/router/test_configured_limits.py"
 END_CHECK = "tests/fleet/router/test_end_check.py"
 ENDS = "tests/fleet/router/test_stream_ends.py"
 UPSTREAM = "firvane/fleet/router/upstream_connection.py"
@@ -240,6 +241,48 @@
         "return LF in event",
         "tests/fleet/router/test_event_framing.py -k rest_of_a_large_event",
     ),
+    Mutant(
+        "the limits in force are applied to each request",
+        "firvane/fleet/router/request_receiver.py",
+        "        if not self.receiving:\n            self._apply_limits()\n",
+        "        if self.limits is None:\n            self._apply_limits()\n",
+        f"{LIMITS} -k body_limit",
+    ),
+    Mutant(
+        "a request that came before the first configuration is checked against it",
+        "firvane/fleet/router/client.py",
+        "message.size > context.limits.max_body_bytes",
+        "False",
+        f"{LIMITS} -k before_the_first_configuration",
+    ),
+    Mutant(
+        "the rest of a rejected request is read",
+        "firvane/fleet/router/client.py",
+        "        self.receiving = True  # the client may still be sending\n",
+        "",
+        f"{LIMITS} -k reads_the_rejection",
+    ),
+    Mutant(
+        "a client that goes on sending is read on",
+        "firvane/fleet/router/request_receiver.py",
+        "            self.discarded_at = self.context.loop.time()\n",
+        "",
+        f"{LIMITS} -k reads_the_rejection",
+    ),
+    Mutant(
+        "a client that goes on sending is not read for ever",
+        "firvane/fleet/router/client.py",
+        "end = min(deadline, self.discarded_at + LINGER_S)",
+        "end = self.discarded_at + LINGER_S",
+        f"{LIMITS} -k never_stops_sending",
+    ),
+    Mutant(
+        "a body in chunks has memory for all that has come",
+        "firvane/fleet/router/body_receiver.py",
+        "if size < message.size or not leases.extend(self, size):",
+        "if not leases.extend(self, size):",
+        f"{LIMITS} -k whatever_the_limit",
+    ),
     Mutant(
         "no more problems are made than are told",
         "firvane/fleet/configuration/structure.py",
--- a/tests/fleet/router/test_long_bodies.py
+++ b/tests/fleet/router/test_long_bodies.py
@@ -101,7 +101,7 @@
     async def scenario() -> None:
         backend = DelayedBackend()
         async with start_router([backend.server], (URGENT, NORMAL)) as router:
-            limit = LENGTH if framed else router.listener.max_body
+            limit = LENGTH if framed else body_receiver.CHUNKED_LEASE_BYTES
             leases = router.listener.leases = BodyLeases(2 * limit)
             responses = [
                 asyncio.create_task(Upload(router, f"long{number}", framed=framed).run())
--- a/tests/fleet/router/test_request_memory.py
+++ b/tests/fleet/router/test_request_memory.py
@@ -15,7 +15,7 @@
 import uvloop
 
 from firvane.core.net.http_reader import MessageReader
-from firvane.fleet.configuration.routes import Route
+from firvane.fleet.configuration.routes import Limits, Route
 from firvane.fleet.router import client
 from firvane.fleet.router.client import ClientConnection
 from firvane.fleet.router.events import EventFramer
@@ -174,9 +174,7 @@
 
 
 async def expect_too_large_in_chunks(session: ClientSession) -> None:
-    for connection in session.router.listener.connections:
-        reader = connection.reader  # type: ignore[attr-defined]
-        reader.body_limit = reader.buffer_limit = 2 * len(BODY)
+    session.router.listener.limits = Limits(max_body_bytes=2 * len(BODY))
     chunked = head().replace(b"Content-Length: 100000", b"Transfer-Encoding: chunked")
     session.writer.write(chunked + 3 * chunk(BODY))
     assert b" 413 " in await session.reader.readuntil(b"\r\n\r\n")
