--- a/firvane/core/net/http_message.py
+++ b/firvane/core/net/http_message.py
@@ -47,6 +47,7 @@
         "continue_sent",
         "exceeds_buffer",
         "fields",
+        "head_size",
         "headers",
         "is_framed",
         "keep_alive",
@@ -67,6 +68,7 @@
         self.fields: dict[bytes, bytes] = {}  # by lower-case name; the last one if repeated
         self.repeated_fields: list[bytes] = []
         self.body: list[BytesLike] = []
+        self.head_size = 0  # bytes of the complete head that count towards its limit
         self.size = 0  # bytes of the body received so far
         self.continue_sent = False  # "100 Continue" was sent to its sender
         self.is_framed = False  # its head defines how its body ends
--- a/firvane/core/net/http_reader.py
+++ b/firvane/core/net/http_reader.py
@@ -24,6 +24,7 @@
 )
 MAX_READ_BYTES = 16 * 1024  # read from a connection at once; the rest waits in the kernel
 READ_BUFFER = memoryview(bytearray(MAX_READ_BYTES))  # shared by all connections, and copied from at once
+LF = b"\n"
 HTTP_BAD_REQUEST = 400
 HTTP_CONTENT_TOO_LARGE = 413
 HTTP_HEADERS_TOO_LARGE = 431
@@ -61,6 +62,12 @@
         message: The message that is being parsed.
         in_head: Whether the head of the message is incomplete.
         closed: Whether the reader is closed.
+        head_limit: Bytes of a head; longer ones are an error.
+        target_allowance: Bytes of a request's target that do not count towards `head_limit`.
+        trailer_allowance: Bytes of trailers and chunk extensions beside the head, if it has `MAX_HEAD_BYTES`.
+        raw_head_size: Bytes of the head of the latest message, with those of the same read that follow it.
+        max_fields: Number of header fields; more are an error.
+        head_step_lines: Lines of a head that are parsed in one step; 0 for no bound.
     """
 
     def __init__(
@@ -84,6 +91,12 @@
         self.in_head = False
         self.completed: list[Message] = []
         self.closed = False
+        self.head_limit = MAX_HEAD_BYTES
+        self.target_allowance = 0
+        self.trailer_allowance = 0
+        self.raw_head_size = 0
+        self.max_fields = MAX_HEADER_FIELDS
+        self.head_step_lines = 0
 
     def step(self, data: bytes, start: int = 0) -> int:
         """Parse `data` from `start`, at most to the end of a message.
@@ -111,12 +124,18 @@
         if self.message:
             # Bounds endless heads, chunk extensions and trailers: data that the parser itself buffers or
             # skips is not counted elsewhere.
-            if self.raw_size > MAX_HEAD_BYTES + (1 + CHUNK_OVERHEAD) * self.message.size:
+            if self.raw_size > self._framing_bound() + (1 + CHUNK_OVERHEAD) * self.message.size:
                 raise HttpError(HTTP_HEADERS_TOO_LARGE if self.in_head else HTTP_CONTENT_TOO_LARGE)
         elif not self.completed:  # empty lines between messages
             self.raw_size = 0
         return end
 
+    def _framing_bound(self) -> int:
+        """Return how many bytes of the message may be no data of its body."""
+        if self.in_head:
+            return self.head_limit + self.target_allowance
+        return max(MAX_HEAD_BYTES, self.raw_head_size + self.trailer_allowance)
+
     def _step_end(self, data: bytes, start: int) -> int:
         """Return the offset up to which the next step may parse."""
         message, end = self.message, len(data)
@@ -131,9 +150,19 @@
         if not (message and message.status):
             seam = (self.tail + data[start : start + 3]).find(END_OF_HEAD) if self.tail else -1
             if seam >= 0:
-                return min(end, start + seam + len(END_OF_HEAD) - len(self.tail))
-            if (found := data.find(END_OF_HEAD, start, end)) >= 0:
-                return found + len(END_OF_HEAD)
+                end = min(end, start + seam + len(END_OF_HEAD) - len(self.tail))
+            elif (found := data.find(END_OF_HEAD, start, end)) >= 0:
+                end = found + len(END_OF_HEAD)
+            if self.head_step_lines and (message is None or self.in_head):
+                end = self._head_step_end(data, start, end)
+        return end
+
+    def _head_step_end(self, data: bytes, start: int, end: int) -> int:
+        """Return `end`, or the offset after as many lines of a head as may be parsed in one step."""
+        if data.count(LF, start, end) > self.head_step_lines:
+            end = start
+            for _ in range(self.head_step_lines):
+                end = data.find(LF, end) + 1
         return end
 
     def in_unsized_body(self) -> bool:
@@ -169,7 +198,7 @@
         if self.message and self.in_head:
             value = value.strip(b" \t")  # the parser leaves trailing white space
             self.message.headers.append((name, value))
-            if len(self.message.headers) > MAX_HEADER_FIELDS:
+            if len(self.message.headers) > self.max_fields:
                 raise HttpError(HTTP_HEADERS_TOO_LARGE)
             key = name.lower()
             if key in self.message.fields:
@@ -179,11 +208,13 @@
     def on_headers_complete(self) -> None:
         """Check the head (parser callback)."""
         self.in_head = False
+        self.raw_head_size = self.raw_size
         message = self.message
         if message is None:
             return
-        head_size = len(message.url) + sum(len(name) + len(value) + 4 for name, value in message.headers)
-        if head_size > MAX_HEAD_BYTES:
+        target_size = max(0, len(message.url) - self.target_allowance)
+        message.head_size = target_size + sum(len(name) + len(value) + 4 for name, value in message.headers)
+        if message.head_size > self.head_limit:
             raise HttpError(HTTP_HEADERS_TOO_LARGE)
         message.is_framed = b"content-length" in message.fields or b"transfer-encoding" in message.fields
         length = message.fields.get(b"content-length", b"0").strip()
--- a/firvane/fleet/router/body_receiver.py
+++ b/firvane/fleet/router/body_receiver.py
@@ -1,4 +1,4 @@
-"""Memory bounds for long request bodies: a body is read only after memory for all of it is leased."""
+"""Memory bounds for long requests: they are read only with a lease of memory for what has been received."""
 
 from __future__ import annotations
 
@@ -9,16 +9,19 @@
 from firvane.fleet.router.client_context import ClientContext
 
 LONG_BODY_BYTES = 64 * 1024  # shorter bodies never wait
+LONG_HEAD_BYTES = 48 * 1024  # heads that take less memory never wait
+FIELD_BYTES = 256  # memory of a parsed header field, beside its text
 CHUNKED_LEASE_BYTES = 4 * 1024 * 1024  # first lease of a body of unknown length, which is doubled as it grows
 MAX_MEMORY_WAIT_S = 2.0
 
 
 class BodyReceiver(BoundedReadProtocol):
-    """The part of a client's connection that bounds the total memory of long request bodies.
+    """The part of a client's connection that bounds the total memory of long heads and bodies.
 
-    A long body needs a lease (`firvane.core.body_leases`) until its request has ended. Without a lease the
+    A long request needs a lease (`firvane.core.body_leases`) until it has ended. Without a lease the
     connection is not read, so that TCP flow control stops the client. The most urgent route is served first.
-    The lease of a body in chunks is extended as it grows; if there is no memory then, the body is rejected.
+    The lease of a head, and of a body in chunks, is extended as it grows; if there is no memory then, the
+    request is rejected.
 
     Attributes:
         memory_timer: Ends the wait for memory; None if the connection does not wait.
@@ -38,34 +41,51 @@
         raise NotImplementedError
 
     def on_memory_granted(self) -> None:
-        """Continue reading a body that waited for memory."""
+        """Continue reading a request that waited for memory."""
         raise NotImplementedError
 
     def on_memory_denied(self) -> None:
-        """Reject a body that got no memory in time, or that exceeds the total memory."""
+        """Reject a request that got no memory in time, or that exceeds the total memory."""
         raise NotImplementedError
 
     def has_memory(self) -> bool:
         """Return whether the current request may be read further; if not, the connection waits for memory."""
-        message = self.reader.message
-        if message is None or self.reader.in_head:
+        completed = self.reader.completed
+        message = completed[0] if completed else self.reader.message
+        if message is None:
             return True
-        length = message.content_length()
-        is_long = message.size > LONG_BODY_BYTES or (length is not None and length > LONG_BODY_BYTES)
-        if is_long and not self._lease(message, length):
+        needed = self._head_memory(message) + self._body_memory(message)
+        if needed and not self._lease(message, needed):
             return False
-        self.on_body_allowed(message)
+        if not completed:
+            self.on_body_allowed(message)
         return True
 
-    def _lease(self, message: Message, length: int | None) -> bool:
-        """Return whether memory for a long body is leased."""
+    def _head_memory(self, message: Message) -> int:
+        """Return the bytes that the received part of a head needs; 0 if it is not long."""
+        size = message.head_size or self.reader.raw_size
+        memory = size + FIELD_BYTES * len(message.headers)
+        return memory if memory > LONG_HEAD_BYTES else 0
+
+    def _body_memory(self, message: Message) -> int:
+        """Return the bytes that a body of known length needs, or the received part; 0 if it is not long."""
+        if message is self.reader.message and self.reader.in_head:
+            return 0
+        size = max(message.size, message.content_length() or 0)
+        return size if size > LONG_BODY_BYTES else 0
+
+    def _lease(self, message: Message, needed: int) -> bool:
+        """Return whether enough memory is leased to the request."""
         leases = self.context.leases
-        if self in leases.holders:
-            return self._extend_lease(message)
-        size = min(self.reader.body_limit, CHUNKED_LEASE_BYTES, leases.total) if length is None else length
-        if size > leases.total:
+        leased = leases.holders.get(self)
+        if leased is not None and needed <= leased:
+            return True
+        if needed > leases.total:
             self.on_memory_denied()
             return False
+        size = min(max(needed, self._expected_memory(message, leased or 0)), leases.total)
+        if leased is not None:
+            return self._extend_lease(size)
         if leases.request(self, self._schedule_grant, size, self._priority(message)):
             return True
         self.context.on_memory_wait()
@@ -73,17 +93,20 @@
         self.memory_timer = self.context.loop.call_later(MAX_MEMORY_WAIT_S, self.on_memory_denied)
         return False
 
-    def _extend_lease(self, message: Message) -> bool:
-        """Return whether the lease covers the received part of the body, and extend it if it does not."""
-        leases = self.context.leases
-        leased = leases.holders[self]
-        if message.size <= leased:
+    def _expected_memory(self, message: Message, leased: int) -> int:
+        """Return the bytes that a request of unknown size is expected to need; 0 if the size is known."""
+        if self.reader.in_head:
+            return 2 * max(leased, LONG_HEAD_BYTES)
+        if message.complete or message.content_length() is not None:
+            return 0
+        return min(self.reader.body_limit, max(CHUNKED_LEASE_BYTES, 2 * leased))
+
+    def _extend_lease(self, size: int) -> bool:
+        """Return whether the lease could be extended, which never waits."""
+        if self.context.leases.extend(self, size):
             return True
-        size = min(max(2 * leased, message.size), self.reader.body_limit, leases.total)
-        if size < message.size or not leases.extend(self, size):
-            self.on_memory_denied()
-            return False
-        return True
+        self.on_memory_denied()
+        return False
 
     def _priority(self, message: Message) -> int:
         routes = self.context.routes
@@ -107,7 +130,7 @@
             self.memory_timer = None
 
     def release_memory(self) -> None:
-        """Release the lease of a body, or cancel the wait for one."""
+        """Release the lease of a request, or cancel the wait for one."""
         self._end_wait()
         self.context.leases.release(self)
 
--- a/firvane/fleet/router/client.py
+++ b/firvane/fleet/router/client.py
@@ -18,8 +18,9 @@
 from firvane.core.flows import Flow
 from firvane.core.net.dialer import reset_on_close
 from firvane.core.net.http_message import BytesLike, HttpError, Message, Stream
+from firvane.core.net.http_reader import HTTP_CONTENT_TOO_LARGE, HTTP_HEADERS_TOO_LARGE
 from firvane.core.net.http_writer import LAST_CHUNK, format_response, format_response_head, frame_chunk
-from firvane.fleet.configuration.routes import Route, RouteTable
+from firvane.fleet.configuration.routes import Limits, Route, RouteTable
 from firvane.fleet.router.admission import UNRESTRICTED, Admitted
 from firvane.fleet.router.client_context import ClientContext
 from firvane.fleet.router.drain import LATE_RETRY_AFTER_S
@@ -36,7 +37,6 @@
 STATUS_NOT_FOUND = 404
 STATUS_REQUEST_TIMEOUT = 408
 STATUS_BAD_GATEWAY = 502
-STATUS_CONTENT_TOO_LARGE = 413
 STATUS_UNAVAILABLE = 503
 
 
@@ -178,8 +178,8 @@
     def _route(self, message: Message, routes: RouteTable) -> None:
         """Find the route of a request, and request its admission."""
         context = self.context
-        if self.limits is None and context.limits and message.size > context.limits.max_body_bytes:
-            self.reject_malformed(HttpError(STATUS_CONTENT_TOO_LARGE))
+        if self.limits is None and context.limits and (status := excess_status(message, context.limits)):
+            self.reject_malformed(HttpError(status))
             return
         route = routes.find(message.fields.get(b"host", b""), message.url)
         if route is None:
@@ -397,6 +397,13 @@
             self.parse_requests()
 
 
+def excess_status(message: Message, limits: Limits) -> int:
+    """Return the status for a complete request that exceeds a limit; 0 if it exceeds none."""
+    if message.head_size > limits.max_header_bytes:
+        return HTTP_HEADERS_TOO_LARGE
+    return HTTP_CONTENT_TOO_LARGE if message.size > limits.max_body_bytes else 0
+
+
 class _AdmissionRequest:
     """A request that waits for its admission; its connection may be closed before the decision."""
 
--- a/firvane/fleet/router/request_receiver.py
+++ b/firvane/fleet/router/request_receiver.py
@@ -14,6 +14,10 @@
 READ_AHEAD_BYTES = 256 * 1024  # maximum of unparsed data; reading is paused above it
 HEAD_PRIORITY = -1  # more urgent than any route
 NO_LIMIT_BYTES = 2**53
+MAX_HEAD_BYTES = 1024 * 1024  # of a head, whatever is configured
+REQUEST_TARGET_BYTES = 8 * 1024  # of a request line, beside the header fields (RFC 9112, 3)
+MAX_TRAILER_BYTES = 16 * 1024  # of trailers and chunk extensions
+HEAD_STEP_LINES = 128  # lines of a head that are parsed before their memory is checked
 
 
 class RequestReceiver(BodyReceiver):
@@ -33,7 +37,12 @@
     """
 
     def __init__(self, context: ClientContext) -> None:
-        super().__init__(context, MessageReader(httptools.HttpRequestParser))
+        reader = MessageReader(httptools.HttpRequestParser)
+        reader.target_allowance = REQUEST_TARGET_BYTES
+        reader.trailer_allowance = MAX_TRAILER_BYTES
+        reader.max_fields = MAX_HEAD_BYTES  # each takes bytes of the head; their memory is leased
+        reader.head_step_lines = HEAD_STEP_LINES
+        super().__init__(context, reader)
         self.limits: Limits | None = None
         self.discarded_at = 0.0
         self.buffered = b""
@@ -103,6 +112,10 @@
             self.reject_malformed(error)
             return
         self._track_receiving()
+        self._take_request()
+
+    def _take_request(self) -> None:
+        """Handle the current request if it is complete and there is memory for it."""
         if self.has_memory() and self.reader.completed:
             message = self.reader.completed.pop(0)
             self.receiving = False
@@ -112,7 +125,9 @@
         """Apply the limits in force to the next request; without a configuration only memory limits it."""
         self.limits = self.context.limits
         max_body = self.limits.max_body_bytes if self.limits else NO_LIMIT_BYTES
+        max_header = self.limits.max_header_bytes if self.limits else NO_LIMIT_BYTES
         self.reader.buffer_limit = self.reader.body_limit = max_body
+        self.reader.head_limit = min(max_header, MAX_HEAD_BYTES)
 
     def _trim_buffer(self) -> None:
         """Drop parsed data from the buffer, and pause or resume reading."""
@@ -138,8 +153,7 @@
 
     def _track_receiving(self) -> None:
         """Start the time-out of a request at its first byte."""
-        message = self.reader.message
-        if message is None:
+        if self.reader.message is None and not self.reader.completed:
             return
         if not self.receiving:
             self.receiving = True
@@ -153,8 +167,7 @@
                 self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_memory_granted(self) -> None:
-        """Continue reading the body; the wait for memory does not count towards the request time-out."""
+        """Continue reading the request; the wait for memory does not count towards the request time-out."""
         self.state_since = self.context.loop.time()
-        if message := self.reader.message:
-            self.on_body_allowed(message)
+        self._take_request()
         self.parse_requests()
--- a/tests/crossings/mutants/answers.py
+++ b/tests/crossings/mutants/answers.py
@@ -10,6 +10,7 @@
 FRAMING = "tests/fleet/router/test_event_framing.py"
 TURNS = "firvane/core/turn_budget.py"
 EVENTS = "firvane/fleet/router/events.py"
+HEAD_LIMITS = "tests/fleet/router/test_configured_head_limits.py"
 LIMITS = "tests/fleet/router/test_configured_limits.py"
 END_CHECK = "tests/fleet/router/test_end_check.py"
 ENDS = "tests/fleet/router/test_stream_ends.py"
@@ -83,7 +84,7 @@
     Mutant(
         "a long body waits for memory",
         "firvane/fleet/router/body_receiver.py",
-        "if is_long and not self._lease(message, length):",
+        "if needed and not self._lease(message, needed):",
         "if False:",
         f"{BODIES}::test_long_bodies_wait_for_memory_while_short_requests_are_served",
     ),
@@ -251,8 +252,8 @@
     Mutant(
         "a request that came before the first configuration is checked against it",
         "firvane/fleet/router/client.py",
-        "message.size > context.limits.max_body_bytes",
-        "False",
+        "HTTP_CONTENT_TOO_LARGE if message.size > limits.max_body_bytes else 0",
+        "0",
         f"{LIMITS} -k before_the_first_configuration",
     ),
     Mutant(
@@ -279,10 +280,66 @@
     Mutant(
         "a body in chunks has memory for all that has come",
         "firvane/fleet/router/body_receiver.py",
-        "if size < message.size or not leases.extend(self, size):",
-        "if not leases.extend(self, size):",
+        "if leased is not None and needed <= leased:",
+        "if leased is not None:",
         f"{LIMITS} -k whatever_the_limit",
     ),
+    Mutant(
+        "the configured limit of a head is in force",
+        "firvane/fleet/router/request_receiver.py",
+        "        self.reader.head_limit = min(max_header, MAX_HEAD_BYTES)\n",
+        "",
+        f"{HEAD_LIMITS} -k limit_is_in_force",
+    ),
+    Mutant(
+        "a head has a bound, whatever is configured",
+        "firvane/fleet/router/request_receiver.py",
+        "min(max_header, MAX_HEAD_BYTES)",
+        "max_header",
+        f"{HEAD_LIMITS} -k endless_head",
+    ),
+    Mutant(
+        "a head that came before the first configuration is checked against it",
+        "firvane/fleet/router/client.py",
+        "message.head_size > limits.max_header_bytes",
+        "False",
+        f"{HEAD_LIMITS} -k before_the_first_configuration",
+    ),
+    Mutant(
+        "the memory of a head is leased",
+        "firvane/fleet/router/body_receiver.py",
+        "return memory if memory > LONG_HEAD_BYTES else 0",
+        "return 0",
+        f"{HEAD_LIMITS} -k wait_for_memory",
+    ),
+    Mutant(
+        "short fields are counted with what they take in memory",
+        "firvane/fleet/router/body_receiver.py",
+        "memory = size + FIELD_BYTES * len(message.headers)",
+        "memory = size",
+        f"{HEAD_LIMITS} -k gets_no_memory",
+    ),
+    Mutant(
+        "a head is parsed in steps, between which its memory is checked",
+        "firvane/fleet/router/request_receiver.py",
+        "        reader.head_step_lines = HEAD_STEP_LINES\n",
+        "",
+        f"{HEAD_LIMITS} -k many_clients_with_long_heads",
+    ),
+    Mutant(
+        "a trailer has a bound of its own",
+        "firvane/core/net/http_reader.py",
+        "return max(MAX_HEAD_BYTES, self.raw_head_size + self.trailer_allowance)",
+        "return self.head_limit + self.target_allowance",
+        f"{HEAD_LIMITS} -k trailer_is_bounded",
+    ),
+    Mutant(
+        "a request that waited for memory is handled once it has it",
+        "firvane/fleet/router/request_receiver.py",
+        "        self._take_request()\n        self.parse_requests()\n",
+        "        self.parse_requests()\n",
+        f"{HEAD_LIMITS} -k complete_when_it_waits",
+    ),
     Mutant(
         "no more problems are made than are told",
         "firvane/fleet/configuration/structure.py",
