Apply changed slots and connection limits of a service to known backends

What would be seen: engine.slots was read once, when a backend was first listed. A change had no effect until the backend was replaced; after a restart whose list came before the configuration, the default of 16 slots stayed. A raised connection_limit left queued requests waiting until another one ended.

Change: a server's view keeps the slots of the list, and a configuration derives its slots anew; queued requests are dispatched after it.

--- a/firvane/fleet/placement/balancer.py
+++ b/firvane/fleet/placement/balancer.py
@@ -379,3 +379,4 @@
 
     def _on_service(self, event: ServiceInfo, now: float) -> None:
         self.services[event.service].configure(event)
+        self._dispatch_queued(now)
--- a/firvane/fleet/placement/server_view.py
+++ b/firvane/fleet/placement/server_view.py
@@ -112,6 +112,7 @@
         trial_starts_at: When the trial after its ejection as an outlier starts.
         trial_failed_at: When a request of this router last failed in such a trial.
         saturated_until: Until when it is believed to be at capacity, after it rejected a request.
+        listed_slots: Its slots in the platform's list; 0 if the list has none.
     """
 
     id: str
@@ -150,6 +151,7 @@
     trial_starts_at: float = NEVER
     trial_failed_at: float = NEVER
     saturated_until: float = 0.0
+    listed_slots: int = 0
 
     def __post_init__(self) -> None:
         self.id_hash = crc32(self.id.encode())
--- a/firvane/fleet/placement/service_view.py
+++ b/firvane/fleet/placement/service_view.py
@@ -54,6 +54,7 @@
         self.info = info
         for server in self.servers.values():
             server.prefix_cache.capacity_tokens = self._cache_capacity()
+            server.slots = self._slots(server.listed_slots)
 
     def assign(self, routers: Sequence[int]) -> None:
         """Replace the set of live routers."""
@@ -84,12 +85,16 @@
             server.in_own_slice = server in own_slice
 
     def _add_server(self, instance: Instance) -> ServerView:
-        slots = instance.slots or self.info.slots or DEFAULT_SLOTS
         cache = PrefixCacheView(self._cache_capacity(), MAX_CACHED_BLOCKS)
-        server = ServerView(instance.id, self.name, instance.zone, slots, cache)
+        slots = self._slots(instance.slots)
+        server = ServerView(instance.id, self.name, instance.zone, slots, cache, listed_slots=instance.slots)
         self.servers[instance.id] = server
         return server
 
+    def _slots(self, listed: int) -> int:
+        """Return the slots of a server by the platform's list, or else by the configuration."""
+        return listed or self.info.slots or DEFAULT_SLOTS
+
     def _cache_capacity(self) -> float:
         return CACHE_MEMORY_RATIO * self.info.cache_tokens
 
