--- a/firvane/fleet/router/body_receiver.py
+++ b/firvane/fleet/router/leased_receiver.py
@@ -15,7 +15,7 @@
 MAX_MEMORY_WAIT_S = 2.0
 
 
-class BodyReceiver(BoundedReadProtocol):
+class LeasedReceiver(BoundedReadProtocol):
     """The part of a client's connection that bounds the total memory of long heads and bodies.
 
     A long request needs a lease (`firvane.core.body_leases`) until it has ended. Without a lease the
--- a/firvane/fleet/router/request_receiver.py
+++ b/firvane/fleet/router/request_receiver.py
@@ -8,8 +8,8 @@
 from firvane.core.net.http_reader import MessageReader
 from firvane.core.turn_budget import step_units
 from firvane.fleet.configuration.routes import Limits
-from firvane.fleet.router.body_receiver import BodyReceiver
 from firvane.fleet.router.client_context import ClientContext
+from firvane.fleet.router.leased_receiver import LeasedReceiver
 
 READ_AHEAD_BYTES = 256 * 1024  # maximum of unparsed data; reading is paused above it
 HEAD_PRIORITY = -1  # more urgent than any route
@@ -20,7 +20,7 @@
 HEAD_STEP_LINES = 128  # lines of a head that are parsed before their memory is checked
 
 
-class RequestReceiver(BodyReceiver):
+class RequestReceiver(LeasedReceiver):
     """The part of a client's connection that receives requests, one at a time.
 
     Data that follows a request is not parsed until the response to that request has been sent. Data in excess
--- a/firvane/fleet/router/upstream.py
+++ b/firvane/fleet/router/upstream.py
@@ -18,9 +18,10 @@
 from firvane.core.net.upstream_exchange import UpstreamRun
 from firvane.core.terminations import Termination
 from firvane.core.turn_budget import TurnBudget
+from firvane.fleet.router.connection_pool import Pool
 from firvane.fleet.router.end_check import EndCheck
 from firvane.fleet.router.requests import ProxiedRequest
-from firvane.fleet.router.upstream_connection import Pool, Run, UpstreamConnection
+from firvane.fleet.router.upstream_connection import BackendPool, Run, UpstreamConnection
 
 CONNECT_TIMEOUT_S = 0.25
 KEEP_ALIVE_RATIO = 0.6  # idle time-out as a part of the time-out in the backend's `Keep-Alive`
@@ -63,7 +64,7 @@
         When `max_connections` are open, a dial first closes the longest idle connection.
         """
         self.loop, self.dialer, self.max_connections = loop, dialer, max_connections
-        self.pools: dict[str, Pool] = {}
+        self.pools: dict[str, BackendPool] = {}
         self.streams: dict[UpstreamConnection, None] = {}
         self.turns = turns or TurnBudget(loop.call_soon)
         self.on_progress: Callable[[str], None] = ignore_progress
@@ -129,7 +130,7 @@
 
     def connect(
         self,
-        pool: Pool,
+        pool: BackendPool,
         on_connected: Callable[[UpstreamConnection], None],
         on_failed: Callable[[Termination], None],
     ) -> Dialing:
@@ -150,7 +151,9 @@
         self.connections -= 1
         on_failed(termination)
 
-    def start_end_check(self, pool: Pool, on_result: Callable[[bool], None]) -> EndCheck[UpstreamConnection]:
+    def start_end_check(
+        self, pool: BackendPool, on_result: Callable[[bool], None]
+    ) -> EndCheck[UpstreamConnection]:
         """Check whether a backend still runs, and report it to `on_result` later."""
         return EndCheck(self.loop, PoolConnector(self, pool), on_result)
 
@@ -200,7 +203,7 @@
 class PoolConnector:
     """Opens connections to the backend of one pool for checks of that backend."""
 
-    def __init__(self, upstreams: Upstreams, pool: Pool) -> None:
+    def __init__(self, upstreams: Upstreams, pool: BackendPool) -> None:
         self._upstreams, self._pool = upstreams, pool
 
     def connect(
--- a/firvane/fleet/router/upstream_connection.py
+++ b/firvane/fleet/router/upstream_connection.py
@@ -30,14 +30,14 @@
 
 import httptools
 
-from firvane.core.address import Address
 from firvane.core.net.connection_checks import NoInputCheck
 from firvane.core.net.http_message import BytesLike, HttpError, Message, Stream
 from firvane.core.net.http_reader import BoundedReadProtocol, MessageReader
 from firvane.core.net.http_writer import format_forwarded_head
-from firvane.core.net.upstream_exchange import UpstreamRun, close_idle
+from firvane.core.net.upstream_exchange import UpstreamRun
 from firvane.core.terminations import Termination
 from firvane.core.turn_budget import TurnBudget, step_units
+from firvane.fleet.router.connection_pool import Pool
 from firvane.fleet.router.end_check import EndCheck
 from firvane.fleet.router.events import EventFramer, UnknownPositionError
 from firvane.fleet.router.requests import DEADLINE, REQUEST_ID, ProxiedRequest
@@ -54,7 +54,6 @@
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 MAX_REJECTED_IDS = 256  # a connection with more rejected requests is closed
 MAX_SKIPPED_RESPONSES = 8  # interim (1xx) responses and responses to earlier requests
-DEFAULT_IDLE_TIMEOUT_S = 8.0  # if the backend sends no `Keep-Alive` time-out
 STALL_TIMEOUT_FACTOR = 2.0  # ratio to the route's target gap between events
 MIN_STALL_TIMEOUT_S = 0.35
 PROGRESS_INTERVAL_S = 0.05  # minimum interval between progress reports of a backend
@@ -79,48 +78,15 @@
     def return_to_pool(self, connection: UpstreamConnection, response: Message | None = None) -> None:
         """Return an idle connection to its pool."""
 
-    def start_end_check(self, pool: Pool, on_result: Callable[[bool], None]) -> EndCheck[UpstreamConnection]:
+    def start_end_check(
+        self, pool: BackendPool, on_result: Callable[[bool], None]
+    ) -> EndCheck[UpstreamConnection]:
         """Check whether a backend still runs, and report it to `on_result` later."""
 
 
-class Pool:
-    """The idle connections to one backend.
-
-    Attributes:
-        backend: Id of the backend.
-        address: Address of the backend.
-        ready: Whether the backend accepts new requests.
-        idle: Idle connections, the most recently used last.
-        idle_timeout: Seconds after which an idle connection is closed.
-        progress_at: Loop time of the last progress report for the backend.
-    """
-
-    def __init__(self, backend: str, address: Address) -> None:
-        self.backend, self.address = backend, address
-        self.ready = True
-        self.idle: list[UpstreamConnection] = []
-        self.idle_timeout = DEFAULT_IDLE_TIMEOUT_S
-        self.progress_at = 0.0
-
-    def take(self, request_id: bytes) -> UpstreamConnection | None:
-        """Take the most recently used connection that may carry this request, and close unusable ones."""
-        for position in range(len(self.idle) - 1, -1, -1):
-            connection = self.idle[position]
-            if not connection.is_usable():
-                del self.idle[position]
-                connection.close()
-            elif request_id not in connection.rejected_ids:
-                del self.idle[position]
-                return connection
-        return None
-
-    def close_idle(self, before: float = float("inf")) -> None:
-        """Close the connections that became idle before the loop time `before`."""
-        close_idle(self.idle, before)
-
-
+BackendPool: TypeAlias = Pool["UpstreamConnection"]
 # An attempt on a backend. The alias is only for annotations; `UpstreamRun` itself is constructed.
-Run: TypeAlias = UpstreamRun[ProxiedRequest, "UpstreamConnection", Pool]
+Run: TypeAlias = UpstreamRun[ProxiedRequest, "UpstreamConnection", BackendPool]
 
 
 class UpstreamConnection(BoundedReadProtocol):
@@ -143,7 +109,7 @@
         closed: Whether the connection is closed.
     """
 
-    def __init__(self, upstreams: ConnectionOwner, pool: Pool, has_no_input: NoInputCheck) -> None:
+    def __init__(self, upstreams: ConnectionOwner, pool: BackendPool, has_no_input: NoInputCheck) -> None:
         """`has_no_input` returns whether the socket has neither unread data nor an end of file."""
         self.upstreams, self.pool, self.has_no_input = upstreams, pool, has_no_input
         self.reader = MessageReader(
--- a/tests/crossings/mutants/answers.py
+++ b/tests/crossings/mutants/answers.py
@@ -83,7 +83,7 @@
     ),
     Mutant(
         "a long body waits for memory",
-        "firvane/fleet/router/body_receiver.py",
+        "firvane/fleet/router/leased_receiver.py",
         "if needed and not self._lease(message, needed):",
         "if False:",
         f"{BODIES}::test_long_bodies_wait_for_memory_while_short_requests_are_served",
@@ -279,7 +279,7 @@
     ),
     Mutant(
         "a body in chunks has memory for all that has come",
-        "firvane/fleet/router/body_receiver.py",
+        "firvane/fleet/router/leased_receiver.py",
         "if leased is not None and needed <= leased:",
         "if leased is not None:",
         f"{LIMITS} -k whatever_the_limit",
@@ -307,14 +307,14 @@
     ),
     Mutant(
         "the memory of a head is leased",
-        "firvane/fleet/router/body_receiver.py",
+        "firvane/fleet/router/leased_receiver.py",
         "return memory if memory > LONG_HEAD_BYTES else 0",
         "return 0",
         f"{HEAD_LIMITS} -k wait_for_memory",
     ),
     Mutant(
         "short fields are counted with what they take in memory",
-        "firvane/fleet/router/body_receiver.py",
+        "firvane/fleet/router/leased_receiver.py",
         "memory = size + FIELD_BYTES * len(message.headers)",
         "memory = size",
         f"{HEAD_LIMITS} -k gets_no_memory",
--- a/tests/crossings/mutants/control.py
+++ b/tests/crossings/mutants/control.py
@@ -108,7 +108,7 @@
     ),
     Mutant(
         "a request that was turned away never uses that connection again",
-        "firvane/fleet/router/upstream_connection.py",
+        "firvane/fleet/router/connection_pool.py",
         "            elif request_id not in connection.rejected_ids:\n",
         "            else:\n",
         UPSTREAM,
--- a/tests/fleet/router/test_configured_head_limits.py
+++ b/tests/fleet/router/test_configured_head_limits.py
@@ -11,7 +11,7 @@
 from firvane.core.body_leases import BodyLeases
 from firvane.core.net.http_reader import MessageReader
 from firvane.fleet.configuration.routes import Limits
-from firvane.fleet.router import body_receiver, client
+from firvane.fleet.router import client, leased_receiver
 from firvane.fleet.router.client import excess_status
 from firvane.fleet.router.request_receiver import MAX_HEAD_BYTES
 from tests.fleet.router.helpers import Backend, RouterHarness, start_router
@@ -236,7 +236,7 @@
 def test_a_long_head_that_gets_no_memory_is_rejected(
     run: Callable[[Scenario], None], monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(body_receiver, "MAX_MEMORY_WAIT_S", 0.05)
+    monkeypatch.setattr(leased_receiver, "MAX_MEMORY_WAIT_S", 0.05)
 
     async def scenario() -> None:
         async with start_router([Backend("a", respond)]) as router:
--- a/tests/fleet/router/test_configured_limits.py
+++ b/tests/fleet/router/test_configured_limits.py
@@ -8,7 +8,7 @@
 import pytest
 
 from firvane.core.body_leases import BodyLeases
-from firvane.fleet.router import body_receiver, client
+from firvane.fleet.router import client, leased_receiver
 from tests.fleet.router.helpers import Backend, RouterHarness, start_router
 from tests.fleet.router.limited_clients import BODY, LARGE, PIECE_BYTES, SMALL, configure, connect, respond
 from tests.fleet.router.loop_fixtures import Scenario, run
@@ -201,7 +201,7 @@
 def test_the_lease_of_a_chunked_body_grows_with_it(
     run: Callable[[Scenario], None], monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(body_receiver, "CHUNKED_LEASE_BYTES", 100_000)
+    monkeypatch.setattr(leased_receiver, "CHUNKED_LEASE_BYTES", 100_000)
 
     async def scenario() -> None:
         async with start_router([Backend("a", respond)]) as router:
--- a/tests/fleet/router/test_long_bodies.py
+++ b/tests/fleet/router/test_long_bodies.py
@@ -13,7 +13,7 @@
 
 from firvane.core.body_leases import BodyLeases
 from firvane.fleet.configuration.routes import Configuration, RouteTable
-from firvane.fleet.router import body_receiver
+from firvane.fleet.router import leased_receiver
 from tests.fleet.router.helpers import Backend, RouterHarness, chunk, request_id, route, start_router
 from tests.live_objects import settle, wait_until
 
@@ -101,7 +101,7 @@
     async def scenario() -> None:
         backend = DelayedBackend()
         async with start_router([backend.server], (URGENT, NORMAL)) as router:
-            limit = LENGTH if framed else body_receiver.CHUNKED_LEASE_BYTES
+            limit = LENGTH if framed else leased_receiver.CHUNKED_LEASE_BYTES
             leases = router.listener.leases = BodyLeases(2 * limit)
             responses = [
                 asyncio.create_task(Upload(router, f"long{number}", framed=framed).run())
@@ -144,7 +144,7 @@
     total: int, run: Callable[[Scenario], None], monkeypatch: pytest.MonkeyPatch
 ) -> None:
     # Guards against: closing the connection with unread bytes caused a reset, and the response was lost.
-    monkeypatch.setattr(body_receiver, "MAX_MEMORY_WAIT_S", 0.05)
+    monkeypatch.setattr(leased_receiver, "MAX_MEMORY_WAIT_S", 0.05)
 
     async def scenario() -> None:
         backend = DelayedBackend()
