End a complete stream to a client of HTTP/1.0 in order

Seen with the tests of stream ends: a client of HTTP/1.0 gets a stream without framing, and its connection is set to reset on close as the head goes out, so that a truncated stream does not look complete. A complete one ended with the same reset: it looked cut off, and unsent data could be lost.

Change: the end of a complete response turns the reset off before the close.

--- a/firvane/core/net/dialer.py
+++ b/firvane/core/net/dialer.py
@@ -156,8 +156,18 @@
 
     Otherwise a truncated body that ends with its connection would be taken for complete.
     """
+    _set_linger(transport, is_on=True)
+
+
+def end_on_close(transport: asyncio.Transport) -> None:
+    """Make a later close end the connection in order again, after all written data has been sent."""
+    _set_linger(transport, is_on=False)
+
+
+def _set_linger(transport: asyncio.Transport, *, is_on: bool) -> None:
+    """Turn lingering for 0 s on or off; with it, a close discards unsent data and resets the connection."""
     if sock := transport.get_extra_info("socket"):
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", int(is_on), 0))
 
 
 TCP_ESTABLISHED = 1  # tcpi_state, the first byte of TCP_INFO: neither side has closed the connection
--- a/firvane/fleet/router/client.py
+++ b/firvane/fleet/router/client.py
@@ -16,7 +16,7 @@
 from typing import cast
 
 from firvane.core.flows import Flow
-from firvane.core.net.dialer import reset_on_close
+from firvane.core.net.dialer import end_on_close, reset_on_close
 from firvane.core.net.http_message import BytesLike, HttpError, Message, Stream
 from firvane.core.net.http_reader import HTTP_CONTENT_TOO_LARGE, HTTP_HEADERS_TOO_LARGE
 from firvane.core.net.http_writer import LAST_CHUNK, format_response, format_response_head, frame_chunk
@@ -261,6 +261,8 @@
 
     def on_response_finished(self) -> None:
         """Finish a complete streamed response."""
+        if self.close_delimited:
+            end_on_close(self.transport)
         self._end_response()
 
     def on_response_aborted(self) -> None:
--- a/tests/crossings/mutants/answers.py
+++ b/tests/crossings/mutants/answers.py
@@ -214,6 +214,13 @@
         "        pass",
         "tests/fleet/router/test_request_memory.py -k disconnects and check",
     ),
+    Mutant(
+        "a complete stream to a client of HTTP/1.0 ends in order",
+        "firvane/fleet/router/client.py",
+        "            end_on_close(self.transport)\n",
+        "            pass\n",
+        f"{ENDS} -k ends_in_order",
+    ),
     Mutant(
         "a stream without a length is complete only after an event",
         EVENTS,
--- a/tests/fleet/router/test_stream_ends.py
+++ b/tests/fleet/router/test_stream_ends.py
@@ -192,6 +192,19 @@
     asyncio.run(asyncio.wait_for(scenario(), 20))
 
 
+@pytest.mark.parametrize("framing", [CHUNKED, UNTIL_CLOSE])
+@pytest.mark.parametrize("body", [events(1, EVENTS), events(1, 50_000)], ids=["short", "long"])
+def test_a_complete_stream_to_a_client_of_http_1_0_ends_in_order(
+    body: bytes, framing: str, run: Callable[[Scenario], None]
+) -> None:
+    # Guards against: the connection was reset at the end, and a complete stream looked cut off.
+    async def scenario() -> None:
+        result = await exchange(HTTP_1_0, respond(body, framing), resumable=True)
+        assert result == (b"HTTP/1.1 200 OK", body, True)
+
+    run(scenario())
+
+
 # All prefixes of random streams, checked against a parser of whole lines
 
 LINES = st.lists(
