Count only streamed responses as cut off

A failure without a length, whose connection ends, was counted in responses_cut_off as well, though nothing of it is forwarded. The new test failed before.

--- a/firvane/fleet/router/upstream_connection.py
+++ b/firvane/fleet/router/upstream_connection.py
@@ -163,7 +163,8 @@
         self.at_end = True
         if self.end_check:
             return True  # the end was read again
-        if self.run is None or message is None or self.reader.in_head or message.is_framed:
+        is_unframed = message is not None and not self.reader.in_head and not message.is_framed
+        if self.run is None or message is None or not is_unframed or not self._is_forwarding():
             self.close()
         elif self.stream and (self.framer is None or self.framer.may_end(is_framed=False)):
             self.end_check = self.upstreams.start_end_check(self.pool, partial(self._on_end_checked, message))
@@ -171,6 +172,10 @@
             self._on_cut_off()
         return self.end_check is not None
 
+    def _is_forwarding(self) -> bool:
+        """Return whether a streamed response is in progress, whose head may not have been forwarded yet."""
+        return self.stream is not None or self.framer is not None
+
     def _on_end_checked(self, message: Message, is_running: bool) -> None:
         """Complete a body without framing if its backend still runs; otherwise close."""
         self.end_check = None
@@ -341,10 +346,10 @@
         Returns whether the run is still in progress.
         """
         run = self.run
-        if run is None or not (self.stream or self.framer or run.request.progress.accepts(message)):
+        if run is None or not (self._is_forwarding() or run.request.progress.accepts(message)):
             self._fail(Termination.BAD_RESPONSE)
             return False
-        if not (self.stream or self.framer):
+        if not self._is_forwarding():
             if not is_streamed(message):
                 return True
             self._prepare_stream(message, run)
--- a/tests/fleet/router/test_end_check.py
+++ b/tests/fleet/router/test_end_check.py
@@ -25,7 +25,7 @@
     respond,
     resume,
 )
-from tests.fleet.router.helpers import Backend, start_router
+from tests.fleet.router.helpers import Backend, request_id, start_router
 from tests.fleet.router.loop_fixtures import LAST_CHUNK, Scenario, fetch_stream, run
 
 __all__ = ["run"]
@@ -108,6 +108,24 @@
     asyncio.run(asyncio.wait_for(scenario(), 20))
 
 
+def test_only_responses_that_are_cut_off_are_counted() -> None:
+    async def count(body: bytes, status: bytes) -> int:
+        async def handle(request: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            name = request_id(request)
+            writer.write(b"HTTP/1.1 %s\r\nX-Request-Id: %s\r\n" % (status, name))
+            writer.write(b"Content-Type: text/event-stream\r\n\r\n" + body)
+            writer.close()
+
+        async with start_router([Backend("a", handle)], max_attempts=1) as router:
+            await router.fetch(CLOSING)
+            return router.upstreams.responses_cut_off
+
+    assert asyncio.run(count(events(1, 2), b"200 OK")) == 0
+    assert asyncio.run(count(events(1, 2) + b"id", b"200 OK")) == 1
+    assert asyncio.run(count(b"", b"200 OK")) == 1
+    assert asyncio.run(count(b"failed\n", b"500 Error")) == 0
+
+
 def test_the_connection_of_the_check_carries_the_next_request() -> None:
     async def scenario() -> None:
         backend = Backend("a", respond(events(1, 2)))
