--- a/tests/fleet/router/test_long_bodies.py
+++ b/tests/fleet/router/test_long_bodies.py
@@ -4,37 +4,27 @@
 
 import asyncio
 import socket
-from collections.abc import AsyncIterator, Callable, Coroutine
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from typing import Any
 
 import pytest
-import uvloop
 
 from firvane.core.body_leases import BodyLeases
 from firvane.fleet.configuration.routes import Configuration, RouteTable
 from firvane.fleet.router import leased_receiver
 from tests.fleet.router.helpers import Backend, RouterHarness, chunk, request_id, route, start_router
+from tests.fleet.router.loop_fixtures import Scenario, run
 from tests.live_objects import settle, wait_until
 
+__all__ = ["run"]
+
 LENGTH = 1_000_000
 BODY = b"x" * LENGTH
 URGENT, NORMAL = (
     route(name="urgent", path_prefix="/urgent/", priority=0),
     route(name="normal", path_prefix="/normal/", priority=1),
 )
-Scenario = Coroutine[Any, Any, None]
 OTHER_HOLDER = "another"  # holds a lease in addition to the clients
-LOOPS = (asyncio.new_event_loop, uvloop.new_event_loop)
-
-
-@pytest.fixture(params=LOOPS, ids=["asyncio", "uvloop"])
-def run(request: pytest.FixtureRequest) -> Callable[[Scenario], None]:
-    def run_scenario(scenario: Scenario) -> None:
-        with asyncio.Runner(loop_factory=request.param) as runner:
-            runner.run(asyncio.wait_for(scenario, 20))
-
-    return run_scenario
 
 
 def head(name: str, path: str = "/normal/a", length: int | None = LENGTH, extra: str = "") -> bytes:
